--- /dev/null
+++ b/fleet/fleet_test.go
@@ -0,0 +1,41 @@
+package fleet_test
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/redwingnotch/redwingnotch/fleet"
+)
+
+func TestParseTarget(t *testing.T) {
+	for _, tc := range []struct {
+		in   string
+		want fleet.Target
+		bad  bool
+	}{
+		{in: "lathe", want: fleet.Target{Model: "lathe"}},
+		{in: "lathe+collar", want: fleet.Target{Model: "lathe", Adapter: "collar"}},
+		{in: "", bad: true},
+		{in: "+collar", bad: true},
+		{in: "lathe+", bad: true},
+		{in: "a+b+c", bad: true},
+	} {
+		got, err := fleet.ParseTarget(tc.in)
+		assert.Equal(t, err != nil, tc.bad, tc.in)
+		assert.Equal(t, got, tc.want, tc.in)
+		if !tc.bad {
+			assert.Equal(t, got.String(), tc.in)
+		}
+	}
+}
+
+func TestParseRankRoundTrip(t *testing.T) {
+	for r := range fleet.Rank(fleet.RankCount) {
+		got, err := fleet.ParseRank(r.String())
+		assert.NilError(t, err)
+		assert.Equal(t, got, r)
+	}
+	_, err := fleet.ParseRank("Urgent")
+	assert.ErrorContains(t, err, `unknown rank "Urgent"`)
+}
