--- /dev/null
+++ b/internal/telemetry/metrics.go
@@ -0,0 +1,104 @@
+package telemetry
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"go.opentelemetry.io/otel/attribute"
+	otelprom "go.opentelemetry.io/otel/exporters/prometheus"
+	"go.opentelemetry.io/otel/metric"
+	sdk "go.opentelemetry.io/otel/sdk/metric"
+)
+
+// Metrics are the measurements of one node. They are kept apart from those of
+// other nodes in the same process.
+type Metrics struct {
+	provider   *sdk.MeterProvider
+	handler    http.Handler
+	requests   metric.Int64Counter
+	duration   metric.Float64Histogram
+	firstToken metric.Float64Histogram
+	retries    metric.Int64Counter
+	violations metric.Int64Counter
+	running    metric.Int64UpDownCounter
+	orders     metric.Int64Counter
+}
+
+// latencyBounds are histogram bounds in seconds.
+var latencyBounds = []float64{0.001, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30, 60, 120, 300, 900}
+
+// NewMetrics makes the instruments of a node.
+func NewMetrics() (*Metrics, error) {
+	registry := prometheus.NewRegistry()
+	exporter, err := otelprom.New(otelprom.WithRegisterer(registry))
+	if err != nil {
+		return nil, fmt.Errorf("metrics exporter: %w", err)
+	}
+	m := &Metrics{
+		provider: sdk.NewMeterProvider(sdk.WithReader(exporter)),
+		handler:  promhttp.HandlerFor(registry, promhttp.HandlerOpts{}),
+	}
+	if err := m.addInstruments(); err != nil {
+		return nil, fmt.Errorf("metrics: %w", err)
+	}
+	return m, nil
+}
+
+func (m *Metrics) addInstruments() error {
+	meter := m.provider.Meter("redwingnotch")
+	var errs [7]error
+	m.requests, errs[0] = meter.Int64Counter("redwingnotch_requests", metric.WithDescription("Requests by kind, rank, outcome and code."))
+	m.duration, errs[1] = meter.Float64Histogram("redwingnotch_request_duration", metric.WithUnit("s"),
+		metric.WithDescription("Time from arrival to the end of the answer."), metric.WithExplicitBucketBoundaries(latencyBounds...))
+	m.firstToken, errs[2] = meter.Float64Histogram("redwingnotch_first_token", metric.WithUnit("s"),
+		metric.WithDescription("Time from arrival to the first token."), metric.WithExplicitBucketBoundaries(latencyBounds...))
+	m.retries, errs[3] = meter.Int64Counter("redwingnotch_retries", metric.WithDescription("Repeated dispatches by cause."))
+	m.violations, errs[4] = meter.Int64Counter("redwingnotch_invariant_violations", metric.WithDescription("Broken invariants by name."))
+	m.running, errs[5] = meter.Int64UpDownCounter("redwingnotch_running_requests", metric.WithDescription("Requests in progress at this node."))
+	m.orders, errs[6] = meter.Int64Counter("redwingnotch_orders", metric.WithDescription("Orders to backend servers by kind and result."))
+	for _, err := range errs {
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// RequestStarted counts a request in progress.
+func (m *Metrics) RequestStarted() { m.running.Add(context.Background(), 1) }
+
+// RequestEnded records the end of a request.
+func (m *Metrics) RequestEnded(kind, rank, outcome, code string, duration time.Duration) {
+	ctx := context.Background()
+	m.running.Add(ctx, -1)
+	m.requests.Add(ctx, 1, metric.WithAttributes(attribute.String("kind", kind),
+		attribute.String("rank", rank), attribute.String("outcome", outcome), attribute.String("code", code)))
+	m.duration.Record(ctx, duration.Seconds(), metric.WithAttributes(attribute.String("kind", kind), attribute.String("rank", rank)))
+}
+
+// FirstToken records the time to the first token.
+func (m *Metrics) FirstToken(rank string, d time.Duration) {
+	m.firstToken.Record(context.Background(), d.Seconds(), metric.WithAttributes(attribute.String("rank", rank)))
+}
+
+// Retry counts a repeated dispatch.
+func (m *Metrics) Retry(cause string) {
+	m.retries.Add(context.Background(), 1, metric.WithAttributes(attribute.String("cause", cause)))
+}
+
+// Violation counts a broken invariant.
+func (m *Metrics) Violation(name string) {
+	m.violations.Add(context.Background(), 1, metric.WithAttributes(attribute.String("name", name)))
+}
+
+// Order counts an order to a backend server.
+func (m *Metrics) Order(kind, result string) {
+	m.orders.Add(context.Background(), 1, metric.WithAttributes(attribute.String("kind", kind), attribute.String("result", result)))
+}
+
+// Shutdown releases the instruments.
+func (m *Metrics) Shutdown(ctx context.Context) error { return m.provider.Shutdown(ctx) }
