fleet: enumerations are written by name in JSON

Cause: reports, the VM list and orders carry ranks and states, which JSON wrote as bare numbers. Change: MarshalText and UnmarshalText on Rank, VMState, ReplicaState and Nearness; one parser for all four.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -65,20 +65,14 @@
 
 // String returns the rank's name as used in headers and settings.
 func (r Rank) String() string {
-	if int(r) < len(rankNames) {
-		return rankNames[r]
-	}
-	return fmt.Sprintf("rank(%d)", uint8(r))
+	return nameOf("rank", rankNames[:], uint8(r))
 }
 
 // ParseRank reads a rank's name. It accepts exactly the names String returns.
 func ParseRank(s string) (Rank, error) {
-	for i, name := range rankNames {
-		if s == name {
-			return Rank(i), nil
-		}
-	}
-	return 0, fmt.Errorf("unknown rank %q, want one of %s", s, strings.Join(rankNames[:], ", "))
+	var r Rank
+	err := r.UnmarshalText([]byte(s))
+	return r, err
 }
 
 // Target names what a request asks for: a model with an optional adapter.
@@ -118,9 +112,7 @@
 )
 
 // String returns the state's name as used by the platform.
-func (s VMState) String() string {
-	return [...]string{"live", "leaving", "gone"}[s]
-}
+func (s VMState) String() string { return nameOf("VM state", vmStateNames, uint8(s)) }
 
 // VM is one row of the platform's list of VMs.
 type VM struct {
@@ -175,7 +167,7 @@
 
 // String returns the state's name.
 func (s ReplicaState) String() string {
-	return [...]string{"reserved", "loading", "ready", "unloading"}[s]
+	return nameOf("replica state", replicaStateNames, uint8(s))
 }
 
 // ReplicaKey identifies a replica: one version of a model on one boot of one
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -1,6 +1,7 @@
 package fleet_test
 
 import (
+	"encoding/json"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -39,3 +40,20 @@
 	_, err := fleet.ParseRank("Urgent")
 	assert.ErrorContains(t, err, `unknown rank "Urgent"`)
 }
+
+func TestEnumerationsAreWrittenByName(t *testing.T) {
+	type row struct {
+		Rank  fleet.Rank
+		VM    fleet.VMState
+		State fleet.ReplicaState
+		Near  fleet.Nearness
+	}
+	want := row{fleet.RankBulk, fleet.VMLeaving, fleet.ReplicaReady, fleet.NearDisk}
+	text, err := json.Marshal(want)
+	assert.NilError(t, err)
+	assert.Equal(t, string(text), `{"Rank":"bulk","VM":"leaving","State":"ready","Near":"disk"}`)
+	var got row
+	assert.NilError(t, json.Unmarshal(text, &got))
+	assert.Equal(t, got, want)
+	assert.ErrorContains(t, json.Unmarshal([]byte(`{"Near":"far"}`), &got), `unknown nearness "far"`)
+}
