--- a/engine/engine.go
+++ b/engine/engine.go
@@ -56,6 +56,8 @@
 	ErrCrashed     = errors.New("backend server crashed during the request") // connection reset while running
 	ErrSilent      = errors.New("connection made no progress in time")       // may have taken effect
 	ErrUnreachable = errors.New("backend server is unreachable")             // no connection could be made
+	ErrRejected    = errors.New("request refused by the backend server")     // did not take effect
+	ErrMismatch    = errors.New("answer belongs to another request")         // the request's own outcome is unknown
 )
 
 // LoadedReplica is what an engine reports of one loaded or loading model.
