--- /dev/null
+++ b/internal/httpsend/httpsend_test.go
@@ -0,0 +1,126 @@
+package httpsend
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/redwingnotch/redwingnotch/standin/pipenet"
+)
+
+const address = "peer:80"
+
+func post(ctx context.Context, client *http.Client) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/", bytes.NewReader([]byte("order")))
+	if err != nil {
+		return err
+	}
+	resp, err := Do(client, req)
+	if err == nil {
+		_, err = io.Copy(io.Discard, resp.Body)
+		resp.Body.Close()
+	}
+	return err
+}
+
+func TestDoTellsWhetherARequestMayHaveRun(t *testing.T) {
+	cutAfterRead := func(t *testing.T, conn net.Conn) {
+		_, err := conn.Read(make([]byte, 1))
+		assert.NilError(t, err)
+		conn.Close()
+	}
+	neverRead := func(*testing.T, net.Conn) {}
+	for _, tc := range []struct {
+		name  string
+		serve func(t *testing.T, conn net.Conn) // nil: nobody listens
+		want  error
+	}{
+		{"refused", nil, ErrUnreachable},
+		{"cut after the first byte", cutAfterRead, ErrMaybeSent},
+		{"never read", neverRead, ErrMaybeSent},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				network := pipenet.New()
+				if tc.serve != nil {
+					l, err := network.Listen(address)
+					assert.NilError(t, err)
+					defer l.Close()
+					go func() {
+						conn, err := l.Accept()
+						if err == nil {
+							tc.serve(t, conn)
+						}
+					}()
+				}
+				ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+				defer cancel()
+				client := NewClient(Options{Dial: network.Dial})
+				assert.ErrorIs(t, post(ctx, client), tc.want)
+			})
+		})
+	}
+}
+
+func TestDoTellsACancelledDial(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		hang := func(ctx context.Context, _, _ string) (net.Conn, error) {
+			<-ctx.Done()
+			return nil, ctx.Err()
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), DefaultDialTimeout/2)
+		defer cancel()
+		assert.ErrorIs(t, post(ctx, NewClient(Options{Dial: hang})), ErrNotSent)
+		time.Sleep(DefaultDialTimeout) // the dial goes on without the request
+	})
+}
+
+func TestPostIsNotSentAgainOnAStaleConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := pipenet.New()
+		l, err := network.Listen(address)
+		assert.NilError(t, err)
+		runs := 0
+		server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if runs++; runs == 2 {
+				panic(http.ErrAbortHandler)
+			}
+		})}
+		go func() { _ = server.Serve(l) }()
+		defer server.Close()
+		client := NewClient(Options{Dial: network.Dial})
+		assert.NilError(t, post(t.Context(), client))
+		synctest.Wait()
+		err = post(t.Context(), client)
+		assert.ErrorIs(t, err, ErrMaybeSent)
+		assert.ErrorIs(t, err, ErrReused)
+		assert.Equal(t, runs, 2)
+	})
+}
+
+func TestSealedConnectionWritesNothing(t *testing.T) {
+	near, far := net.Pipe()
+	defer far.Close()
+	c := &conn{Conn: near}
+	call := &call{used: []use{{conn: c, start: c.writes()}}}
+	sent, _ := call.mayHaveSent()
+	assert.Assert(t, !sent)
+	_, err := c.Write([]byte("late"))
+	assert.ErrorIs(t, err, errSealed)
+}
+
+func TestTCPConnectionsHaveAUserTimeout(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer l.Close()
+	conn, err := dialTCP(t.Context(), "tcp", l.Addr().String())
+	assert.NilError(t, err)
+	conn.Close()
+}
