httpsend: a write of which no byte left does not count as sent

Change: a failed write of zero bytes is taken back. Conclusion: 'not sent' is told more often and stays true.

--- a/internal/httpsend/track.go
+++ b/internal/httpsend/track.go
@@ -14,7 +14,7 @@
 // errSealed is returned by writes to a connection whose call was given up.
 var errSealed = errors.New("connection given up")
 
-// conn counts the writes that were begun on a connection.
+// conn counts the writes of a connection by which bytes left or may leave.
 type conn struct {
 	net.Conn
 	mu     sync.Mutex
@@ -22,8 +22,8 @@
 	sealed bool
 }
 
-// Write implements net.Conn. It counts the write before it is made, so that a
-// count that has not risen proves that nothing left.
+// Write implements net.Conn. It counts the write before it is made and takes it
+// back if no byte left, so that a count that has not risen proves that none did.
 func (c *conn) Write(p []byte) (int, error) {
 	c.mu.Lock()
 	if c.sealed {
@@ -32,7 +32,13 @@
 	}
 	c.begun++
 	c.mu.Unlock()
-	return c.Conn.Write(p)
+	n, err := c.Conn.Write(p)
+	if n == 0 && err != nil {
+		c.mu.Lock()
+		c.begun--
+		c.mu.Unlock()
+	}
+	return n, err
 }
 
 func (c *conn) writes() uint64 {
@@ -41,7 +47,7 @@
 	return c.begun
 }
 
-// seal refuses all later writes and returns the number of writes begun.
+// seal refuses all later writes and returns the number of writes counted.
 func (c *conn) seal() uint64 {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -70,7 +76,7 @@
 
 type use struct {
 	conn  *conn
-	start uint64 // writes begun on the connection before this request
+	start uint64 // writes counted on the connection before this request
 }
 
 // track returns a context whose HTTP request is recorded in the call.
