--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -50,6 +50,10 @@
 // Incarnation numbers the runs of a node. Higher is newer.
 type Incarnation uint64
 
+// ContentHash identifies the content of a request: equal content has equal
+// hashes. It is opaque bytes; the empty value means unknown.
+type ContentHash string
+
 // Rank is the urgency class of a request. Lower values are more urgent.
 type Rank uint8
 
