--- /dev/null
+++ b/admission/decide.go
@@ -0,0 +1,231 @@
+package admission
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/redwingnotch/redwingnotch/fleet"
+	"github.com/redwingnotch/redwingnotch/invariant"
+	"github.com/redwingnotch/redwingnotch/quarantine"
+)
+
+// scanInterval is how often all waiters are checked for expiry.
+const scanInterval = 250 * time.Millisecond
+
+// demandMemory is how long a target without waiters is named in the demand.
+const demandMemory = 15 * time.Minute
+
+// minRetryAfter is the least time after which a refused caller should return.
+const minRetryAfter = time.Second
+
+// grantDecision returns the decision that carries a grant.
+func grantDecision(g *grantState) Decision {
+	return Decision{
+		Kind:        Grant,
+		RequestID:   g.request.ID,
+		Attempt:     g.request.Attempt,
+		Entry:       g.request.Entry,
+		Incarnation: g.request.Incarnation,
+		Grant:       g.terms,
+	}
+}
+
+// refuseDecision returns the decision that carries a refusal.
+func refuseDecision(r *Request, refusal Refusal) Decision {
+	return Decision{
+		Kind:        Refuse,
+		RequestID:   r.ID,
+		Attempt:     r.Attempt,
+		Entry:       r.Entry,
+		Incarnation: r.Incarnation,
+		Refusal:     refusal,
+	}
+}
+
+// waitDecision returns the decision to wait, with what it waits for. A decision
+// that was made meanwhile goes first.
+func (q *Queue) waitDecision(now time.Time, w *waiter) Decision {
+	for i, d := range q.ready {
+		if d.RequestID == w.ID {
+			q.ready = slices.Delete(q.ready, i, i+1)
+			return d
+		}
+	}
+	m := q.models[w.Target.Model]
+	estimate, known := q.estimate(now, m, w)
+	reason := "queued behind other requests"
+	if supplyOf(m).readySlots == 0 {
+		reason = "waiting for the model to load"
+	}
+	if w.held {
+		reason = "kept apart after a backend server crashed"
+	}
+	if !known {
+		estimate = 0
+	}
+	return Decision{
+		Kind:        Wait,
+		RequestID:   w.ID,
+		Attempt:     w.Attempt,
+		Entry:       w.Entry,
+		Incarnation: w.Incarnation,
+		Estimate:    estimate,
+		Reason:      reason,
+	}
+}
+
+// screen refuses what must not run at all.
+func (q *Queue) screen(now time.Time, m *modelState, r *Request) (Refusal, bool) {
+	if q.released {
+		switch {
+		case !m.known || (r.Target.Adapter != "" && !m.adapters[r.Target.Adapter]):
+			return Refusal{Code: CodeUnknownTarget, Detail: r.Target.String() + " is not in force"}, true
+		case m.info.Withdrawn:
+			return Refusal{Code: CodeWithdrawn, Detail: string(r.Target.Model) + " is withdrawn"}, true
+		case len(m.info.AllowedRanks) > 0 && !slices.Contains(m.info.AllowedRanks, r.Rank):
+			return Refusal{Code: CodeRank, Detail: fmt.Sprintf("%s does not serve rank %s", r.Target.Model, r.Rank)}, true
+		}
+	}
+	table := q.settings.Quarantine
+	if table == nil {
+		return Refusal{}, false
+	}
+	key := keyOf(r)
+	if table.Verdict(now, key) != quarantine.Refuse {
+		return Refusal{}, false
+	}
+	return q.poisonRefusal(now, key), true
+}
+
+// poisonRefusal refuses a convicted request and keeps it convicted.
+func (q *Queue) poisonRefusal(now time.Time, key quarantine.Key) Refusal {
+	table := q.settings.Quarantine
+	table.Refused(now, key)
+	detail := fmt.Sprintf("the request was in flight at %d crashes of backend servers", quarantine.MaxCrashes)
+	return Refusal{Code: CodePoison, Detail: detail, RetryAfter: table.RetryAfter(now, key)}
+}
+
+// tooLate refuses a request that cannot get its first token by its deadline,
+// by the estimate of the queue ahead and of loads.
+func (q *Queue) tooLate(now time.Time, m *modelState, w *waiter) (Refusal, bool) {
+	if refusal, refused := q.tooLateNow(now, m, w); refused || q.settings.FIFO {
+		return refusal, refused
+	}
+	estimate, known := q.estimate(now, m, w)
+	slack := w.Deadline.Sub(now)
+	if !known || estimate <= slack {
+		return Refusal{}, false
+	}
+	detail := fmt.Sprintf("first token expected in %v, deadline in %v", estimate.Round(time.Millisecond), slack.Round(time.Millisecond))
+	return Refusal{Code: CodeDeadline, Detail: detail, RetryAfter: max(minRetryAfter, estimate-slack)}, true
+}
+
+// tooLateNow refuses a request that would be late even if it began now.
+func (q *Queue) tooLateNow(now time.Time, m *modelState, w *waiter) (Refusal, bool) {
+	slack := w.Deadline.Sub(now)
+	if slack > 0 && (q.settings.FIFO || m.learnt.firstTokenTime(now) <= slack) {
+		return Refusal{}, false
+	}
+	detail := fmt.Sprintf("deadline in %v", slack.Round(time.Millisecond))
+	retry := minRetryAfter
+	if estimate, known := q.estimate(now, m, w); known {
+		retry = max(retry, estimate)
+	}
+	return Refusal{Code: CodeExpired, Detail: detail, RetryAfter: retry}, true
+}
+
+// Tick refuses what expired or is no longer asked for, serves what can be
+// served, and returns the decisions made since the last Tick that Offer did not
+// return itself.
+func (q *Queue) Tick(now time.Time) []Decision {
+	if now.Sub(q.scanned) >= scanInterval {
+		q.scanned = now
+		for _, id := range sortedKeys(q.waiters) {
+			q.checkWaiter(now, q.waiters[id])
+		}
+	}
+	for _, id := range sortedKeys(q.models) {
+		q.serveModel(now, q.models[id])
+	}
+	q.serveHeld(now)
+	q.checkBooks()
+	return q.Decided()
+}
+
+// Decided returns the decisions made since the last Tick or Decided that Offer
+// did not return itself. It costs nothing beyond that, so that a node can pass
+// on the grants that a Finish made possible at once.
+func (q *Queue) Decided() []Decision {
+	out := q.ready
+	q.ready = nil
+	return out
+}
+
+// checkWaiter ends one wait if it became useless.
+func (q *Queue) checkWaiter(now time.Time, w *waiter) {
+	if now.Sub(w.offered) >= q.settings.PollTimeout {
+		q.refuse(w, Refusal{Code: CodeCancelled, Detail: "the entry node stopped asking"})
+		return
+	}
+	m := q.models[w.Target.Model]
+	if refusal, refused := q.tooLateNow(now, m, w); refused {
+		q.refuse(w, refusal)
+		return
+	}
+	if q.settings.FIFO || supplyOf(m).readySlots > 0 {
+		return
+	}
+	if refusal, refused := q.tooLate(now, m, w); refused {
+		q.refuse(w, refusal)
+	}
+}
+
+// checkBooks asserts that each waiter stands in exactly one place.
+func (q *Queue) checkBooks() {
+	queued := len(q.held)
+	for _, m := range q.models {
+		for _, t := range m.targets {
+			for r := range t.byRank {
+				queued += t.byRank[r].len()
+			}
+		}
+	}
+	invariant.Check(queued == len(q.waiters), invariant.NoLostWaiter, "%d requests wait, %d are queued", len(q.waiters), queued)
+}
+
+// Demands returns what waits at the cell by target, and when targets were asked
+// for lately, ordered by target.
+func (q *Queue) Demands(now time.Time) []fleet.Demand {
+	byTarget := make(map[fleet.Target]*fleet.Demand)
+	for id, m := range q.models {
+		maps.DeleteFunc(m.last, func(_ fleet.AdapterID, last time.Time) bool {
+			return now.Sub(last) > demandMemory
+		})
+		for adapter, last := range m.last {
+			target := fleet.Target{Model: id, Adapter: adapter}
+			byTarget[target] = &fleet.Demand{Target: target, LastArrival: last}
+		}
+	}
+	for _, w := range q.waiters {
+		d := byTarget[w.Target]
+		if d == nil {
+			d = &fleet.Demand{Target: w.Target, LastArrival: w.Arrival}
+			byTarget[w.Target] = d
+		}
+		d.Waiting[w.Rank]++
+		if earliest := d.EarliestDeadline[w.Rank]; earliest.IsZero() || w.Deadline.Before(earliest) {
+			d.EarliestDeadline[w.Rank] = w.Deadline
+		}
+		if d.OldestArrival.IsZero() || w.Arrival.Before(d.OldestArrival) {
+			d.OldestArrival = w.Arrival
+		}
+	}
+	out := make([]fleet.Demand, 0, len(byTarget))
+	for _, d := range byTarget {
+		out = append(out, *d)
+	}
+	slices.SortFunc(out, func(a, b fleet.Demand) int { return compareTargets(a.Target, b.Target) })
+	return out
+}
--- /dev/null
+++ b/admission/queue_test.go
@@ -0,0 +1,205 @@
+package admission_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/redwingnotch/redwingnotch/admission"
+	"github.com/redwingnotch/redwingnotch/fleet"
+	"github.com/redwingnotch/redwingnotch/quarantine"
+)
+
+var start = time.Date(2026, 3, 2, 8, 0, 0, 0, time.UTC)
+
+// replica returns a ready replica on a backend server of its own.
+func replica(n int, model fleet.ModelID, slots int) fleet.Replica {
+	return fleet.Replica{
+		ReplicaKey: fleet.ReplicaKey{
+			Backend: fleet.BackendID(fmt.Sprintf("b%d", n)),
+			Boot:    fleet.BootID(fmt.Sprintf("b%d-1", n)),
+			Model:   model,
+			Version: "1",
+		},
+		State: fleet.ReplicaReady,
+		Slots: slots,
+	}
+}
+
+func request(id string, rank fleet.Rank) admission.Request {
+	return admission.Request{ID: id, Entry: "n1", Incarnation: 1, Target: fleet.Target{Model: "m"}, Rank: rank, Caller: "c"}
+}
+
+func newQueue(rs ...fleet.Replica) *admission.Queue {
+	q := admission.New(admission.DefaultSettings())
+	q.SetReplicas(start, rs, nil)
+	return q
+}
+
+func finish(q *admission.Queue, now time.Time, d admission.Decision, outcome admission.FinishOutcome) {
+	q.Finish(now, admission.Finish{GrantID: d.Grant.ID, RequestID: d.RequestID, Outcome: outcome, Tokens: 100, FirstToken: 100 * time.Millisecond, Duration: 2 * time.Second})
+}
+
+func TestOfferIsIdempotent(t *testing.T) {
+	q := newQueue(replica(1, "m", 1))
+	first := q.Offer(start, request("a", fleet.RankUrgent))
+	assert.Equal(t, first.Kind, admission.Grant)
+	assert.Equal(t, q.Offer(start, request("a", fleet.RankUrgent)), first)
+
+	retry := request("a", fleet.RankUrgent)
+	retry.Attempt = 1
+	second := q.Offer(start, retry)
+	assert.Equal(t, second.Kind, admission.Grant)
+	assert.Assert(t, second.Grant.ID != first.Grant.ID)
+	finish(q, start, first, admission.FinishOK) // given up already: frees nothing
+	assert.Equal(t, q.Offer(start, request("b", fleet.RankUrgent)).Kind, admission.Wait)
+	assert.Equal(t, len(q.Tick(start)), 0)
+}
+
+func TestServesUrgentFirstThenEarliestDeadline(t *testing.T) {
+	q := newQueue(replica(1, "m", 1))
+	running := q.Offer(start, request("running", fleet.RankBulk))
+	late := request("late", fleet.RankStandard)
+	early := request("early", fleet.RankStandard)
+	late.Deadline = start.Add(4 * time.Minute)
+	early.Deadline = start.Add(2 * time.Minute)
+	for _, r := range []admission.Request{request("bulk", fleet.RankBulk), late, early, request("urgent", fleet.RankUrgent)} {
+		assert.Equal(t, q.Offer(start, r).Kind, admission.Wait)
+	}
+	for _, want := range []string{"urgent", "early", "late", "bulk"} {
+		finish(q, start, running, admission.FinishOK)
+		decided := q.Decided()
+		assert.Equal(t, len(decided), 1)
+		assert.Equal(t, decided[0].RequestID, want)
+		running = decided[0]
+	}
+}
+
+func TestModelsShareTheSlotsOfABackendServer(t *testing.T) {
+	a, b := replica(1, "m", 2), replica(1, "other", 2)
+	q := newQueue(a, b)
+	assert.Equal(t, q.Offer(start, request("a", fleet.RankUrgent)).Kind, admission.Grant)
+	other := request("b", fleet.RankUrgent)
+	other.Target.Model = "other"
+	assert.Equal(t, q.Offer(start, other).Kind, admission.Grant)
+	assert.Equal(t, q.Offer(start, request("c", fleet.RankUrgent)).Kind, admission.Wait)
+}
+
+func TestRefusesAtArrivalWhatWouldBeLate(t *testing.T) {
+	loading := replica(1, "m", 4)
+	loading.State = fleet.ReplicaLoading
+	loading.ReadyAt = start.Add(time.Minute)
+	q := newQueue(loading)
+	d := q.Offer(start, request("urgent", fleet.RankUrgent))
+	assert.Equal(t, d.Kind, admission.Refuse)
+	assert.Equal(t, d.Refusal.Code, admission.CodeDeadline)
+	assert.Equal(t, d.Refusal.RetryAfter, 30*time.Second)
+	assert.Equal(t, q.Offer(start, request("standard", fleet.RankStandard)).Kind, admission.Wait)
+}
+
+func TestRefusesBehindAQueueThatIsTooLong(t *testing.T) {
+	q := newQueue(replica(1, "m", 1))
+	finish(q, start.Add(2*time.Second), q.Offer(start, request("teach", fleet.RankUrgent)), admission.FinishOK)
+	now := start.Add(2 * time.Second)
+	kinds := map[admission.DecisionKind]int{}
+	for i := range 40 {
+		kinds[q.Offer(now, request(fmt.Sprint(i), fleet.RankUrgent)).Kind]++
+	}
+	// One runs; 2 s each with 30 s to the deadline lets 15 wait.
+	assert.DeepEqual(t, kinds, map[admission.DecisionKind]int{admission.Grant: 1, admission.Wait: 15, admission.Refuse: 24})
+}
+
+func TestRefusesOnExpiryAndWhenNotPolled(t *testing.T) {
+	q := newQueue()
+	r := request("a", fleet.RankStandard)
+	r.Deadline = start.Add(10 * time.Second)
+	assert.Equal(t, q.Offer(start, r).Kind, admission.Wait)
+	assert.Equal(t, q.Offer(start, request("b", fleet.RankStandard)).Kind, admission.Wait)
+	decided := q.Tick(start.Add(10 * time.Second))
+	assert.Equal(t, len(decided), 1)
+	assert.Equal(t, decided[0].Refusal.Code, admission.CodeExpired)
+	decided = q.Tick(start.Add(admission.DefaultPollTimeout))
+	assert.Equal(t, len(decided), 1)
+	assert.Equal(t, decided[0].Refusal.Code, admission.CodeCancelled)
+}
+
+func TestNoGrantToDrainingReplica(t *testing.T) {
+	leaving := replica(1, "m", 4)
+	leaving.Draining = true
+	q := newQueue(leaving)
+	assert.Equal(t, q.Offer(start, request("a", fleet.RankUrgent)).Kind, admission.Wait)
+	q.SetReplicas(start, []fleet.Replica{leaving, replica(2, "m", 4)}, nil)
+	decided := q.Decided()
+	assert.Equal(t, len(decided), 1)
+	assert.Equal(t, decided[0].Grant.Replica.Backend, fleet.BackendID("b2"))
+}
+
+func TestEntryLostFreesItsSlotsAndWaits(t *testing.T) {
+	q := newQueue(replica(1, "m", 1))
+	q.Offer(start, request("a", fleet.RankUrgent))
+	q.Offer(start, request("b", fleet.RankUrgent))
+	other := request("c", fleet.RankUrgent)
+	other.Entry = "n2"
+	q.Offer(start, other)
+	q.EntryLost(start, "n1", 1)
+	kinds := map[string]admission.DecisionKind{}
+	for _, d := range q.Decided() {
+		kinds[d.RequestID] = d.Kind
+	}
+	assert.DeepEqual(t, kinds, map[string]admission.DecisionKind{"b": admission.Refuse, "c": admission.Grant})
+}
+
+func TestAdapterWaitsForResidency(t *testing.T) {
+	bare, equipped := replica(1, "m", 4), replica(2, "m", 4)
+	q := newQueue(bare)
+	r := request("a", fleet.RankUrgent)
+	r.Target.Adapter = "x"
+	assert.Equal(t, q.Offer(start, r).Kind, admission.Wait)
+	demands := q.Demands(start)
+	assert.Equal(t, len(demands), 1)
+	assert.Equal(t, demands[0].Target, r.Target)
+	assert.Equal(t, demands[0].Total(), 1)
+	equipped.Adapters = []fleet.AdapterID{"x"}
+	q.SetReplicas(start, []fleet.Replica{bare, equipped}, nil)
+	assert.Equal(t, q.Decided()[0].Grant.Replica.Backend, fleet.BackendID("b2"))
+}
+
+func TestPoisonCostsTwoServersAndInnocentsRun(t *testing.T) {
+	s := admission.DefaultSettings()
+	s.Quarantine = quarantine.New(quarantine.DefaultSettings())
+	q := admission.New(s)
+	var rs []fleet.Replica
+	for n := range 6 {
+		rs = append(rs, replica(n, "m", 4))
+	}
+	q.SetReplicas(start, rs, nil)
+	lost := map[fleet.BackendID]bool{}
+	now := start
+	answered := 0
+	for i := range 12 {
+		poison := request(fmt.Sprintf("poison-%d", i), fleet.RankUrgent)
+		poison.Hash = "poison"
+		innocent := request(fmt.Sprintf("innocent-%d", i), fleet.RankUrgent)
+		innocent.Hash = fleet.ContentHash(innocent.ID)
+		queue := []admission.Decision{q.Offer(now, innocent), q.Offer(now, poison)}
+		for _, d := range queue {
+			if d.Kind != admission.Grant {
+				continue
+			}
+			if d.RequestID == poison.ID {
+				lost[d.Grant.Replica.Backend] = true
+				finish(q, now, d, admission.FinishCrashed)
+				continue
+			}
+			finish(q, now, d, admission.FinishOK)
+			answered++
+		}
+	}
+	assert.Equal(t, len(lost), quarantine.MaxCrashes)
+	assert.Equal(t, answered, 12)
+	last := request("again", fleet.RankUrgent)
+	last.Hash = "poison"
+	assert.Equal(t, q.Offer(now, last).Refusal.Code, admission.CodePoison)
+}
