--- /dev/null
+++ b/internal/capacity/capacity_test.go
@@ -0,0 +1,56 @@
+package main
+
+import (
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+const sampleRun = `goos: linux
+pkg: example
+BenchmarkScaleTable/members=8-10   	 1	 100 ns/op	 24.0 wire-B/s
+BenchmarkScaleTable/members=80-10  	 1	 900 ns/op	 168 wire-B/s
+BenchmarkScaleTable/members=780-10 	 1	 9000 ns/op	 1568 wire-B/s
+BenchmarkTakeover-10               	 1	 5.50 virtual-s
+PASS
+`
+
+func sample(t *testing.T) *results {
+	t.Helper()
+	r, err := readResults(strings.NewReader(sampleRun), "sample")
+	assert.NilError(t, err)
+	return r
+}
+
+func TestFitFindsSlopeAndFixedPart(t *testing.T) {
+	l, err := sample(t).fit("ScaleTable", "members", "wire-B/s")
+	assert.NilError(t, err)
+	assert.Equal(t, formatNumber(l.slope), "2")
+	assert.Equal(t, formatNumber(l.fixed), "8")
+}
+
+func TestPageIsFilledFromTheRun(t *testing.T) {
+	text := `{{num (at "Takeover" "virtual-s")}} s; {{num (est "ScaleTable" "members" "wire-B/s" 1000)}} B/s`
+	page, err := renderPage(text, sample(t))
+	assert.NilError(t, err)
+	assert.Equal(t, string(page), "5.5 s; 2010 B/s")
+}
+
+func TestPageWithoutMeasurementFails(t *testing.T) {
+	_, err := renderPage(`{{at "Takeover" "B/s"}}`, sample(t))
+	assert.ErrorIs(t, err, ErrNoMeasurement)
+	_, err = renderPage(`{{slope "Takeover" "members" "B/s"}}`, sample(t))
+	assert.ErrorIs(t, err, ErrNoMeasurement)
+}
+
+func TestFormatNumber(t *testing.T) {
+	for _, tc := range []struct {
+		in   float64
+		want string
+	}{
+		{0, "0"}, {1234567, "1230000"}, {0.01234, "0.0123"}, {7e-7, "7.00e-07"}, {3.2e9, "3.20e+09"},
+	} {
+		assert.Equal(t, formatNumber(tc.in), tc.want)
+	}
+}
