--- /dev/null
+++ b/internal/entry/acquire.go
@@ -0,0 +1,138 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/redwingnotch/redwingnotch/fleet"
+	"github.com/redwingnotch/redwingnotch/peer"
+)
+
+// Polling of the controller.
+const (
+	pollWait    = time.Second            // longest wait of one Acquire
+	pollSlack   = 500 * time.Millisecond // above pollWait before the controller counts as unheard
+	repeatPause = 25 * time.Millisecond  // between tries while the controller is not heard
+)
+
+// grant is permission to dispatch one attempt. Its id is empty if it was made
+// by this node while the controller was silent.
+type grant struct {
+	id       string
+	backend  fleet.BackendID
+	address  string
+	attempt  int
+	isolated bool
+}
+
+// acquire asks the controller until it grants or refuses. A request keeps its
+// place by its id, and keeps its arrival when it moves to another controller.
+func (h *Handler) acquire(ctx context.Context, req *chatRequest, history *attempts) (grant, *Error) {
+	message := h.acquireMessage(req, history)
+	heard := time.Now()
+	for {
+		message.WaitMs = uint32(min(pollWait, time.Until(req.deadline)).Milliseconds())
+		callCtx, cancel := context.WithTimeout(ctx, pollWait+pollSlack)
+		resp, err := h.cfg.Grants.Acquire(callCtx, message)
+		cancel()
+		if ctx.Err() != nil {
+			h.giveUp(req, history, resp)
+			return grant{}, ended(ctx)
+		}
+		switch {
+		case err != nil || resp.GetRedirect() != nil:
+			if time.Since(heard) >= h.cfg.SilentAfter {
+				return h.dispatchDirectly(req, history)
+			}
+			pause(ctx, repeatPause)
+		case resp.GetGrant() != nil:
+			return grantOf(resp.GetGrant(), history.count), nil
+		case resp.GetRefusal() != nil:
+			return grant{}, refusalOf(resp.GetRefusal())
+		default:
+			heard = time.Now()
+		}
+	}
+}
+
+func (h *Handler) acquireMessage(req *chatRequest, history *attempts) *peer.AcquireRequest {
+	return &peer.AcquireRequest{
+		RequestId:        req.dispatchID,
+		EntryNode:        string(h.cfg.Node),
+		EntryIncarnation: uint64(h.cfg.Incarnation),
+		Model:            string(req.target.Model),
+		Adapter:          string(req.target.Adapter),
+		Rank:             uint32(req.rank),
+		ArrivalMs:        req.arrival.UnixMilli(),
+		DeadlineMs:       req.deadline.UnixMilli(),
+		ContentHash:      []byte(req.hash),
+		PromptTokens:     uint32(req.prompt),
+		MaxTokens:        uint32(req.maxTokens),
+		Caller:           req.caller,
+		Attempt:          uint32(history.count),
+		ExcludedBackends: history.excluded,
+		ReleaseVersion:   req.version,
+		Cell:             string(h.cfg.Cell),
+		ReceivedTokens:   uint32(history.received),
+	}
+}
+
+// giveUp frees the place, or the grant that came too late.
+func (h *Handler) giveUp(req *chatRequest, history *attempts, resp *peer.AcquireResponse) {
+	g := grant{attempt: history.count}
+	if granted := resp.GetGrant(); granted != nil {
+		g = grantOf(granted, history.count)
+	}
+	h.finishGrant(req, g, attemptEnd{kind: endCancelled})
+}
+
+// ended says why the request's context ended while nothing of it ran.
+func ended(ctx context.Context) *Error {
+	if context.Cause(ctx) == context.DeadlineExceeded {
+		return refuse(http.StatusGatewayTimeout, CodeDeadlineExceeded, "the deadline passed while the request waited").after(time.Second)
+	}
+	return refuse(statusCallerGone, CodeCancelled, "the caller went away while the request waited")
+}
+
+// statusCallerGone is used in logs only, as nobody reads the answer.
+const statusCallerGone = 499
+
+func grantOf(g *peer.Grant, attempt int) grant {
+	return grant{
+		id:       g.GetGrantId(),
+		backend:  fleet.BackendID(g.GetBackend()),
+		address:  g.GetAddress(),
+		attempt:  attempt,
+		isolated: g.GetIsolated(),
+	}
+}
+
+// refusalStatus gives the HTTP status of the controller's refusals.
+var refusalStatus = map[string]int{
+	"deadline_unreachable": http.StatusServiceUnavailable,
+	"deadline_expired":     http.StatusGatewayTimeout,
+	"overloaded":           http.StatusTooManyRequests,
+	"poison_request":       http.StatusUnprocessableEntity,
+	"model_withdrawn":      http.StatusGone,
+	"unknown_target":       http.StatusNotFound,
+	"rank_not_allowed":     http.StatusForbidden,
+}
+
+func refusalOf(r *peer.Refusal) *Error {
+	status, known := refusalStatus[r.GetCode()]
+	if !known {
+		status = http.StatusServiceUnavailable
+	}
+	after := time.Duration(r.GetRetryAfterMs()) * time.Millisecond
+	return refuse(status, Code(r.GetCode()), "%s", r.GetDetail()).after(after)
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/entry/direct.go
@@ -0,0 +1,56 @@
+package entry
+
+import (
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/redwingnotch/redwingnotch/fleet"
+)
+
+// directLoad counts the requests that this node dispatched without a grant.
+type directLoad struct {
+	mu      sync.Mutex
+	running map[fleet.BackendID]int
+}
+
+// dispatchDirectly chooses a ready replica from the last snapshot while the
+// controller is silent. This node fills no more than the slots of a replica.
+func (h *Handler) dispatchDirectly(req *chatRequest, history *attempts) (grant, *Error) {
+	h.direct.mu.Lock()
+	defer h.direct.mu.Unlock()
+	var best *fleet.Replica
+	replicas := h.cfg.Grants.Snapshot()
+	for i := range replicas {
+		r := &replicas[i]
+		if !serves(r, req.target) || history.excludes(r.Backend) || h.direct.running[r.Backend] >= r.Slots {
+			continue
+		}
+		if best == nil || h.direct.running[r.Backend] < h.direct.running[best.Backend] {
+			best = r
+		}
+	}
+	if best == nil {
+		return grant{}, refuse(http.StatusServiceUnavailable, CodeNoController,
+			"the controller is silent and no replica of %s is known to be ready and free", req.target).after(2 * time.Second)
+	}
+	h.direct.running[best.Backend]++
+	return grant{backend: best.Backend, address: best.Address, attempt: history.count}, nil
+}
+
+// endDirect gives back what dispatchDirectly took.
+func (h *Handler) endDirect(b fleet.BackendID) {
+	h.direct.mu.Lock()
+	defer h.direct.mu.Unlock()
+	if h.direct.running[b]--; h.direct.running[b] <= 0 {
+		delete(h.direct.running, b)
+	}
+}
+
+func serves(r *fleet.Replica, t fleet.Target) bool {
+	if r.Model != t.Model || r.State != fleet.ReplicaReady || r.Draining {
+		return false
+	}
+	return t.Adapter == "" || slices.Contains(r.Adapters, t.Adapter)
+}
