--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -84,8 +84,8 @@
 	settings Settings
 	items    map[Key]*Item
 	running  map[Key]map[fleet.BootID]int // copies in flight by boot
-	suspects int                          // suspect copies in flight
 	cleared  *keySet                      // hashes that ended well
+	holdTo   time.Time                    // suspects do not start before
 }
 
 // New returns an empty table.
@@ -120,6 +120,11 @@
 	return max(0, item.CrashedAt.Add(t.settings.ConvictedFor).Sub(now))
 }
 
+// Hold keeps suspects from starting until the time given. A successor holds
+// them until copies that its predecessor started have ended or crashed, as it
+// does not know of them.
+func (t *Table) Hold(until time.Time) { t.holdTo = until }
+
 // MayStart reports whether a copy of the key may start on the boot now.
 func (t *Table) MayStart(now time.Time, k Key, boot fleet.BootID) bool {
 	if k.Hash == "" {
@@ -130,7 +135,7 @@
 	case Refuse:
 		return false
 	case Isolate:
-		return t.suspectsRunning() == 0 && len(running) == 0
+		return !now.Before(t.holdTo) && len(running) == 0 && t.suspectsRunning() == 0
 	}
 	if t.cleared.has(k) || running[boot] > 0 {
 		return true
