--- /dev/null
+++ b/membership/generate.go
@@ -0,0 +1,3 @@
+package membership
+
+//go:generate sh ../tools/generate.sh membership packet.proto
