The node that wires the cores, and the daemon around it

Cause: membership, lease, controller, admission, idempotency and the callers' interface are libraries that nothing ran yet. Change: internal/node carries out what the cores decide: gossip, lease, orders and reports, grants local and by twirp, keyed calls, VM list, registration of the node's name, graceful stop. cmd/redwingnotch is the thin daemon. The release is not read from the platform yet.

--- a/internal/entry/chat.go
+++ b/internal/entry/chat.go
@@ -99,7 +99,7 @@
 	if err != nil {
 		return req, refuse(http.StatusBadRequest, CodeBadRequest, "body: model: %v", err)
 	}
-	req.dispatchID = h.nextID()
+	req.dispatchID = h.NextID()
 	req.target = target
 	req.stream = fields.Stream
 	req.prompt = len(req.body) / bytesPerToken
@@ -181,8 +181,8 @@
 	return buf, err
 }
 
-// nextID returns an id that no other request of the deployment has.
-func (h *Handler) nextID() string {
+// NextID returns an id that no other request of the deployment has.
+func (h *Handler) NextID() string {
 	buf := make([]byte, 0, 48)
 	buf = append(buf, h.cfg.Node...)
 	buf = append(buf, '-')
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -110,7 +110,8 @@
 	mux      *http.ServeMux
 	stopping atomic.Bool
 	sequence atomic.Uint64
-	running  sync.WaitGroup
+	running  sync.WaitGroup // requests, and what they leave behind
+	requests atomic.Int64
 	direct   directLoad
 	retries  *retryBudget
 }
@@ -130,7 +131,11 @@
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	h.running.Add(1)
-	defer h.running.Done()
+	h.requests.Add(1)
+	defer func() {
+		h.requests.Add(-1)
+		h.running.Done()
+	}()
 	if h.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
@@ -140,5 +145,8 @@
 // Stopping makes answers close their connections, so that callers go elsewhere.
 func (h *Handler) Stopping() { h.stopping.Store(true) }
 
+// Running returns the number of requests in progress.
+func (h *Handler) Running() int64 { return h.requests.Load() }
+
 // Wait returns when no request is in progress.
 func (h *Handler) Wait() { h.running.Wait() }
--- a/internal/entry/services.go
+++ b/internal/entry/services.go
@@ -57,7 +57,7 @@
 	}
 	call := idempotency.Call{
 		Key:       idempotency.Key(env.key),
-		RequestID: h.nextID(),
+		RequestID: h.NextID(),
 		Caller:    env.caller,
 		Service:   fleet.ServiceID(r.PathValue("service")),
 		Method:    r.Method,
--- /dev/null
+++ b/internal/node/catalog.go
@@ -0,0 +1,73 @@
+package node
+
+import (
+	"slices"
+	"sync/atomic"
+
+	"github.com/redwingnotch/redwingnotch/fleet"
+	"github.com/redwingnotch/redwingnotch/internal/entry"
+	"github.com/redwingnotch/redwingnotch/invariant"
+)
+
+// inForce is one version of the release. It does not change.
+type inForce struct {
+	version  uint64
+	models   []fleet.Model
+	adapters []fleet.Adapter
+	byTarget map[fleet.Target]standing
+	names    []string
+}
+
+type standing struct {
+	model    fleet.Model
+	standing entry.Standing
+}
+
+// catalog is the release in force at this node. Safe for concurrent use.
+type catalog struct{ current atomic.Pointer[inForce] }
+
+func newCatalog() *catalog {
+	c := &catalog{}
+	c.current.Store(&inForce{})
+	return c
+}
+
+// set puts a version in force. Versions must rise.
+func (c *catalog) set(version uint64, models []fleet.Model, adapters []fleet.Adapter) {
+	invariant.Check(version > c.Version(), invariant.VersionMonotonic, "release %d after %d", version, c.Version())
+	f := &inForce{version: version, models: models, adapters: adapters, byTarget: make(map[fleet.Target]standing)}
+	byID := make(map[fleet.ModelID]fleet.Model, len(models))
+	for _, m := range models {
+		byID[m.ID] = m
+		f.add(fleet.Target{Model: m.ID}, m, m.Withdrawn)
+	}
+	for _, a := range adapters {
+		m, known := byID[a.Model]
+		if known {
+			f.add(fleet.Target{Model: a.Model, Adapter: a.ID}, m, m.Withdrawn || a.Withdrawn)
+		}
+	}
+	slices.Sort(f.names)
+	c.current.Store(f)
+}
+
+func (f *inForce) add(t fleet.Target, m fleet.Model, withdrawn bool) {
+	if withdrawn {
+		f.byTarget[t] = standing{m, entry.StandingWithdrawn}
+		return
+	}
+	f.byTarget[t] = standing{m, entry.StandingInForce}
+	f.names = append(f.names, t.String())
+}
+
+// Lookup implements entry.Catalog.
+func (c *catalog) Lookup(t fleet.Target) (fleet.Model, entry.Standing) {
+	s := c.current.Load().byTarget[t]
+	return s.model, s.standing
+}
+
+// Names implements entry.Catalog.
+func (c *catalog) Names() []string { return c.current.Load().names }
+
+// Version implements entry.Catalog.
+func (c *catalog) Version() uint64 { return c.current.Load().version }
--- /dev/null
+++ b/internal/node/cell.go
@@ -0,0 +1,201 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"github.com/redwingnotch/redwingnotch/admission"
+	"github.com/redwingnotch/redwingnotch/controller"
+	"github.com/redwingnotch/redwingnotch/engine"
+	"github.com/redwingnotch/redwingnotch/fleet"
+	"github.com/redwingnotch/redwingnotch/lease"
+	"github.com/redwingnotch/redwingnotch/platform"
+	"github.com/redwingnotch/redwingnotch/quarantine"
+)
+
+// suspectHold is how long a new controller keeps suspected requests from
+// starting, as it does not know which copies run.
+const suspectHold = 30 * time.Second
+
+// cell holds the cores that control the cell while this node is in office:
+// controller, queue and quarantine. All are called under one mutex.
+type cell struct {
+	node       *Node
+	mu         sync.Mutex
+	controller *controller.Core
+	queue      *admission.Queue
+	quarantine *quarantine.Table
+	authority  lease.Authority
+	release    uint64 // version that the cores have
+	loads      map[fleet.ReplicaKey]admission.ReplicaLoad
+	polls      map[string]chan admission.Decision // waiting Acquire calls by request id
+	changed    bool                               // replicas may differ from what the queue has
+}
+
+func newCell(n *Node) *cell {
+	cfg := n.cfg.Controller
+	cfg.Incarnation = n.run
+	c := &cell{
+		node:       n,
+		controller: controller.New(cfg, n.cfg.Cell, n.cfg.ID),
+		quarantine: quarantine.New(n.cfg.Quarantine),
+		loads:      make(map[fleet.ReplicaKey]admission.ReplicaLoad),
+		polls:      make(map[string]chan admission.Decision),
+	}
+	c.queue = c.newQueue(0)
+	return c
+}
+
+// newQueue returns an empty queue for one term of office.
+func (c *cell) newQueue(epoch fleet.Epoch) *admission.Queue {
+	s := c.node.cfg.Admission
+	s.GrantPrefix = fmt.Sprintf("%s-%d", c.node.cfg.ID, epoch)
+	s.Quarantine = c.quarantine
+	return admission.New(s)
+}
+
+// tick runs the cores and carries out what they ask for.
+func (c *cell) tick(ctx context.Context, now time.Time) error {
+	authority := c.node.office.authority(now)
+	c.mu.Lock()
+	c.setAuthority(now, authority)
+	c.setRelease(now)
+	effects := c.controller.Tick(now, c.queue.Demands(now), c.node.cfg.Retention)
+	if authority.InOffice {
+		c.queue.SetReplicas(now, c.controller.Replicas(), c.replicaLoads())
+		c.queue.SetColdEstimates(c.coldEstimates())
+		c.deliver(c.queue.Tick(now))
+	}
+	c.mu.Unlock()
+	c.carryOut(ctx, now, effects)
+	return nil
+}
+
+// setAuthority starts or ends a term of office. Requests that wait at the end
+// of a term are told to ask the successor.
+func (c *cell) setAuthority(now time.Time, a lease.Authority) {
+	began := a.InOffice && (!c.authority.InOffice || a.Epoch != c.authority.Epoch)
+	ended := c.authority.InOffice && !a.InOffice
+	c.authority = a
+	c.controller.SetAuthority(now, a)
+	if !began && !ended {
+		return
+	}
+	level.Info(c.node.cfg.Log).Log("event", "office", "in_office", a.InOffice, "epoch", a.Epoch, "holder", a.Holder.Node)
+	c.queue = c.newQueue(a.Epoch)
+	c.release = 0
+	for id, poll := range c.polls {
+		close(poll)
+		delete(c.polls, id)
+	}
+	if began && a.Epoch > 1 {
+		c.quarantine.Hold(now.Add(suspectHold))
+	}
+}
+
+// setRelease hands a newer release to the cores.
+func (c *cell) setRelease(now time.Time) {
+	current := c.node.catalog.current.Load()
+	if current.version == c.release {
+		return
+	}
+	c.release = current.version
+	c.controller.SetRelease(now, current.version, current.models, current.adapters)
+	c.queue.SetModels(now, current.models, current.adapters)
+}
+
+func (c *cell) setBackends(records []platform.VMRecord, asOf time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.controller.SetBackends(time.Now(), records, asOf)
+}
+
+// entryLost frees what a run of an entry node held.
+func (c *cell) entryLost(id fleet.NodeID, run fleet.Incarnation) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.queue.EntryLost(time.Now(), id, run)
+	c.deliver(c.queue.Decided())
+}
+
+// deliver passes decisions to the calls that wait for them. A decision that no
+// call waits for is asked for again by its entry node.
+func (c *cell) deliver(decisions []admission.Decision) {
+	for _, d := range decisions {
+		if d.Kind == admission.Preempt {
+			c.preempt(d)
+			continue
+		}
+		if poll := c.polls[d.RequestID]; poll != nil {
+			poll <- d
+			delete(c.polls, d.RequestID)
+		}
+	}
+}
+
+// preempt stops a granted request at its backend server. Its entry node sees
+// the stream end and asks again with the tokens it has.
+func (c *cell) preempt(d admission.Decision) {
+	c.node.background.Go(func() {
+		ctx, cancel := context.WithTimeout(c.node.halted, orderTimeout)
+		defer cancel()
+		if err := c.node.backends.engine(d.Grant.Address).Cancel(ctx, d.RequestID); err != nil {
+			level.Info(c.node.cfg.Log).Log("event", "preempt_failed", "backend", d.Grant.Replica.Backend, "err", err)
+		}
+	})
+}
+
+// handleReport takes in what an engine said of itself.
+func (c *cell) handleReport(requestedAt time.Time, r engine.Report) {
+	now := time.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.controller.HandleReport(now, requestedAt, r)
+	c.noteLoads(r)
+}
+
+// noteLoads keeps the loads that the engine reported, for the queue.
+func (c *cell) noteLoads(r engine.Report) {
+	for key := range c.loads {
+		if key.Backend == r.Backend {
+			delete(c.loads, key)
+		}
+	}
+	for _, loaded := range r.Replicas {
+		key := fleet.ReplicaKey{Backend: r.Backend, Boot: r.Boot, Model: loaded.Model, Version: loaded.Version}
+		c.loads[key] = admission.ReplicaLoad{Key: key, Running: loaded.Running, Waiting: loaded.Waiting, MeasuredAt: r.MeasuredAt}
+	}
+}
+
+func (c *cell) replicaLoads() []admission.ReplicaLoad {
+	loads := make([]admission.ReplicaLoad, 0, len(c.loads))
+	for _, l := range c.loads {
+		loads = append(loads, l)
+	}
+	return loads
+}
+
+// coldEstimates gives the queue the time to load each model with no replica.
+func (c *cell) coldEstimates() []admission.ColdEstimate {
+	models := c.node.catalog.current.Load().models
+	estimates := make([]admission.ColdEstimate, 0, len(models))
+	for _, m := range models {
+		estimates = append(estimates, admission.ColdEstimate{Model: m.ID, ReadyIn: m.LoadTime})
+	}
+	return estimates
+}
+
+// refused returns how long quarantine refuses the content; zero if it does not.
+func (c *cell) refused(now time.Time, model fleet.ModelID, hash fleet.ContentHash) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	key := quarantine.Key{Model: model, Hash: hash}
+	if c.quarantine.Verdict(now, key) != quarantine.Refuse {
+		return 0
+	}
+	return c.quarantine.RetryAfter(now, key)
+}
--- /dev/null
+++ b/internal/node/orders.go
@@ -0,0 +1,78 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"github.com/redwingnotch/redwingnotch/controller"
+	"github.com/redwingnotch/redwingnotch/engine"
+)
+
+// orderTimeout bounds one call to an engine that is no inference.
+const orderTimeout = 2 * time.Second
+
+// carryOut sends what the controller asks for.
+func (c *cell) carryOut(ctx context.Context, now time.Time, effects controller.Effects) {
+	n := c.node
+	if effects.Wanted != nil {
+		n.office.setWanted(now, *effects.Wanted)
+	}
+	if effects.Deposed != 0 {
+		n.office.deposed(now, effects.Deposed)
+	}
+	for _, order := range effects.Orders {
+		n.background.Go(func() { c.sendOrder(ctx, now, order) })
+	}
+	for _, request := range effects.Reports {
+		n.background.Go(func() { c.requestReport(ctx, now, request) })
+	}
+}
+
+func (c *cell) sendOrder(ctx context.Context, sentAt time.Time, o controller.SendOrder) {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	report, err := c.orderOn(ctx, o)
+	result := controller.OrderResult{OrderID: o.Order.ID, Backend: o.Backend, SentAt: sentAt, Err: err}
+	outcome := "ok"
+	if err == nil {
+		result.Report = &report
+	} else {
+		outcome = "failed"
+	}
+	c.node.cfg.Metrics.Order(string(o.Order.Kind), outcome)
+	level.Info(c.node.cfg.Log).Log("event", "order", "kind", o.Order.Kind, "backend", o.Backend, "model", o.Order.Model,
+		"adapter", o.Order.Adapter, "epoch", o.Order.Epoch, "order", o.Order.ID, "result", outcome, "err", err)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.controller.HandleOrderResult(time.Now(), result)
+}
+
+// orderOn sends an order. If the engine does not check boots itself, its boot
+// is read first, and the order is not sent to another one.
+func (c *cell) orderOn(ctx context.Context, o controller.SendOrder) (engine.Report, error) {
+	client := c.node.backends.engine(o.Address)
+	if o.VerifyBoot {
+		report, err := client.Report(ctx)
+		if err != nil {
+			return engine.Report{}, fmt.Errorf("%w: boot not confirmed: %w", engine.ErrNotSent, err)
+		}
+		if report.Boot != o.Order.Boot {
+			return engine.Report{}, fmt.Errorf("%w: %s runs, not %s", engine.ErrWrongBoot, report.Boot, o.Order.Boot)
+		}
+	}
+	return client.Order(ctx, o.Order)
+}
+
+func (c *cell) requestReport(ctx context.Context, requestedAt time.Time, r controller.ReportRequest) {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	report, err := c.node.backends.engine(r.Address).Report(ctx)
+	if err != nil {
+		level.Debug(c.node.cfg.Log).Log("event", "report_failed", "backend", r.Backend, "err", err)
+		return
+	}
+	c.handleReport(requestedAt, report)
+}
--- /dev/null
+++ b/internal/node/servers.go
@@ -0,0 +1,140 @@
+package node
+
+import (
+	"crypto/subtle"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/redwingnotch/redwingnotch/engine"
+	"github.com/redwingnotch/redwingnotch/fleet"
+	"github.com/redwingnotch/redwingnotch/internal/entry"
+	"github.com/redwingnotch/redwingnotch/peer"
+)
+
+// headerSecret carries the secret that all nodes of a deployment share.
+const headerSecret = "Redwingnotch-Secret"
+
+// peerHeaderTimeout is the time for another node to send a request header.
+const peerHeaderTimeout = 2 * time.Second
+
+func (n *Node) entryConfig() entry.Config {
+	return entry.Config{
+		Node:         n.cfg.ID,
+		Incarnation:  n.run,
+		Cell:         n.cfg.Cell,
+		Zone:         n.cfg.Zone,
+		Grants:       n.peers,
+		Catalog:      n.catalog,
+		Verdict:      verdict{n.cell},
+		Engine:       func(address string) engine.Engine { return n.backends.engine(address) },
+		Keys:         n.keys,
+		Services:     n.backends,
+		Addresses:    n.members.entryAddresses,
+		Metrics:      n.cfg.Metrics,
+		Log:          n.cfg.Log,
+		MaxBody:      n.cfg.MaxBody,
+		BodyTimeout:  n.cfg.BodyTimeout,
+		WriteTimeout: n.cfg.WriteTimeout,
+		Deadlines:    n.cfg.Deadlines,
+		EntryTTL:     n.cfg.EntryTTL,
+		KeyRetention: n.cfg.Idempotency.Retention,
+		SilentAfter:  n.cfg.SilentAfter,
+	}
+}
+
+// verdict implements entry.Verdict.
+type verdict struct{ cell *cell }
+
+// Refused implements entry.Verdict.
+func (v verdict) Refused(now time.Time, model fleet.ModelID, hash fleet.ContentHash) time.Duration {
+	return v.cell.refused(now, model, hash)
+}
+
+func (n *Node) newCallerServer() *http.Server {
+	return &http.Server{
+		Handler:           n.entry,
+		ReadHeaderTimeout: n.cfg.HeaderTimeout,
+		IdleTimeout:       n.cfg.IdleTimeout,
+		MaxHeaderBytes:    n.cfg.MaxHeader,
+		ErrorLog:          serverLog(n.cfg.Log),
+	}
+}
+
+func (n *Node) newPeerServer() *http.Server {
+	mux := http.NewServeMux()
+	mux.Handle(peer.CellPathPrefix, peer.NewCellServer(n.cell))
+	mux.Handle(peer.KeysPathPrefix, peer.NewKeysServer(keyServer{n}))
+	mux.HandleFunc("GET "+identityPath, n.serveIdentity)
+	return &http.Server{
+		Handler:           n.requireSecret(mux),
+		ReadHeaderTimeout: peerHeaderTimeout,
+		ErrorLog:          serverLog(n.cfg.Log),
+	}
+}
+
+// requireSecret refuses calls that don't bear the deployment's secret.
+func (n *Node) requireSecret(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		given := r.Header.Get(headerSecret)
+		if subtle.ConstantTimeCompare([]byte(given), n.cfg.Secret) != 1 {
+			http.Error(w, "peers must bear the deployment's secret", http.StatusUnauthorized)
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+func serve(server *http.Server, listener net.Listener) error {
+	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
+
+// limitedListener bounds the connections open at once. Further ones wait in the
+// listener's backlog.
+type limitedListener struct {
+	net.Listener
+	slots  chan struct{}
+	closed chan struct{}
+	once   sync.Once
+}
+
+func limitConnections(l net.Listener, limit int) net.Listener {
+	return &limitedListener{Listener: l, slots: make(chan struct{}, limit), closed: make(chan struct{})}
+}
+
+// Accept implements net.Listener.
+func (l *limitedListener) Accept() (net.Conn, error) {
+	select {
+	case l.slots <- struct{}{}:
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		<-l.slots
+		return nil, err
+	}
+	return &limitedConn{Conn: conn, release: sync.OnceFunc(func() { <-l.slots })}, nil
+}
+
+// Close implements net.Listener.
+func (l *limitedListener) Close() error {
+	l.once.Do(func() { close(l.closed) })
+	return l.Listener.Close()
+}
+
+type limitedConn struct {
+	net.Conn
+	release func()
+}
+
+// Close implements net.Conn.
+func (c *limitedConn) Close() error {
+	defer c.release()
+	return c.Conn.Close()
+}
