--- /dev/null
+++ b/controller/reports.go
@@ -0,0 +1,216 @@
+package controller
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/redwingnotch/redwingnotch/engine"
+	"github.com/redwingnotch/redwingnotch/fleet"
+)
+
+func compareReplicas(a, b *replica) int {
+	return cmp.Or(
+		cmp.Compare(a.key.Backend, b.key.Backend),
+		cmp.Compare(a.key.Model, b.key.Model),
+		cmp.Compare(a.key.Version, b.key.Version),
+	)
+}
+
+// HandleReport takes in a report and the time of the Tick that requested it. A
+// report is one snapshot of boot, epoch and replicas; it may lag.
+func (c *Core) HandleReport(now time.Time, requestedAt time.Time, r engine.Report) {
+	if !c.inOffice {
+		return
+	}
+	if r.Epoch > c.epoch {
+		c.depose(r.Epoch)
+		return
+	}
+	b := c.backends[r.Backend]
+	if b == nil || requestedAt.Before(c.officeAt) || !c.acceptBoot(now, b, requestedAt, r.Boot) {
+		return
+	}
+	fenced := !b.row.Fencing || r.Epoch == c.epoch
+	if b.raised && !fenced {
+		return // made before the raise
+	}
+	if fenced {
+		c.confirm(now, b, requestedAt)
+	}
+	if r.MeasuredAt.Before(b.measuredAt) {
+		return
+	}
+	b.measuredAt = r.MeasuredAt
+	c.takeContent(now, b, r)
+}
+
+// confirm notes that the engine takes no orders of an earlier office at this
+// boot, and when that was read.
+func (c *Core) confirm(now time.Time, b *backend, requestedAt time.Time) {
+	if !b.raised {
+		b.raised = true
+		b.raisedAt = c.afterTick(now)
+		if !b.row.Fencing {
+			b.raisedAt = c.officeAt // earlier offices can write no intent since then
+		}
+	}
+	if requestedAt.After(b.readAt) {
+		b.readAt = requestedAt
+	}
+}
+
+// acceptBoot reports whether a report of the given boot is of the present. A
+// boot that was replaced is believed again only by a report requested after
+// its replacement was seen.
+func (c *Core) acceptBoot(now time.Time, b *backend, requestedAt time.Time, boot fleet.BootID) bool {
+	if boot == b.boot {
+		return true
+	}
+	for i, old := range b.retired {
+		if old.boot != boot {
+			continue
+		}
+		if requestedAt.Before(old.at) {
+			return false
+		}
+		b.retired = slices.Delete(b.retired, i, i+1)
+		break
+	}
+	c.changeBoot(now, b, boot)
+	return true
+}
+
+func (c *Core) changeBoot(now time.Time, b *backend, boot fleet.BootID) {
+	if b.boot != "" {
+		b.retired = append(b.retired, retiredBoot{boot: b.boot, at: c.afterTick(now)})
+		b.retired = b.retired[max(0, len(b.retired)-maxRetiredBoots):]
+	}
+	for _, r := range sortedReplicas(b) {
+		c.removeReplica(b, r)
+	}
+	c.closeOrdersOf(b.row.ID)
+	b.restart(boot)
+}
+
+func (c *Core) takeContent(now time.Time, b *backend, r engine.Report) {
+	b.memory = r.Memory
+	b.leaving = r.Draining
+	clear(b.near)
+	for _, w := range r.Cached {
+		b.near[modelVersion{w.Model, w.Version}] = w.Near
+	}
+	shown := make(map[modelVersion]bool, len(r.Replicas))
+	for _, lr := range r.Replicas {
+		shown[modelVersion{lr.Model, lr.Version}] = true
+		c.takeReplica(now, b, lr)
+	}
+	for _, row := range sortedReplicas(b) {
+		if !shown[modelVersion{row.key.Model, row.key.Version}] {
+			c.takeAbsence(now, b, row, r)
+		}
+	}
+	c.settleShown(b, r)
+}
+
+// takeAbsence removes a replica that the engine showed before, or whose order
+// the engine says it has carried out, and no longer shows.
+func (c *Core) takeAbsence(now time.Time, b *backend, row *replica, r engine.Report) {
+	applied := row.orderID != "" && slices.Contains(r.AppliedOrder, row.orderID)
+	if !row.seen && !applied {
+		return
+	}
+	if row.state == fleet.ReplicaReserved || row.state == fleet.ReplicaLoading {
+		b.avoid[row.key.Model] = now.Add(c.cfg.RetryDelay) // the load failed
+	}
+	c.removeReplica(b, row)
+}
+
+func (c *Core) takeReplica(now time.Time, b *backend, lr engine.LoadedReplica) {
+	row := b.replicas[modelVersion{lr.Model, lr.Version}]
+	if row == nil {
+		row = c.foundReplica(now, b, lr)
+	}
+	if !row.seen {
+		row.seen = true
+		delete(c.open, row.orderID) // carried out
+	}
+	row.memory = max(row.memory, lr.Memory)
+	row.running, row.waiting = lr.Running, lr.Waiting
+	if !row.idle() {
+		row.lastUsed = now
+	}
+	c.takeState(now, b, row, lr)
+	c.takeAdapters(now, row, lr.Adapters)
+}
+
+func (c *Core) takeState(now time.Time, b *backend, row *replica, lr engine.LoadedReplica) {
+	if row.state == fleet.ReplicaUnloading {
+		return
+	}
+	m := c.models[lr.Model]
+	switch lr.State {
+	case fleet.ReplicaReady:
+		if row.state != fleet.ReplicaReady {
+			row.readyAt = now
+			row.lastUsed = now
+		}
+		c.endLoad(b, row)
+	case fleet.ReplicaLoading, fleet.ReplicaReserved:
+		left := float64(b.loadDuration(m)) * (1 - lr.Progress)
+		row.readyAt = now.Add(time.Duration(left))
+	case fleet.ReplicaUnloading:
+		row.drain(now)
+		c.endLoad(b, row)
+	}
+	row.state = max(lr.State, fleet.ReplicaLoading)
+}
+
+// foundReplica enters a replica that this office did not order. A load in
+// progress counts against the load budget.
+func (c *Core) foundReplica(now time.Time, b *backend, lr engine.LoadedReplica) *replica {
+	m := c.models[lr.Model]
+	row := &replica{
+		key:      fleet.ReplicaKey{Backend: b.row.ID, Boot: b.boot, Model: lr.Model, Version: lr.Version},
+		state:    max(lr.State, fleet.ReplicaLoading),
+		memory:   max(lr.Memory, m.MemoryBytes),
+		slots:    max(1, m.Slots),
+		lastUsed: now,
+		readyAt:  now,
+		adapters: map[fleet.AdapterID]*adapter{},
+	}
+	c.addReplica(b, row)
+	if lr.State == fleet.ReplicaLoading && b.nearness(lr.Model, lr.Version) == fleet.NearRemote {
+		c.budget.AdoptLoad(budgetID(row))
+	}
+	return row
+}
+
+func (c *Core) takeAdapters(now time.Time, row *replica, ids []fleet.AdapterID) {
+	shown := make(map[fleet.AdapterID]bool, len(ids))
+	for _, id := range ids {
+		shown[id] = true
+		c.takeAdapter(now, row, id)
+	}
+	for id, a := range row.adapters {
+		if a.resident && !shown[id] {
+			c.removeAdapter(row, id, a)
+		}
+	}
+}
+
+func (c *Core) takeAdapter(now time.Time, row *replica, id fleet.AdapterID) {
+	a := row.adapters[id]
+	if a == nil {
+		known := c.adapters[fleet.Target{Model: row.key.Model, Adapter: id}]
+		a = &adapter{memory: known.MemoryBytes, lastUsed: now}
+		row.adapters[id] = a
+	}
+	if a.resident {
+		return
+	}
+	a.resident = true
+	a.lastUsed = now
+	delete(c.open, a.orderID)
+	c.budget.EndAdapter(a.orderID)
+}
--- a/lease/authority.go
+++ b/lease/authority.go
@@ -13,7 +13,7 @@
 	if !c.known || c.failedSince.IsZero() || c.leaving {
 		return
 	}
-	if c.silentSince.IsZero() && !c.readWanted {
+	if c.silentSince.IsZero() && now.Sub(c.lastContact) >= c.cfg.StoreSilence/2 {
 		c.readWanted = true // finds out whether the store answers
 	}
 	if c.silentSince.IsZero() || now.Sub(c.silentSince) < c.cfg.StoreSilence {
@@ -35,8 +35,7 @@
 	a := Authority{
 		Cell:         c.cell,
 		StoreContact: c.storeContact(now),
-		Roster:       c.record.Roster,
-		PriorRosters: c.record.PriorRosters,
+		Rosters:      c.record.Rosters,
 		Intents:      c.openIntents(),
 	}
 	a.Epoch, a.Holder = c.highest()
--- a/lease/claim.go
+++ b/lease/claim.go
@@ -264,7 +264,7 @@
 	*r = c.record
 	changed := false
 	if c.wanted != nil && !sameWanted(*c.wanted, c.record) {
-		r.Roster, r.PriorRosters, r.Intents = c.wanted.Roster, c.wanted.PriorRosters, c.wanted.Intents
+		r.Rosters, r.Intents = c.wanted.Rosters, c.wanted.Intents
 		changed = true
 	}
 	if c.successorsNeeded() {
@@ -290,7 +290,6 @@
 }
 
 func sameWanted(w Wanted, r Record) bool {
-	return slices.Equal(w.Roster, r.Roster) &&
-		slices.Equal(w.Intents, r.Intents) &&
-		slices.EqualFunc(w.PriorRosters, r.PriorRosters, slices.Equal)
+	return slices.Equal(w.Intents, r.Intents) &&
+		slices.EqualFunc(w.Rosters, r.Rosters, Roster.Equal)
 }
--- a/lease/record.go
+++ b/lease/record.go
@@ -12,6 +12,8 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"slices"
+	"time"
 
 	"github.com/redwingnotch/redwingnotch/fleet"
 )
@@ -42,16 +44,32 @@
 	Sender  Holder          `json:"sender"`
 }
 
+// Roster is one generation of the list from which the candidate sets of models
+// are drawn. It is durable before a replica is placed by it.
+type Roster struct {
+	Backends   []fleet.BackendID `json:"backends"`
+	Candidates int               `json:"candidates"` // largest size of a candidate set
+	AsOf       time.Time         `json:"as_of"`      // of the VM list that it was made from
+}
+
+// Equal reports whether two generations are the same.
+func (r Roster) Equal(o Roster) bool {
+	if r.Candidates != o.Candidates || !r.AsOf.Equal(o.AsOf) || len(r.Backends) != len(o.Backends) {
+		return false
+	}
+	same := len(r.Backends) == 0 || &r.Backends[0] == &o.Backends[0]
+	return same || slices.Equal(r.Backends, o.Backends)
+}
+
 // Record is the value of a cell's lease object.
 type Record struct {
-	Holder       Holder              `json:"holder"`
-	Epoch        fleet.Epoch         `json:"epoch"`
-	Granted      fleet.Epoch         `json:"granted"` // highest epoch ever granted
-	Successors   []Successor         `json:"successors"`
-	Predecessors []Holder            `json:"predecessors"` // may still act; not known to have stopped
-	Roster       []fleet.BackendID   `json:"roster"`
-	PriorRosters [][]fleet.BackendID `json:"prior_rosters"`
-	Intents      []Intent            `json:"intents"`
+	Holder       Holder      `json:"holder"`
+	Epoch        fleet.Epoch `json:"epoch"`
+	Granted      fleet.Epoch `json:"granted"` // highest epoch ever granted
+	Successors   []Successor `json:"successors"`
+	Predecessors []Holder    `json:"predecessors"` // may still act; not known to have stopped
+	Rosters      []Roster    `json:"rosters"`      // newest first
+	Intents      []Intent    `json:"intents"`
 }
 
 // ErrBadRecord means that a lease object could not be read.
@@ -79,9 +97,8 @@
 // Wanted is what the controller in office wants the record to say beside the
 // holder.
 type Wanted struct {
-	Roster       []fleet.BackendID
-	PriorRosters [][]fleet.BackendID
-	Intents      []Intent
+	Rosters []Roster // newest first; those behind it still have replicas placed by them
+	Intents []Intent
 }
 
 // OpenIntent is a durable intent.
@@ -102,7 +119,6 @@
 	PredecessorStopped bool // no earlier holder can still act
 	SuccessorsAlive    bool // no successor can act without this node knowing
 
-	Roster       []fleet.BackendID   // durable
-	PriorRosters [][]fleet.BackendID // durable
-	Intents      []OpenIntent        // durable
+	Rosters []Roster     // durable, newest first
+	Intents []OpenIntent // durable
 }
