--- a/internal/entry/acquire.go
+++ b/internal/entry/acquire.go
@@ -22,6 +22,7 @@
 	id       string
 	backend  fleet.BackendID
 	address  string
+	version  fleet.Version
 	attempt  int
 	isolated bool
 }
@@ -29,10 +30,12 @@
 // acquire asks the controller until it grants or refuses. A request keeps its
 // place by its id, and keeps its arrival when it moves to another controller.
 func (h *Handler) acquire(ctx context.Context, req *chatRequest, history *attempts) (grant, *Error) {
+	ctx, cancel := context.WithDeadline(ctx, h.acquireUntil(req, history))
+	defer cancel()
 	message := h.acquireMessage(req, history)
 	heard := time.Now()
 	for {
-		message.WaitMs = uint32(min(pollWait, time.Until(req.deadline)).Milliseconds())
+		message.WaitMs = uint32(pollWait.Milliseconds())
 		callCtx, cancel := context.WithTimeout(ctx, pollWait+pollSlack)
 		resp, err := h.cfg.Grants.Acquire(callCtx, message)
 		cancel()
@@ -56,6 +59,18 @@
 	}
 }
 
+// resumeTime is the time to find another replica for an answer that broke off.
+const resumeTime = 30 * time.Second
+
+// acquireUntil bounds the wait for a grant. The controller refuses at the
+// deadline; this node does a little later, should it not hear.
+func (h *Handler) acquireUntil(req *chatRequest, history *attempts) time.Time {
+	if history.received > 0 {
+		return history.brokeAt.Add(resumeTime)
+	}
+	return req.deadline
+}
+
 func (h *Handler) acquireMessage(req *chatRequest, history *attempts) *peer.AcquireRequest {
 	return &peer.AcquireRequest{
 		RequestId:        req.dispatchID,
@@ -65,7 +80,7 @@
 		Adapter:          string(req.target.Adapter),
 		Rank:             uint32(req.rank),
 		ArrivalMs:        req.arrival.UnixMilli(),
-		DeadlineMs:       req.deadline.UnixMilli(),
+		DeadlineMs:       h.acquireUntil(req, history).UnixMilli(),
 		ContentHash:      []byte(req.hash),
 		PromptTokens:     uint32(req.prompt),
 		MaxTokens:        uint32(req.maxTokens),
@@ -103,6 +118,7 @@
 		id:       g.GetGrantId(),
 		backend:  fleet.BackendID(g.GetBackend()),
 		address:  g.GetAddress(),
+		version:  fleet.Version(g.GetVersion()),
 		attempt:  attempt,
 		isolated: g.GetIsolated(),
 	}
--- a/internal/entry/chat.go
+++ b/internal/entry/chat.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"context"
 	"crypto/sha256"
 	"encoding/json"
 	"errors"
@@ -50,9 +49,7 @@
 	w.Header().Set(HeaderRequestID, req.id)
 	answer := &answerWriter{w: w, control: http.NewResponseController(w), stream: req.stream, timeout: h.cfg.WriteTimeout}
 	if refused == nil {
-		ctx, cancel := context.WithDeadline(r.Context(), req.deadline)
-		refused = h.runChat(ctx, req, answer)
-		cancel()
+		refused = h.runChat(r.Context(), req, answer)
 	}
 	h.endChat(w, req, answer, refused)
 }
--- a/internal/entry/direct.go
+++ b/internal/entry/direct.go
@@ -2,11 +2,12 @@
 
 import (
 	"net/http"
-	"slices"
 	"sync"
 	"time"
 
+	"github.com/redwingnotch/redwingnotch/dispatch"
 	"github.com/redwingnotch/redwingnotch/fleet"
+	"github.com/redwingnotch/redwingnotch/quarantine"
 )
 
 // directLoad counts the requests that this node dispatched without a grant.
@@ -20,11 +21,11 @@
 func (h *Handler) dispatchDirectly(req *chatRequest, history *attempts) (grant, *Error) {
 	h.direct.mu.Lock()
 	defer h.direct.mu.Unlock()
+	usable := dispatch.Direct(h.cfg.Grants.Snapshot(), req.target.Model, req.target.Adapter, req.hash, quarantine.MaxCrashes)
 	var best *fleet.Replica
-	replicas := h.cfg.Grants.Snapshot()
-	for i := range replicas {
-		r := &replicas[i]
-		if !serves(r, req.target) || history.excludes(r.Backend) || h.direct.running[r.Backend] >= r.Slots {
+	for i := range usable {
+		r := &usable[i]
+		if history.excludes(r.Backend) || h.direct.running[r.Backend] >= r.Slots {
 			continue
 		}
 		if best == nil || h.direct.running[r.Backend] < h.direct.running[best.Backend] {
@@ -36,7 +37,7 @@
 			"the controller is silent and no replica of %s is known to be ready and free", req.target).after(2 * time.Second)
 	}
 	h.direct.running[best.Backend]++
-	return grant{backend: best.Backend, address: best.Address, attempt: history.count}, nil
+	return grant{backend: best.Backend, address: best.Address, version: best.Version, attempt: history.count}, nil
 }
 
 // endDirect gives back what dispatchDirectly took.
@@ -47,10 +48,3 @@
 		delete(h.direct.running, b)
 	}
 }
-
-func serves(r *fleet.Replica, t fleet.Target) bool {
-	if r.Model != t.Model || r.State != fleet.ReplicaReady || r.Draining {
-		return false
-	}
-	return t.Adapter == "" || slices.Contains(r.Adapters, t.Adapter)
-}
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -11,6 +11,7 @@
 
 	"github.com/go-kit/log/level"
 
+	"github.com/redwingnotch/redwingnotch/dispatch"
 	"github.com/redwingnotch/redwingnotch/engine"
 	"github.com/redwingnotch/redwingnotch/fleet"
 	"github.com/redwingnotch/redwingnotch/peer"
@@ -40,24 +41,33 @@
 
 // attempts is the history of one request.
 type attempts struct {
-	count    int      // attempts made
-	excluded []string // backend servers to avoid
-	received int      // tokens passed on to the caller
+	count    int           // attempts made
+	excluded []string      // backend servers to avoid
+	received int           // tokens passed on to the caller
+	version  fleet.Version // that gave the received tokens
+	brokeAt  time.Time     // of the last attempt
 	crashes  int
-	mayRun   bool // some attempt may have run
+	last     error // of the last attempt
+	mayRun   bool  // some attempt may have run
 }
 
 func (a *attempts) excludes(b fleet.BackendID) bool { return slices.Contains(a.excluded, string(b)) }
 
 // runChat dispatches until the answer is whole, or nothing safe is left to try.
+// The deadline bounds the time to the first token. An answer that has begun is
+// not cut for being slow.
 func (h *Handler) runChat(ctx context.Context, req chatRequest, answer *answerWriter) *Error {
 	var history attempts
-	h.retries.earn()
+	h.spent.request()
 	for {
 		g, refused := h.acquire(ctx, &req, &history)
 		if refused != nil {
 			return history.amend(refused)
 		}
+		if history.received > 0 && !dispatch.MayResume(history.broken(), g.version) {
+			h.finishGrant(&req, g, attemptEnd{kind: endNotRun})
+			return history.amend(refuse(http.StatusBadGateway, CodeBackendFailed, "the answer broke off and can't be resumed: %v", history.last))
+		}
 		end := h.attempt(ctx, &req, g, &history, answer)
 		h.finishGrant(&req, g, end)
 		if end.kind == endOK {
@@ -72,6 +82,10 @@
 	}
 }
 
+func (a *attempts) broken() dispatch.Broken {
+	return dispatch.Broken{Err: a.last, Received: a.received, Version: a.version, Tries: a.count - 1}
+}
+
 // amend corrects a refusal of a request that an earlier attempt may have run.
 func (a *attempts) amend(e *Error) *Error {
 	if a.mayRun {
@@ -89,8 +103,11 @@
 // settle records a failed attempt. It returns nil if another one may be made.
 func (h *Handler) settle(ctx context.Context, req *chatRequest, g grant, end attemptEnd, history *attempts, answer *answerWriter) *Error {
 	history.count++
-	history.received = answer.tokens
+	history.last, history.brokeAt = end.err, time.Now()
 	history.mayRun = history.mayRun || end.kind != endNotRun
+	if answer.tokens > history.received {
+		history.received, history.version = answer.tokens, g.version
+	}
 	if !history.excludes(g.backend) {
 		history.excluded = append(history.excluded, string(g.backend))
 	}
@@ -98,23 +115,37 @@
 		history.crashes++
 	}
 	if ctx.Err() != nil || end.kind == endCancelled {
-		failed := ended(ctx)
-		failed.Outcome = fleet.OutcomeFailed
-		return failed
+		return history.amend(stopped(ctx, end.err))
 	}
-	if history.count >= maxAttempts || history.crashes >= maxCrashes || !h.retries.spend() {
-		failed := refuse(http.StatusBadGateway, CodeBackendFailed, "%d attempts failed, the last: %v", history.count, end.err)
+	safe := dispatch.MayRetry(end.err, true, false)
+	if !safe || history.count >= maxAttempts || history.crashes >= maxCrashes || !h.spent.retry() {
+		failed := refuse(http.StatusBadGateway, CodeBackendFailed, "attempt %d failed: %v", history.count, end.err)
 		return history.amend(failed.after(time.Second))
 	}
 	answer.restart()
 	return nil
 }
 
+// stopped says why a dispatched request was cancelled: its caller went away, or
+// its first token did not come by the deadline.
+func stopped(ctx context.Context, err error) *Error {
+	var gone errCallerGone
+	if ctx.Err() != nil || errors.As(err, &gone) {
+		return refuse(statusCallerGone, CodeCancelled, "the caller went away")
+	}
+	return refuse(http.StatusGatewayTimeout, CodeDeadlineExceeded, "the answer did not begin by the deadline").after(time.Second)
+}
+
 // attempt streams one answer from the granted backend server.
 func (h *Handler) attempt(ctx context.Context, req *chatRequest, g grant, history *attempts, answer *answerWriter) attemptEnd {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
 	started := time.Now()
+	late := time.AfterFunc(time.Until(req.deadline), func() { cancel(context.DeadlineExceeded) })
+	defer late.Stop()
+	if history.received > 0 || !req.stream {
+		late.Stop()
+	}
 	infer := engine.InferRequest{
 		RequestID:      attemptID(req.dispatchID, history.count),
 		Target:         req.target,
@@ -128,7 +159,7 @@
 	if err != nil {
 		return attemptEnd{kind: kindOf(ctx, err), err: err, duration: time.Since(started)}
 	}
-	end := h.pass(ctx, req, stream, requestID, answer, started)
+	end := h.pass(ctx, req, stream, requestID, answer, late, started)
 	stream.Close()
 	end.duration = time.Since(started)
 	if end.kind == endCancelled {
@@ -138,7 +169,7 @@
 }
 
 // pass copies a stream to the caller.
-func (h *Handler) pass(ctx context.Context, req *chatRequest, stream engine.Stream, requestID string, answer *answerWriter, started time.Time) attemptEnd {
+func (h *Handler) pass(ctx context.Context, req *chatRequest, stream engine.Stream, requestID string, answer *answerWriter, late *time.Timer, started time.Time) attemptEnd {
 	var end attemptEnd
 	for {
 		chunk, err := stream.Next()
@@ -150,6 +181,7 @@
 			return end
 		}
 		if end.firstToken == 0 && len(chunk.Data) > 0 {
+			late.Stop()
 			end.firstToken = time.Since(started)
 			h.cfg.Metrics.FirstToken(req.rank.String(), time.Since(req.arrival))
 		}
@@ -180,7 +212,7 @@
 // kindOf classifies an engine's error.
 func kindOf(ctx context.Context, err error) endKind {
 	switch {
-	case notRun(err):
+	case dispatch.NotRun(err):
 		return endNotRun
 	case ctx.Err() != nil:
 		return endCancelled
@@ -192,12 +224,6 @@
 	return endFailed
 }
 
-// notRun reports whether the error says that the request did not run.
-func notRun(err error) bool {
-	return errors.Is(err, engine.ErrNotSent) || errors.Is(err, engine.ErrNotLoaded) ||
-		errors.Is(err, engine.ErrDraining) || errors.Is(err, engine.ErrUnreachable)
-}
-
 // cancelTimeout bounds the cancellation of a request that nobody waits for.
 const cancelTimeout = 2 * time.Second
 
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -113,12 +113,12 @@
 	running  sync.WaitGroup // requests, and what they leave behind
 	requests atomic.Int64
 	direct   directLoad
-	retries  *retryBudget
+	spent    *budget
 }
 
 // New returns a handler.
 func New(cfg Config) *Handler {
-	h := &Handler{cfg: cfg, mux: http.NewServeMux(), retries: newRetryBudget()}
+	h := &Handler{cfg: cfg, mux: http.NewServeMux(), spent: newBudget()}
 	h.direct.running = make(map[fleet.BackendID]int)
 	h.mux.HandleFunc("GET /v1/entry", h.serveEntry)
 	h.mux.HandleFunc("GET /v1/models", h.serveModels)
--- a/internal/entry/hedge.go
+++ b/internal/entry/hedge.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/redwingnotch/redwingnotch/dispatch"
 	"github.com/redwingnotch/redwingnotch/engine"
 )
 
@@ -39,7 +40,7 @@
 		return r.stream, r.requestID, r.err
 	case <-timer.C:
 	}
-	if !h.retries.spend() {
+	if !h.spent.retry() {
 		context.AfterFunc(ctx, cancelFirst)
 		r := <-results
 		return r.stream, r.requestID, r.err
@@ -77,7 +78,7 @@
 // better prefers a started stream, then the error that says more: one after
 // which the request may have run.
 func better(a, b started) started {
-	if b.err == nil || (a.err != nil && notRun(a.err)) {
+	if b.err == nil || (a.err != nil && dispatch.NotRun(a.err)) {
 		return b
 	}
 	return a
@@ -98,33 +99,24 @@
 	results <- started{stream: stream, requestID: req.RequestID, err: err}
 }
 
-// Terms of the retry budget.
-const (
-	retryShare   = 0.1 // repeats earned by each request
-	retryReserve = 20  // repeats that may be saved up
-)
-
-// retryBudget bounds repeated attempts to a share of the requests, so that a
-// failing fleet is not overloaded by repeats.
-type retryBudget struct {
-	mu     sync.Mutex
-	tokens float64
+// budget is a dispatch.Budget for concurrent use.
+type budget struct {
+	mu   sync.Mutex
+	core *dispatch.Budget
 }
 
-func newRetryBudget() *retryBudget { return &retryBudget{tokens: retryReserve} }
+func newBudget() *budget {
+	return &budget{core: dispatch.NewBudget(dispatch.DefaultBudgetSettings())}
+}
 
-func (b *retryBudget) earn() {
+func (b *budget) request() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.tokens = min(b.tokens+retryShare, retryReserve)
+	b.core.Request(time.Now())
 }
 
-func (b *retryBudget) spend() bool {
+func (b *budget) retry() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.tokens < 1 {
-		return false
-	}
-	b.tokens--
-	return true
+	return b.core.TryRetry(time.Now())
 }
