node: whole nodes in virtual time; handover tells the members

Cause: the leaving holder gave the cell away in the store, but no member learnt of it: TestHandoverOnAPlannedStop saw no node in office 3 s later. Change: any node that knows a higher epoch announces it. A harness runs several nodes in one process over in-memory connections.

--- /dev/null
+++ b/internal/node/harness_test.go
@@ -0,0 +1,173 @@
+package node_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/redwingnotch/redwingnotch/fleet"
+	"github.com/redwingnotch/redwingnotch/internal/node"
+	"github.com/redwingnotch/redwingnotch/internal/telemetry"
+	"github.com/redwingnotch/redwingnotch/membership"
+	"github.com/redwingnotch/redwingnotch/standin/objectapi"
+	"github.com/redwingnotch/redwingnotch/standin/pipenet"
+)
+
+// gossipNet passes datagrams between the nodes of one process.
+type gossipNet struct {
+	mu    sync.Mutex
+	ports map[string]chan []byte
+}
+
+type gossipPort struct {
+	net     *gossipNet
+	address string
+	in      chan []byte
+}
+
+func (g *gossipNet) port(address string) *gossipPort {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	p := &gossipPort{net: g, address: address, in: make(chan []byte, 256)}
+	g.ports[address] = p.in
+	return p
+}
+
+// Send implements node.Gossip. Datagrams to a full or absent port are lost.
+func (p *gossipPort) Send(packets []membership.Outgoing) error {
+	p.net.mu.Lock()
+	defer p.net.mu.Unlock()
+	for _, packet := range packets {
+		select {
+		case p.net.ports[packet.Addr] <- packet.Data:
+		default:
+		}
+	}
+	return nil
+}
+
+// Run implements node.Gossip.
+func (p *gossipPort) Run(ctx context.Context, handle func([]byte)) error {
+	for {
+		select {
+		case data := <-p.in:
+			handle(data)
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// deployment is several nodes in one process, in virtual time.
+type deployment struct {
+	t       *testing.T
+	network *pipenet.Network
+	gossip  *gossipNet
+	api     *objectapi.API
+	nodes   map[string]*runningNode
+	client  *http.Client
+}
+
+type runningNode struct {
+	*node.Node
+	stop context.CancelFunc
+	err  chan error
+}
+
+func newDeployment(t *testing.T) *deployment {
+	d := &deployment{
+		t:       t,
+		network: pipenet.New(),
+		gossip:  &gossipNet{ports: make(map[string]chan []byte)},
+		api:     objectapi.New(),
+		nodes:   make(map[string]*runningNode),
+	}
+	d.client = &http.Client{Transport: &http.Transport{DialContext: d.network.Dial}}
+	return d
+}
+
+// start runs a node. Its zone is that of its name's last digit, modulo three.
+func (d *deployment) start(name string) *runningNode {
+	d.t.Helper()
+	return d.startAt(name, name)
+}
+
+// startAt runs a node at addresses that begin with the host.
+func (d *deployment) startAt(name, host string) *runningNode {
+	d.t.Helper()
+	metrics, err := telemetry.NewMetrics()
+	assert.NilError(d.t, err)
+	callers, err := d.network.Listen(host + ":80")
+	assert.NilError(d.t, err)
+	peers, err := d.network.Listen(host + ":81")
+	assert.NilError(d.t, err)
+	n, err := node.New(node.Config{
+		ID: fleet.NodeID(name), Region: "r", Zone: fleet.AvailabilityZone(fmt.Sprint("z", name[len(name)-1]%3)), Cell: "c",
+		Callers: callers, Peers: peers, Gossip: d.gossip.port(host + ":81"), GossipAddress: host + ":81",
+		Secret: []byte("a secret of some length"), Store: d.api, VMs: d.api, Dial: d.network.Dial, Metrics: metrics,
+	})
+	assert.NilError(d.t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	r := &runningNode{Node: n, stop: cancel, err: make(chan error, 1)}
+	go func() { r.err <- n.Run(ctx) }()
+	d.nodes[host] = r
+	return r
+}
+
+// close stops all nodes gracefully and checks that none cut a request.
+func (d *deployment) close() {
+	for _, n := range d.nodes {
+		n.stop()
+	}
+	for name, n := range d.nodes {
+		assert.NilError(d.t, <-n.err, name)
+	}
+	d.client.CloseIdleConnections()
+	d.api.Close()
+}
+
+// holder returns the name of the node in office, and how many believe to be.
+func (d *deployment) holder() (string, int) {
+	name, count := "", 0
+	for n, r := range d.nodes {
+		if _, in := r.InOffice(); in {
+			name = n
+			count++
+		}
+	}
+	return name, count
+}
+
+type reply struct {
+	status int
+	header http.Header
+	body   string
+	err    error
+}
+
+func (d *deployment) send(host, method, path, body string, headers ...string) reply {
+	req, err := http.NewRequest(method, "http://"+host+":80"+path, strings.NewReader(body))
+	if err != nil {
+		return reply{err: err}
+	}
+	for i := 0; i+1 < len(headers); i += 2 {
+		req.Header.Set(headers[i], headers[i+1])
+	}
+	resp, err := d.client.Do(req)
+	if err != nil {
+		return reply{err: err}
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	return reply{status: resp.StatusCode, header: resp.Header, body: string(data), err: err}
+}
+
+// settleTime is long enough for membership and lease to settle.
+const settleTime = 10 * time.Second
--- a/internal/node/office.go
+++ b/internal/node/office.go
@@ -21,9 +21,10 @@
 
 // office carries out the lease core: who controls this node's cell.
 type office struct {
-	node *Node
-	mu   sync.Mutex
-	core *lease.Core
+	node      *Node
+	mu        sync.Mutex
+	core      *lease.Core
+	announced fleet.Epoch // highest one told to the members; used by tick only
 }
 
 func newOffice(n *Node) *office {
@@ -43,7 +44,9 @@
 	effects := o.core.Tick(now)
 	authority := o.core.Authority(now)
 	o.mu.Unlock()
-	if authority.InOffice {
+	if authority.Epoch > o.announced {
+		// Also a node that gave the cell away tells who has it now.
+		o.announced = authority.Epoch
 		o.node.members.announce(now, authority.Epoch, authority.Holder)
 	}
 	if effects.Read {
