--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -27,6 +27,9 @@
 	run   fleet.Incarnation // of this run
 	entry *entry.Handler
 	keys  *idempotency.Service
+	// claims are the durable part of keys. swept is the next prefix to sweep.
+	claims *idempotency.Claims
+	swept  uint8
 
 	members  *members
 	office   *office
@@ -55,6 +58,7 @@
 	cfg.Callers = limitConnections(cfg.Callers, cfg.MaxConnections)
 	n := &Node{cfg: cfg, run: membership.NewIncarnation(now), done: make(chan struct{}), nameTaken: make(chan struct{})}
 	n.halted, n.halt = context.WithCancel(context.Background())
+	n.claims = idempotency.NewClaims(cfg.Store)
 	n.catalog = newCatalog()
 	n.backends = newBackends(n)
 	n.peers = newPeerClients(n)
@@ -81,7 +85,7 @@
 	logFailure := func(event string, key idempotency.Key, err error) {
 		level.Warn(n.cfg.Log).Log("event", event, "key", key, "err", err)
 	}
-	return idempotency.NewService(core, idempotency.NewClaims(n.cfg.Store), n.backends, keyOwners{n}, logFailure), nil
+	return idempotency.NewService(core, n.claims, n.backends, keyOwners{n}, logFailure), nil
 }
 
 // newSource returns a source of random numbers for a core.
@@ -164,8 +168,25 @@
 // sweepInterval is the interval at which expired keys are forgotten.
 const sweepInterval = time.Minute
 
-func (n *Node) sweep(_ context.Context, now time.Time) error {
+// sweepTimeout bounds one sweep of the store.
+const sweepTimeout = 10 * time.Second
+
+// sweep forgets expired keys in memory, and in the store, while in office, those
+// of one of 256 prefixes of object names.
+func (n *Node) sweep(ctx context.Context, now time.Time) error {
 	n.keys.Sweep(now)
+	if _, in := n.InOffice(); !in {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, sweepTimeout)
+	defer cancel()
+	count, err := n.claims.Sweep(ctx, now, fmt.Sprintf("%02x", n.swept))
+	if err != nil {
+		level.Info(n.cfg.Log).Log("event", "sweep_failed", "err", err)
+		return nil
+	}
+	n.swept++
+	level.Debug(n.cfg.Log).Log("event", "claims_swept", "count", count)
 	return nil
 }
 
