Failure tests and randomised runs of lease and controller

Cause: a randomised run loaded a model twice: a holder's order to an engine that does not fence outlived the restart of its sender, and the successor had taken the sender's death as proof that nothing was on its way. Change: inherited intents are settled only by the engine: shown, other boot, or the same order id sent again. Without contact to the store nothing is ordered at engines that do not fence.

--- a/controller/backends.go
+++ b/controller/backends.go
@@ -277,12 +277,12 @@
 }
 
 // budgetID names the load of a replica in the load budget.
-func budgetID(r *replica) string {
-	return string(r.key.Backend) + "/" + string(r.key.Boot) + "/" + string(r.key.Model) + "/" + string(r.key.Version)
+func budgetID(key fleet.ReplicaKey) string {
+	return string(key.Backend) + "/" + string(key.Boot) + "/" + string(key.Model) + "/" + string(key.Version)
 }
 
 func (c *Core) endLoad(_ *backend, r *replica) {
 	if c.budget != nil {
-		c.budget.EndLoad(budgetID(r))
+		c.budget.EndLoad(budgetID(r.key))
 	}
 }
--- a/controller/cell_test.go
+++ b/controller/cell_test.go
@@ -69,10 +69,17 @@
 	messages int
 }
 
+// reporter is what a test and a randomised run have in common.
+type reporter interface {
+	Helper()
+	Logf(format string, args ...any)
+	Fatalf(format string, args ...any)
+}
+
 // fakeCell is the smallest world that the cores can run in: entry VMs, engines
 // and the object API, with delays and losses from a seeded source.
 type fakeCell struct {
-	t       testing.TB
+	t       reporter
 	rng     *rand.Rand
 	now     time.Time
 	seq     int
@@ -80,6 +87,7 @@
 	nodes   []*testNode
 	engines []*fakeEngine
 	store   fakeStore
+	release uint64
 	models  []fleet.Model
 	adapter []fleet.Adapter
 	budget  loadbudget.Settings
@@ -87,17 +95,19 @@
 	keep    time.Duration
 	loss    float64 // of each message or answer
 	cut     map[string]bool
+	dead    *testNode                                       // called dead by membership though it lives
 	order   func(n *testNode, o engine.Order) time.Duration // extra delay on the way to the engine
 	faults  []string
 }
 
-func newCell(t testing.TB, seed int64, nodes, engines int, fencing bool) *fakeCell {
+func newCell(t reporter, seed int64, nodes, engines int, fencing bool) *fakeCell {
 	c := &fakeCell{
 		t: t, rng: rand.New(rand.NewSource(seed)), now: epochStart,
 		demand: map[fleet.Target]fleet.Rank{}, cut: map[string]bool{}, keep: 10 * time.Minute,
 		budget: loadbudget.Settings{LoadsPerSecond: 5, LoadsInFlight: 4, AdaptersInFlight: 32},
 	}
 	c.store.up = true
+	c.release = 1
 	for i := range engines {
 		c.engines = append(c.engines, newEngine(c, fmt.Sprintf("e%02d", i), fencing, 40*gib))
 	}
@@ -171,6 +181,8 @@
 			m.State = lease.MemberGone
 		case n.left:
 			m.State = lease.MemberLeft
+		case n == c.dead:
+			m.State = lease.MemberDead
 		case silent && c.now.Sub(n.downAt) >= deadAfter:
 			m.State = lease.MemberDead
 		}
@@ -241,7 +253,7 @@
 	c.storeCalls(n, n.lease.Tick(c.now))
 	n.auth = n.lease.Authority(c.now)
 	n.ctrl.SetAuthority(c.now, n.auth)
-	n.ctrl.SetRelease(c.now, 1, c.models, c.adapter)
+	n.ctrl.SetRelease(c.now, c.release, c.models, c.adapter)
 	n.ctrl.SetBackends(c.now, c.vms(), c.now)
 	eff := n.ctrl.Tick(c.now, c.demands(), c)
 	n.blocked = eff.Blocked
--- a/controller/core.go
+++ b/controller/core.go
@@ -77,9 +77,6 @@
 		return
 	}
 	c.rosters.set(a.Rosters)
-	for _, i := range a.Intents {
-		c.noteSenderStopped(now, i)
-	}
 }
 
 // takeOffice starts from nothing but the record: what is loaded is read from
@@ -93,7 +90,7 @@
 	c.officeAt = c.afterTick(now)
 	c.budget = loadbudget.New(now, c.cfg.Budget)
 	for _, i := range a.Intents {
-		c.inherited[i.OrderID] = &inheritedIntent{OpenIntent: i}
+		c.inherited[i.OrderID] = &inheritedIntent{Intent: i}
 	}
 }
 
@@ -130,10 +127,10 @@
 	return c.lastTick.Add(1)
 }
 
-// SetRelease takes in the models and adapters in force. Lower versions are
-// ignored.
+// SetRelease takes in the models and adapters in force. Only a higher version
+// than the last changes anything.
 func (c *Core) SetRelease(_ time.Time, version uint64, ms []fleet.Model, as []fleet.Adapter) {
-	if version < c.version {
+	if version <= c.version {
 		return
 	}
 	c.version = version
--- a/controller/intents.go
+++ b/controller/intents.go
@@ -3,7 +3,6 @@
 import (
 	"slices"
 	"strings"
-	"time"
 
 	"github.com/redwingnotch/redwingnotch/engine"
 	"github.com/redwingnotch/redwingnotch/fleet"
@@ -13,19 +12,11 @@
 // inheritedIntent is an intent of an earlier office. Its order may still be on
 // its way: memory and replica stay committed until it is settled.
 type inheritedIntent struct {
-	lease.OpenIntent
-	stoppedAt time.Time // when the sender was first known to have stopped
+	lease.Intent
 }
 
 func compareIntents(a, b lease.Intent) int { return strings.Compare(a.OrderID, b.OrderID) }
 
-func (c *Core) noteSenderStopped(now time.Time, i lease.OpenIntent) {
-	own := c.inherited[i.OrderID]
-	if own != nil && i.SenderStopped && own.stoppedAt.IsZero() {
-		own.stoppedAt = c.afterTick(now)
-	}
-}
-
 func (c *Core) inheritedIDs() []string {
 	ids := make([]string, 0, len(c.inherited))
 	for id := range c.inherited {
@@ -36,20 +27,33 @@
 }
 
 // settleInherited drops the intents that can no longer take effect or have
-// become visible, and sends those again that somebody waits for: an engine
-// carries out an order id at most once.
+// become visible, and sends the others again: an engine carries out an order id
+// at most once, so that the late one has no effect. That the sender is dead
+// settles nothing, as bytes that it wrote may outlive it.
 func (c *Core) settleInherited(t *tick) {
 	for _, id := range c.inheritedIDs() {
 		i := c.inherited[id]
 		if c.settled(i) {
-			delete(c.inherited, id)
-			delete(c.open, id)
+			c.dropInherited(i)
 			continue
 		}
 		c.resendInherited(t, i)
 	}
 }
 
+func (c *Core) dropInherited(i *inheritedIntent) {
+	delete(c.inherited, i.OrderID)
+	delete(c.open, i.OrderID)
+	c.budget.EndAdapter(i.OrderID)
+	if b := c.backends[i.Backend]; b == nil || b.replicas[modelVersion{i.Model, i.Version}] == nil {
+		c.budget.EndLoad(budgetID(i.replicaKey()))
+	}
+}
+
+func (i *inheritedIntent) replicaKey() fleet.ReplicaKey {
+	return fleet.ReplicaKey{Backend: i.Backend, Boot: i.Boot, Model: i.Model, Version: i.Version}
+}
+
 func (c *Core) settled(i *inheritedIntent) bool {
 	b := c.backends[i.Backend]
 	if b == nil {
@@ -61,10 +65,7 @@
 	if b.boot != i.Boot || b.row.Fencing {
 		return true
 	}
-	if c.shows(b, i.Intent) {
-		return true
-	}
-	return !i.stoppedAt.IsZero() && !b.readAt.Before(i.stoppedAt)
+	return c.shows(b, i.Intent)
 }
 
 func (c *Core) shows(b *backend, i lease.Intent) bool {
@@ -87,30 +88,43 @@
 	}
 	for _, id := range r.AppliedOrder {
 		if i := c.inherited[id]; i != nil && i.Backend == b.row.ID {
-			delete(c.inherited, id)
-			delete(c.open, id)
+			c.dropInherited(i)
 		}
 	}
 }
 
 func (c *Core) resendInherited(t *tick, i *inheritedIntent) {
 	b := c.backends[i.Backend]
-	waited := t.demand[i.Model] != nil && i.Adapter == ""
-	if c.open[i.OrderID] != nil || !waited || b == nil || b.boot != i.Boot || b.draining(c.stopping) {
+	if c.open[i.OrderID] != nil || b == nil || b.boot != i.Boot || b.draining(c.stopping) || !c.canWriteIntents() {
 		return
 	}
-	if m, ok := c.inForce(i.Model); !ok || m.Version != i.Version {
+	kind := engine.OrderLoad
+	if i.Adapter != "" {
+		kind = engine.OrderLoadAdapter
+	}
+	if !c.startInherited(t, i) {
 		return
 	}
-	o := c.newOrder(t.now, b, engine.OrderLoad)
+	o := c.newOrder(t.now, b, kind)
 	delete(c.open, o.order.ID)
 	o.order.ID = i.OrderID
-	o.order.Model, o.order.Version, o.order.Memory = i.Model, i.Version, i.Memory
-	o.needsIntent = true
-	o.uncertain = true // the earlier sending may have arrived
+	o.order.Model, o.order.Version, o.order.Adapter = i.Model, i.Version, i.Adapter
+	o.order.Memory = i.Memory
+	o.inherited, o.needsIntent, o.uncertain = true, true, true
 	c.open[i.OrderID] = o
 }
 
+// startInherited counts the load against the weight store's limits.
+func (c *Core) startInherited(t *tick, i *inheritedIntent) bool {
+	if i.Adapter != "" {
+		return c.budget.StartAdapter(i.OrderID)
+	}
+	if c.backends[i.Backend].nearness(i.Model, i.Version) != fleet.NearRemote {
+		return true
+	}
+	return c.budget.StartLoad(t.now, budgetID(i.replicaKey()))
+}
+
 // inheritedAt returns the replicas of a model, or of all models if it is
 // empty, that inherited intents may still bring about at a backend server, and
 // their memory in bytes.
--- a/controller/loads.go
+++ b/controller/loads.go
@@ -346,6 +346,6 @@
 	c.addReplica(b, o.replica)
 	delete(c.plans, n.model.ID)
 	if choice.Near == fleet.NearRemote {
-		c.budget.StartLoad(t.now, budgetID(o.replica))
+		c.budget.StartLoad(t.now, budgetID(o.replica.key))
 	}
 }
--- a/controller/orders.go
+++ b/controller/orders.go
@@ -17,6 +17,7 @@
 	backend     fleet.BackendID
 	replica     *replica
 	adapter     *adapter // of replica, for orders on adapters
+	inherited   bool     // an earlier office may have sent it; its effect is counted
 	needsIntent bool     // must be durable in the lease record before it is sent
 	sentAt      time.Time
 	attempts    int
@@ -70,10 +71,14 @@
 		o.uncertain = true
 	}
 	b := c.backends[o.backend]
+	if !b.row.Fencing && !c.canWriteIntents() {
+		c.cancelUnsent(o) // a newer controller could not be told from none
+		return
+	}
 	if o.isLoad() && !c.mayLoad(t, b, o) {
 		return
 	}
-	if o.isLoad() && o.attempts == 0 {
+	if o.isLoad() && o.attempts == 0 && !o.inherited {
 		c.assertLoad(b, o)
 	}
 	o.sentAt = t.now
@@ -94,7 +99,7 @@
 		c.cancelUnsent(o)
 		return false
 	}
-	if o.attempts > 0 {
+	if o.attempts > 0 || o.inherited {
 		return true
 	}
 	if !t.now.Before(o.order.ExpiresAt) || !c.stillAllowed(b, o) {
@@ -134,10 +139,13 @@
 // void settles an order that did not and will not take effect.
 func (c *Core) void(o *openOrder) {
 	delete(c.open, o.order.ID)
+	if o.inherited {
+		return // counted until its intent is settled
+	}
 	b := c.backends[o.backend]
 	switch o.order.Kind {
 	case engine.OrderLoad:
-		if o.replica != nil && !o.replica.seen {
+		if !o.replica.seen {
 			c.removeReplica(b, o.replica)
 		}
 	case engine.OrderLoadAdapter:
@@ -201,7 +209,7 @@
 	case errors.Is(err, engine.ErrExpired):
 		c.void(o)
 	case isRefusal(err) && !(o.uncertain && o.isLoad()):
-		if o.order.Kind == engine.OrderLoad && o.replica != nil {
+		if o.order.Kind == engine.OrderLoad {
 			b.avoid[o.order.Model] = now.Add(c.cfg.RetryDelay)
 		}
 		c.void(o)
@@ -224,7 +232,7 @@
 }
 
 func (c *Core) durable(orderID string) bool {
-	return slices.ContainsFunc(c.auth.Intents, func(i lease.OpenIntent) bool { return i.OrderID == orderID })
+	return slices.ContainsFunc(c.auth.Intents, func(i lease.Intent) bool { return i.OrderID == orderID })
 }
 
 // canWriteIntents reports whether the lease record can be written by this node.
--- a/controller/reports.go
+++ b/controller/reports.go
@@ -181,7 +181,7 @@
 	}
 	c.addReplica(b, row)
 	if lr.State == fleet.ReplicaLoading && b.nearness(lr.Model, lr.Version) == fleet.NearRemote {
-		c.budget.AdoptLoad(budgetID(row))
+		c.budget.AdoptLoad(budgetID(row.key))
 	}
 	return row
 }
--- a/lease/authority.go
+++ b/lease/authority.go
@@ -36,7 +36,7 @@
 		Cell:         c.cell,
 		StoreContact: c.storeContact(now),
 		Rosters:      c.record.Rosters,
-		Intents:      c.openIntents(),
+		Intents:      c.record.Intents,
 	}
 	a.Epoch, a.Holder = c.highest()
 	switch {
@@ -101,11 +101,3 @@
 	}
 	return true
 }
-
-func (c *Core) openIntents() []OpenIntent {
-	open := make([]OpenIntent, 0, len(c.record.Intents))
-	for _, i := range c.record.Intents {
-		open = append(open, OpenIntent{Intent: i, SenderStopped: c.stopped(i.Sender)})
-	}
-	return open
-}
--- a/lease/record.go
+++ b/lease/record.go
@@ -101,12 +101,6 @@
 	Intents []Intent
 }
 
-// OpenIntent is a durable intent.
-type OpenIntent struct {
-	Intent
-	SenderStopped bool // the sender's run is known to have ended
-}
-
 // Authority says what this node may do in a cell.
 type Authority struct {
 	Cell         fleet.CellID
@@ -119,6 +113,6 @@
 	PredecessorStopped bool // no earlier holder can still act
 	SuccessorsAlive    bool // no successor can act without this node knowing
 
-	Rosters []Roster     // durable, newest first
-	Intents []OpenIntent // durable
+	Rosters []Roster // durable, newest first
+	Intents []Intent // durable
 }
