node: whole path in virtual time: burst, order, planned stop, controller crash

Cause: nothing proved the wired node; load limits were zero, so nothing loaded (TestColdBurstIsOneLoad: load_blocked "weight store at its limit"). Change: defaults and settings of the weight store's limits; reasons for blocked loads are logged; tests with several nodes, a small engine and a plain service. TestPlannedStopCutsNothing fails when the wait for aged addresses is taken out.

--- a/cmd/redwingnotch/main.go
+++ b/cmd/redwingnotch/main.go
@@ -146,6 +146,9 @@
 	cfg.SilentAfter = s.SilentAfter.Duration
 	cfg.ShutdownTimeout = s.ShutdownTimeout.Duration
 	cfg.Controller.ReportInterval = s.ReportInterval.Duration
+	cfg.Controller.Budget.LoadsPerSecond = s.LoadsPerSecond.Value
+	cfg.Controller.Budget.LoadsInFlight = int(s.LoadsInFlight.Value)
+	cfg.Controller.Budget.AdaptersInFlight = int(s.AdaptersInFlight.Value)
 	cfg.Idempotency.Retention = s.KeyRetention.Duration
 	cfg.Idempotency.MaxKeys = int(s.MaxKeys.Value)
 	cfg.Deadlines = [fleet.RankCount]time.Duration{
--- a/internal/node/cell.go
+++ b/internal/node/cell.go
@@ -33,7 +33,8 @@
 	release    uint64 // version that the cores have
 	loads      map[fleet.ReplicaKey]admission.ReplicaLoad
 	polls      map[string]chan admission.Decision // waiting Acquire calls by request id
-	changed    bool                               // replicas may differ from what the queue has
+
+	blockedLogged time.Time // used by tick only
 }
 
 func newCell(n *Node) *cell {
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -89,6 +89,10 @@
 	DefaultSilentAfter     = 2500 * time.Millisecond
 	DefaultShutdownTimeout = 15 * time.Minute
 	DefaultKeepAlive       = 10 * time.Minute
+
+	DefaultLoadsPerSecond   = 3
+	DefaultLoadsInFlight    = 4
+	DefaultAdaptersInFlight = 32
 )
 
 // Sentinel errors of a node.
@@ -119,6 +123,9 @@
 	setDefault(&cfg.PeerAddress, cfg.Peers.Addr().String())
 	setDefault(&cfg.Membership, membership.DefaultSettings())
 	setDefault(&cfg.Quarantine, quarantine.DefaultSettings())
+	setDefault(&cfg.Controller.Budget.LoadsPerSecond, DefaultLoadsPerSecond)
+	setDefault(&cfg.Controller.Budget.LoadsInFlight, DefaultLoadsInFlight)
+	setDefault(&cfg.Controller.Budget.AdaptersInFlight, DefaultAdaptersInFlight)
 	setDefault(&cfg.Idempotency.Retention, idempotency.DefaultRetention)
 	setDefault(&cfg.Idempotency.MaxKeys, idempotency.DefaultMaxKeys)
 	setDefault(&cfg.Idempotency.MaxAnswerBytes, idempotency.DefaultMaxAnswerBytes)
--- a/internal/node/harness_test.go
+++ b/internal/node/harness_test.go
@@ -73,6 +73,8 @@
 	api     *objectapi.API
 	nodes   map[string]*runningNode
 	client  *http.Client
+	engines []*testEngine
+	models  []fleet.Model
 }
 
 type runningNode struct {
@@ -88,6 +90,10 @@
 		gossip:  &gossipNet{ports: make(map[string]chan []byte)},
 		api:     objectapi.New(),
 		nodes:   make(map[string]*runningNode),
+		models: []fleet.Model{
+			{ID: "lathe", Version: "v1", MaxReplicas: 1, MemoryBytes: 2 << 30, LoadTime: loadTime, Slots: 4},
+			{ID: "deck", Version: "v1", MaxReplicas: 2, MemoryBytes: 2 << 30, LoadTime: loadTime, Slots: 4},
+		},
 	}
 	d.client = &http.Client{Transport: &http.Transport{DialContext: d.network.Dial}}
 	return d
@@ -112,11 +118,13 @@
 		ID: fleet.NodeID(name), Region: "r", Zone: fleet.AvailabilityZone(fmt.Sprint("z", name[len(name)-1]%3)), Cell: "c",
 		Callers: callers, Peers: peers, Gossip: d.gossip.port(host + ":81"), GossipAddress: host + ":81",
 		Secret: []byte("a secret of some length"), Store: d.api, VMs: d.api, Dial: d.network.Dial, Metrics: metrics,
+		Log: telemetry.NewLogger(testLog{d.t}, name, "debug"),
 	})
 	assert.NilError(d.t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	r := &runningNode{Node: n, stop: cancel, err: make(chan error, 1)}
 	go func() { r.err <- n.Run(ctx) }()
+	n.SetInForce(1, d.models, nil)
 	d.nodes[host] = r
 	return r
 }
@@ -130,6 +138,9 @@
 		assert.NilError(d.t, <-n.err, name)
 	}
 	d.client.CloseIdleConnections()
+	for _, e := range d.engines {
+		e.server.Close()
+	}
 	d.api.Close()
 }
 
@@ -145,6 +156,14 @@
 	return name, count
 }
 
+// testLog shows the nodes' events with go test -v, or when a test fails.
+type testLog struct{ t *testing.T }
+
+func (l testLog) Write(line []byte) (int, error) {
+	l.t.Log(strings.TrimSpace(string(line)))
+	return len(line), nil
+}
+
 type reply struct {
 	status int
 	header http.Header
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -1,12 +1,16 @@
 package node_test
 
 import (
+	"context"
+	"encoding/json"
 	"errors"
+	"fmt"
 	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"golang.org/x/sync/errgroup"
 	"gotest.tools/v3/assert"
 
 	"github.com/redwingnotch/redwingnotch/internal/node"
@@ -62,3 +66,168 @@
 		delete(d.nodes, first)
 	})
 }
+
+const latheRequest = `{"model":"lathe","stream":true}`
+
+func TestColdBurstIsOneLoad(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDeployment(t)
+		defer d.close()
+		engines := []*testEngine{d.addEngine("e1"), d.addEngine("e2")}
+		for _, name := range []string{"n1", "n2", "n3"} {
+			d.start(name)
+		}
+		time.Sleep(settleTime)
+		replies := make(chan reply, 9)
+		for i := range 9 {
+			go func() {
+				replies <- d.send([]string{"n1", "n2", "n3"}[i%3], "POST", "/v1/chat/completions", latheRequest)
+			}()
+		}
+		for range 9 {
+			got := <-replies
+			assert.NilError(t, got.err)
+			assert.Equal(t, got.body, wholeAnswer())
+		}
+		assert.Equal(t, engines[0].loads+engines[1].loads, 1)
+	})
+}
+
+func TestPartsOrderRunsOnceThroughTwoNodes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDeployment(t)
+		defer d.close()
+		ordering := d.addService("s1", "ordering")
+		d.start("n1")
+		d.start("n2")
+		time.Sleep(settleTime)
+		var issued struct{ Key string }
+		got := d.send("n1", "POST", "/v1/keys", "")
+		assert.NilError(t, json.Unmarshal([]byte(got.body), &issued))
+		replies := make(chan reply, 8)
+		for i := range cap(replies) {
+			key := []string{"order-7", issued.Key}[i/2%2]
+			go func() {
+				replies <- d.send([]string{"n1", "n2"}[i%2], "POST", "/v1/services/ordering/orders", "spindle", "Idempotency-Key", key)
+			}()
+		}
+		for range cap(replies) {
+			got := <-replies
+			assert.Equal(t, got.status, 201, got.body)
+			assert.Equal(t, got.body, "ordered")
+		}
+		assert.DeepEqual(t, ordering.runs, map[string]int{"order-7": 1, issued.Key: 1})
+		got = d.send("n2", "POST", "/v1/services/ordering/orders", "two spindles", "Idempotency-Key", "order-7")
+		assert.Equal(t, got.status, 422, got.body)
+	})
+}
+
+// TestPlannedStopCutsNothing sends streams through all nodes, by the addresses
+// that callers are told, while each node in turn stops and is replaced.
+func TestPlannedStopCutsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDeployment(t)
+		defer d.close()
+		d.addEngine("e1")
+		d.addEngine("e2")
+		for _, name := range []string{"n1", "n2", "n3"} {
+			d.start(name)
+		}
+		time.Sleep(settleTime)
+		ctx, cancel := context.WithCancel(t.Context())
+		var callers errgroup.Group
+		for i := range 6 {
+			callers.Go(func() error { return d.callUntil(ctx, fmt.Sprint("caller", i), []string{"n1", "n2", "n3"}[i%3]) })
+		}
+		for _, name := range []string{"n1", "n2"} {
+			time.Sleep(3 * time.Second)
+			n := d.nodes[name]
+			n.stop()
+			assert.NilError(t, <-n.err)
+			delete(d.nodes, name)
+			d.start(name + "b")
+		}
+		time.Sleep(3 * time.Second)
+		cancel()
+		assert.NilError(t, callers.Wait())
+	})
+}
+
+// callUntil sends one stream after another as a caller who keeps to the answers
+// of /v1/entry, and fails at the first answer that is not whole.
+func (d *deployment) callUntil(ctx context.Context, caller, first string) error {
+	host, until := first, time.Time{}
+	for ctx.Err() == nil {
+		if time.Now().After(until) {
+			var list struct {
+				Addresses  []struct{ Address string }
+				ValidForMS int64 `json:"valid_for_ms"`
+			}
+			got := d.send(host, "GET", "/v1/entry", "", "Redwingnotch-Caller", caller)
+			if err := json.Unmarshal([]byte(got.body), &list); err != nil {
+				return fmt.Errorf("%s: %q: %w", host, got.body, errors.Join(err, got.err))
+			}
+			host = strings.TrimSuffix(list.Addresses[0].Address, ":80")
+			until = time.Now().Add(time.Duration(list.ValidForMS) * time.Millisecond)
+		}
+		got := d.send(host, "POST", "/v1/chat/completions", latheRequest)
+		if got.err != nil || got.body != wholeAnswer() {
+			return fmt.Errorf("%s through %s: %w %q", caller, host, got.err, got.body)
+		}
+	}
+	return nil
+}
+
+func TestControllerCrashLosesNoWaitingRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDeployment(t)
+		defer d.close()
+		engines := []*testEngine{d.addEngine("e1"), d.addEngine("e2")}
+		for _, name := range []string{"n1", "n2", "n3"} {
+			d.start(name)
+		}
+		time.Sleep(settleTime)
+		holder, _ := d.holder()
+		replies := make(chan reply, 6)
+		for name := range d.nodes {
+			if name == holder {
+				continue
+			}
+			for range 3 {
+				go func() { replies <- d.send(name, "POST", "/v1/chat/completions", latheRequest) }()
+			}
+		}
+		time.Sleep(loadTime / 2)
+		d.nodes[holder].Kill()
+		assert.NilError(t, <-d.nodes[holder].err)
+		delete(d.nodes, holder)
+		for range cap(replies) {
+			got := <-replies
+			assert.NilError(t, got.err)
+			assert.Equal(t, got.body, wholeAnswer())
+		}
+		assert.Equal(t, engines[0].loads+engines[1].loads, 1)
+	})
+}
+
+func TestWarmModelIsServedWhileTheControllerIsSilent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDeployment(t)
+		defer d.close()
+		d.addEngine("e1")
+		for _, name := range []string{"n1", "n2"} {
+			d.start(name)
+		}
+		time.Sleep(settleTime)
+		holder, _ := d.holder()
+		other := map[string]string{"n1": "n2", "n2": "n1"}[holder]
+		assert.Equal(t, d.send(other, "POST", "/v1/chat/completions", latheRequest).body, wholeAnswer())
+		time.Sleep(5 * time.Second)
+		d.api.Faults.SetOutage(true)
+		d.nodes[holder].Kill()
+		assert.NilError(t, <-d.nodes[holder].err)
+		delete(d.nodes, holder)
+		assert.Equal(t, d.send(other, "POST", "/v1/chat/completions", latheRequest).body, wholeAnswer())
+		d.api.Faults.SetOutage(false)
+	})
+}
--- a/internal/node/orders.go
+++ b/internal/node/orders.go
@@ -23,6 +23,7 @@
 	if effects.Deposed != 0 {
 		n.office.deposed(now, effects.Deposed)
 	}
+	c.noteBlocked(now, effects.Blocked)
 	for _, order := range effects.Orders {
 		n.background.Go(func() { c.sendOrder(ctx, now, order) })
 	}
@@ -31,6 +32,20 @@
 	}
 }
 
+// blockedLogInterval is the least time between two log lines of blocked targets.
+const blockedLogInterval = 5 * time.Second
+
+// noteBlocked logs why targets that are asked for are not being loaded.
+func (c *cell) noteBlocked(now time.Time, blocked []controller.Blocked) {
+	if len(blocked) == 0 || now.Sub(c.blockedLogged) < blockedLogInterval {
+		return
+	}
+	c.blockedLogged = now
+	for _, b := range blocked {
+		level.Info(c.node.cfg.Log).Log("event", "load_blocked", "target", b.Target, "reason", b.Reason)
+	}
+}
+
 func (c *cell) sendOrder(ctx context.Context, sentAt time.Time, o controller.SendOrder) {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
--- a/internal/settings/daemon.go
+++ b/internal/settings/daemon.go
@@ -43,6 +43,10 @@
 	KeyRetention    Duration `arg:"--key-retention,env:REDWINGNOTCH_KEY_RETENTION" default:"72h" min:"1s" max:"8760h" help:"time for which idempotency keys are remembered"`
 	MaxKeys         Int      `arg:"--max-keys,env:REDWINGNOTCH_MAX_KEYS" default:"20000" min:"1" max:"10000000" help:"idempotency keys that this node remembers in memory"`
 
+	LoadsPerSecond   Float `arg:"--loads-per-second,env:REDWINGNOTCH_LOADS_PER_SECOND" default:"3" min:"0.01" max:"10000" help:"model loads that the weight store takes, per second"`
+	LoadsInFlight    Int   `arg:"--loads-in-flight,env:REDWINGNOTCH_LOADS_IN_FLIGHT" default:"4" min:"1" max:"10000" help:"model loads side by side at full speed, number"`
+	AdaptersInFlight Int   `arg:"--adapters-in-flight,env:REDWINGNOTCH_ADAPTERS_IN_FLIGHT" default:"32" min:"1" max:"10000" help:"adapter loads side by side, number"`
+
 	LogLevel   string `arg:"--log-level,env:REDWINGNOTCH_LOG_LEVEL" default:"info" choices:"debug|info|warn|error" help:"least level of logged events: debug, info, warn or error"`
 	Invariants string `arg:"--invariants,env:REDWINGNOTCH_INVARIANTS" default:"report" choices:"panic|report|off" help:"what a broken invariant does: panic, report or off"`
 	Pprof      bool   `arg:"--pprof,env:REDWINGNOTCH_PPROF" help:"serve profiles at /debug/pprof/ of the admin address"`
