node: benchmark of what entry and controller add to a direct call

Cause: the added time per hop has a target (150 us at p50). Change: BenchmarkOverhead and BenchmarkThroughput over TCP on loopback, direct, through one node, and through two, side by side.

--- /dev/null
+++ b/internal/node/bench_test.go
@@ -0,0 +1,220 @@
+package node_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"gotest.tools/v3/assert"
+
+	"github.com/redwingnotch/redwingnotch/engine"
+)
+
+// loopback gives each address of a deployment a TCP port on 127.0.0.1.
+type loopback struct {
+	mu    sync.Mutex
+	ports map[string]string
+}
+
+// namedListener tells the address of the deployment.
+type namedListener struct {
+	net.Listener
+	name string
+}
+
+func (l namedListener) Addr() net.Addr { return namedAddr(l.name) }
+
+type namedAddr string
+
+func (namedAddr) Network() string  { return "tcp" }
+func (a namedAddr) String() string { return string(a) }
+
+func (l *loopback) Listen(address string) (net.Listener, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.ports[address] = listener.Addr().String()
+	return namedListener{listener, address}, nil
+}
+
+func (l *loopback) Dial(ctx context.Context, network, address string) (net.Conn, error) {
+	l.mu.Lock()
+	port := l.ports[address]
+	l.mu.Unlock()
+	var d net.Dialer
+	return d.DialContext(ctx, network, port)
+}
+
+// overheadPaths are the ways to one answer: direct to the engine, through an
+// entry node that is itself the controller, and through another entry node.
+type overheadPaths struct {
+	d                 *deployment
+	controller, entry string
+}
+
+func newOverheadPaths(b *testing.B) *overheadPaths {
+	d := newDeploymentOn(b, &loopback{ports: make(map[string]string)})
+	d.client.Transport.(*http.Transport).MaxIdleConnsPerHost = 256
+	d.logLevel = "error"
+	e := d.addEngine("e1")
+	e.pace, e.tokens = 0, shortAnswer
+	d.models[0].Slots = 256
+	for _, name := range []string{"n1", "n2"} {
+		d.start(name)
+	}
+	p := &overheadPaths{d: d}
+	for range 100 {
+		if name, count := d.holder(); count == 1 {
+			p.controller, p.entry = name, map[string]string{"n1": "n2", "n2": "n1"}[name]
+			break
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	for _, node := range []string{p.controller, p.entry} {
+		assert.NilError(b, p.through(node))
+	}
+	return p
+}
+
+// shortAnswer is the number of tokens of an answer, each sent on its own.
+const shortAnswer = 4
+
+// shortRequest asks for a warm model; the answer is short.
+const shortRequest = `{"model":"lathe","stream":true,"messages":[{"role":"user","content":"Collar 7 chatters."}]}`
+
+func (p *overheadPaths) direct() error {
+	req, err := http.NewRequest(http.MethodPost, "http://e1:90"+engine.PathInfer, strings.NewReader(shortRequest))
+	if err != nil {
+		return err
+	}
+	req.Header.Set(engine.HeaderTarget, "lathe")
+	req.Header.Set(engine.HeaderRequestID, "r")
+	return p.finish(req)
+}
+
+func (p *overheadPaths) through(node string) error {
+	req, err := http.NewRequest(http.MethodPost, "http://"+node+":80/v1/chat/completions", strings.NewReader(shortRequest))
+	if err != nil {
+		return err
+	}
+	return p.finish(req)
+}
+
+func (p *overheadPaths) finish(req *http.Request) error {
+	resp, err := p.d.client.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil || resp.StatusCode != http.StatusOK || !strings.HasSuffix(string(body), "data: [DONE]\n\n") {
+		return fmt.Errorf("status %d, %v: %s", resp.StatusCode, err, body)
+	}
+	return nil
+}
+
+// named is one path and its name in the results.
+type named struct {
+	name string
+	call func() error
+}
+
+func (p *overheadPaths) all() []named {
+	return []named{
+		{"direct", p.direct},
+		{"entry", func() error { return p.through(p.controller) }},
+		{"entry+controller", func() error { return p.through(p.entry) }},
+	}
+}
+
+// BenchmarkOverhead sends one request at a time by each path in turn and
+// reports the time of a direct call and what each path adds to it.
+func BenchmarkOverhead(b *testing.B) {
+	p := newOverheadPaths(b)
+	paths := p.all()
+	times := make([]*hdrhistogram.Histogram, len(paths))
+	allocs := make([]uint64, len(paths))
+	for i := range times {
+		times[i] = hdrhistogram.New(1, int64(time.Minute), 3)
+	}
+	b.ResetTimer()
+	for range b.N {
+		for i, path := range paths {
+			before := mallocs()
+			started := time.Now()
+			if err := path.call(); err != nil {
+				b.Fatal(path.name, err)
+			}
+			if err := times[i].RecordValue(time.Since(started).Nanoseconds()); err != nil {
+				b.Fatal(err)
+			}
+			allocs[i] += mallocs() - before
+		}
+	}
+	b.StopTimer()
+	micro := func(i int, q float64) float64 { return float64(times[i].ValueAtQuantile(q)) / 1000 }
+	b.ReportMetric(micro(0, 50), "direct-p50-us")
+	b.ReportMetric(micro(0, 99), "direct-p99-us")
+	for i, path := range paths[1:] {
+		b.ReportMetric(micro(i+1, 50)-micro(0, 50), path.name+"-added-p50-us")
+		b.ReportMetric(micro(i+1, 99)-micro(0, 99), path.name+"-added-p99-us")
+		b.ReportMetric(float64(allocs[i+1]-allocs[0])/float64(b.N), path.name+"-added-allocs")
+	}
+	p.d.close()
+}
+
+func mallocs() uint64 {
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.Mallocs
+}
+
+// BenchmarkThroughput sends requests by each path from 16 callers at once and
+// reports the processor time of the whole process for each request. What a path
+// takes beyond the direct one is the nodes' share.
+func BenchmarkThroughput(b *testing.B) {
+	p := newOverheadPaths(b)
+	direct := 0.0
+	for _, path := range p.all() {
+		b.Run(path.name, func(b *testing.B) {
+			b.SetParallelism(max(1, 16/runtime.GOMAXPROCS(0)))
+			before := processorTime()
+			b.RunParallel(func(pb *testing.PB) {
+				for pb.Next() {
+					if err := path.call(); err != nil {
+						b.Error(path.name, err)
+						return
+					}
+				}
+			})
+			perRequest := float64((processorTime() - before).Nanoseconds()) / float64(b.N) / 1000
+			b.ReportMetric(perRequest, "cpu-us/op")
+			if path.name == "direct" {
+				direct = perRequest
+				return
+			}
+			b.ReportMetric(1e6/(perRequest-direct), "node-req/s/core")
+		})
+	}
+	p.d.close()
+}
+
+func processorTime() time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		return 0
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
--- a/internal/node/engine_test.go
+++ b/internal/node/engine_test.go
@@ -37,6 +37,8 @@
 	applied []string
 	loads   int
 	running int
+	pace    time.Duration  // between tokens
+	tokens  int            // of an answer
 	runs    map[string]int // calls of the plain service by key
 }
 
@@ -59,7 +61,7 @@
 func (d *deployment) serveEngine(name string) *testEngine {
 	e := &testEngine{
 		id: fleet.BackendID(name), boot: fleet.BootID(name + "-boot"),
-		loaded: make(map[fleet.ModelID]engine.LoadedReplica), runs: make(map[string]int),
+		pace: tokenTime, tokens: answerTokens, loaded: make(map[fleet.ModelID]engine.LoadedReplica), runs: make(map[string]int),
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+engine.PathReport, e.serveReport)
@@ -157,10 +159,11 @@
 	control := http.NewResponseController(w)
 	control.Flush()
 	received, _ := strconv.Atoi(r.Header.Get(engine.HeaderReceived))
-	for i := received; i < answerTokens; i++ {
-		select {
-		case <-time.After(tokenTime):
-		case <-r.Context().Done():
+	for i := received; i < e.tokens; i++ {
+		if e.pace > 0 {
+			time.Sleep(e.pace)
+		}
+		if r.Context().Err() != nil {
 			return
 		}
 		fmt.Fprintf(w, "id: %s\ndata: t%d\n\n", engine.EventID{RequestID: id, Index: i, Tokens: 1}, i)
--- a/internal/node/harness_test.go
+++ b/internal/node/harness_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -65,16 +66,24 @@
 	}
 }
 
+// network connects the parts of a deployment.
+type network interface {
+	Listen(address string) (net.Listener, error)
+	Dial(ctx context.Context, network, address string) (net.Conn, error)
+}
+
 // deployment is several nodes in one process, in virtual time.
 type deployment struct {
-	t       *testing.T
-	network *pipenet.Network
+	t       testing.TB
+	network network
 	gossip  *gossipNet
 	api     *objectapi.API
 	nodes   map[string]*runningNode
 	client  *http.Client
 	engines []*testEngine
 	models  []fleet.Model
+
+	logLevel string
 }
 
 type runningNode struct {
@@ -83,13 +92,16 @@
 	err  chan error
 }
 
-func newDeployment(t *testing.T) *deployment {
+func newDeployment(t *testing.T) *deployment { return newDeploymentOn(t, pipenet.New()) }
+
+func newDeploymentOn(t testing.TB, n network) *deployment {
 	d := &deployment{
-		t:       t,
-		network: pipenet.New(),
-		gossip:  &gossipNet{ports: make(map[string]chan []byte)},
-		api:     objectapi.New(),
-		nodes:   make(map[string]*runningNode),
+		t:        t,
+		network:  n,
+		logLevel: "debug",
+		gossip:   &gossipNet{ports: make(map[string]chan []byte)},
+		api:      objectapi.New(),
+		nodes:    make(map[string]*runningNode),
 		models: []fleet.Model{
 			{ID: "lathe", Version: "v1", MaxReplicas: 1, MemoryBytes: 2 << 30, LoadTime: loadTime, Slots: 4},
 			{ID: "deck", Version: "v1", MaxReplicas: 2, MemoryBytes: 2 << 30, LoadTime: loadTime, Slots: 4},
@@ -118,7 +130,7 @@
 		ID: fleet.NodeID(name), Region: "r", Zone: fleet.AvailabilityZone(fmt.Sprint("z", name[len(name)-1]%3)), Cell: "c",
 		Callers: callers, Peers: peers, Gossip: d.gossip.port(host + ":81"), GossipAddress: host + ":81",
 		Secret: []byte("a secret of some length"), Store: d.api, VMs: d.api, Dial: d.network.Dial, Metrics: metrics,
-		Log: telemetry.NewLogger(testLog{d.t}, name, "debug"),
+		Log: telemetry.NewLogger(testLog{d.t}, name, d.logLevel),
 	})
 	assert.NilError(d.t, err)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -157,7 +169,7 @@
 }
 
 // testLog shows the nodes' events with go test -v, or when a test fails.
-type testLog struct{ t *testing.T }
+type testLog struct{ t testing.TB }
 
 func (l testLog) Write(line []byte) (int, error) {
 	l.t.Log(strings.TrimSpace(string(line)))
