--- /dev/null
+++ b/internal/settingspage/main.go
@@ -0,0 +1,61 @@
+// Command settingspage writes docs/operations/settings.md: every setting of
+// the daemon, as the daemon itself declares it.
+//
+//	go run ./internal/settingspage
+package main
+
+import (
+	"fmt"
+	"os"
+	"strings"
+
+	"github.com/alexflint/go-arg"
+
+	"github.com/redwingnotch/redwingnotch/internal/settings"
+)
+
+// options are the command's flags.
+type options struct {
+	Out string `arg:"--out" default:"docs/operations/settings.md" help:"page to write"`
+}
+
+func main() {
+	var o options
+	arg.MustParse(&o)
+	if err := os.WriteFile(o.Out, []byte(page(settings.Table())), 0o644); err != nil {
+		fmt.Fprintln(os.Stderr, "settingspage:", err)
+		os.Exit(1)
+	}
+}
+
+const head = `# Settings of redwingnotch
+
+Written by ` + "`go run ./internal/settingspage`" + ` from the daemon's own declarations.
+Each setting is a flag and an environment variable; the flag wins. All settings
+are checked at the start; all faults are reported together and the daemon exits
+with 2.
+
+| flag | environment variable | default | allowed | meaning |
+|---|---|---|---|---|
+`
+
+// page returns the table of settings in Markdown.
+func page(rows []settings.Row) string {
+	var out strings.Builder
+	out.WriteString(head)
+	for _, row := range rows {
+		fmt.Fprintf(&out, "| `%s` | `%s` | %s | %s | %s |\n", row.Flag, row.Env, row.Default, allowed(row), row.Help)
+	}
+	return out.String()
+}
+
+// allowed describes the values that a setting takes.
+func allowed(row settings.Row) string {
+	switch {
+	case row.Choices != "":
+		return strings.ReplaceAll(row.Choices, "|", ", ")
+	case row.Lowest != "" || row.Highest != "":
+		return row.Lowest + " to " + row.Highest
+	}
+	return ""
+}
