node: keep-warm policy, quarantine told to all members

Cause: idle replicas were kept for a fixed time, and a conviction was known only at the controller. Change: keepwarm.Policy is taught by each new request; items of the quarantine travel by membership.

--- a/internal/node/acquire.go
+++ b/internal/node/acquire.go
@@ -21,8 +21,7 @@
 		c.mu.Unlock()
 		return redirect, nil
 	}
-	decision := c.queue.Offer(time.Now(), requestOfMessage(req))
-	c.deliver(c.queue.Decided())
+	decision := c.offer(time.Now(), requestOfMessage(req))
 	if decision.Kind != admission.Wait {
 		c.mu.Unlock()
 		return responseOf(decision), nil
@@ -36,6 +35,23 @@
 	return c.await(ctx, req, poll, decision)
 }
 
+// offer offers a request to the queue. Each request teaches the policy of idle
+// replicas once, however often it is offered.
+func (c *cell) offer(now time.Time, r admission.Request) admission.Decision {
+	_, waits := c.waiting[r.ID]
+	if !waits && r.Attempt == 0 {
+		c.node.cfg.Retention.Observe(now, r.Target, r.Rank)
+	}
+	decision := c.queue.Offer(now, r)
+	if decision.Kind == admission.Wait {
+		c.waiting[r.ID] = struct{}{}
+	} else {
+		delete(c.waiting, r.ID)
+	}
+	c.deliver(c.queue.Decided())
+	return decision
+}
+
 // await returns the decision, or after the caller's wait that there is none.
 func (c *cell) await(ctx context.Context, req *peer.AcquireRequest, poll chan admission.Decision, last admission.Decision) (*peer.AcquireResponse, error) {
 	wait := min(time.Duration(req.GetWaitMs())*time.Millisecond, maxPollWait)
@@ -141,6 +157,9 @@
 			Duration:   time.Duration(req.GetDurationMs()) * time.Millisecond,
 		})
 	}
+	if req.GetOutcome() == string(admission.FinishCrashed) {
+		c.tellQuarantine(now)
+	}
 	c.deliver(c.queue.Decided())
 	return &peer.FinishResponse{}, nil
 }
--- a/internal/node/cell.go
+++ b/internal/node/cell.go
@@ -33,6 +33,8 @@
 	release    uint64 // version that the cores have
 	loads      map[fleet.ReplicaKey]admission.ReplicaLoad
 	polls      map[string]chan admission.Decision // waiting Acquire calls by request id
+	waiting    map[string]struct{}                // ids of requests that wait
+	told       map[string]uint64                  // versions of quarantine items told to the members
 
 	blockedLogged time.Time // used by tick only
 }
@@ -46,6 +48,8 @@
 		quarantine: quarantine.New(n.cfg.Quarantine),
 		loads:      make(map[fleet.ReplicaKey]admission.ReplicaLoad),
 		polls:      make(map[string]chan admission.Decision),
+		waiting:    make(map[string]struct{}),
+		told:       make(map[string]uint64),
 	}
 	c.queue = c.newQueue(0)
 	return c
@@ -89,6 +93,7 @@
 	level.Info(c.node.cfg.Log).Log("event", "office", "in_office", a.InOffice, "epoch", a.Epoch, "holder", a.Holder.Node)
 	c.queue = c.newQueue(a.Epoch)
 	c.release = 0
+	clear(c.waiting)
 	for id, poll := range c.polls {
 		close(poll)
 		delete(c.polls, id)
@@ -127,6 +132,7 @@
 // call waits for is asked for again by its entry node.
 func (c *cell) deliver(decisions []admission.Decision) {
 	for _, d := range decisions {
+		delete(c.waiting, d.RequestID)
 		if d.Kind == admission.Preempt {
 			c.preempt(d)
 			continue
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -17,6 +17,7 @@
 	"github.com/redwingnotch/redwingnotch/idempotency"
 	"github.com/redwingnotch/redwingnotch/internal/httpsend"
 	"github.com/redwingnotch/redwingnotch/internal/telemetry"
+	"github.com/redwingnotch/redwingnotch/keepwarm"
 	"github.com/redwingnotch/redwingnotch/lease"
 	"github.com/redwingnotch/redwingnotch/membership"
 	"github.com/redwingnotch/redwingnotch/platform"
@@ -71,7 +72,8 @@
 	Admission   admission.Settings
 	Quarantine  quarantine.Settings
 	Idempotency idempotency.Settings
-	Retention   controller.Retention // nil keeps by DefaultKeepAlive
+	KeepWarm    keepwarm.Settings
+	Retention   Retention // nil keeps by a keepwarm.Policy with the settings KeepWarm
 }
 
 // Defaults of Config.
@@ -88,7 +90,6 @@
 	DefaultVMListInterval  = time.Second
 	DefaultSilentAfter     = 2500 * time.Millisecond
 	DefaultShutdownTimeout = 15 * time.Minute
-	DefaultKeepAlive       = 10 * time.Minute
 
 	DefaultLoadsPerSecond   = 3
 	DefaultLoadsInFlight    = 4
@@ -138,10 +139,13 @@
 	if cfg.Log == nil {
 		cfg.Log = log.NewNopLogger()
 	}
+	if cfg.KeepWarm.MaxModels == 0 {
+		cfg.KeepWarm = keepwarm.DefaultSettings()
+	}
 	if cfg.Retention == nil {
-		cfg.Retention = fixedRetention{}
+		cfg.Retention = keepwarm.New(cfg.KeepWarm)
 	}
-	return cfg, cfg.Admission.Validate()
+	return cfg, errors.Join(cfg.Admission.Validate(), cfg.KeepWarm.Validate())
 }
 
 func (cfg *Config) missing() error {
@@ -174,13 +178,9 @@
 	}
 }
 
-// fixedRetention keeps every replica for DefaultKeepAlive after its last use.
-type fixedRetention struct{}
-
-// KeepUntil implements controller.Retention.
-func (fixedRetention) KeepUntil(_ fleet.Target, lastUsed time.Time) time.Time {
-	return lastUsed.Add(DefaultKeepAlive)
+// Retention decides how long idle replicas are kept. keepwarm.Policy and
+// keepwarm.Fixed implement it. The node calls it under one mutex.
+type Retention interface {
+	controller.Retention
+	Observe(now time.Time, t fleet.Target, rank fleet.Rank)
 }
-
-// LoadAhead implements controller.Retention.
-func (fixedRetention) LoadAhead(time.Time) []fleet.Target { return nil }
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -88,6 +88,10 @@
 }
 
 func (m *members) handleItem(item membership.Item) {
+	if item.Kind == membership.ItemQuarantine {
+		m.node.cell.importQuarantine(item)
+		return
+	}
 	if item.Kind != membership.ItemController || item.Key != string(m.node.cfg.Cell) {
 		return
 	}
@@ -111,10 +115,8 @@
 
 // announce tells all members that this node controls the cell.
 func (m *members) announce(now time.Time, epoch fleet.Epoch, holder lease.Holder) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
 	// A stale item means that a higher epoch is known, which the lease learns.
-	_ = m.core.Broadcast(now, membership.Item{
+	_ = m.broadcast(now, membership.Item{
 		Kind:    membership.ItemController,
 		Key:     string(m.node.cfg.Cell),
 		Version: uint64(epoch),
@@ -122,6 +124,12 @@
 	})
 }
 
+func (m *members) broadcast(now time.Time, item membership.Item) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.core.Broadcast(now, item)
+}
+
 func (m *members) awake(now time.Time) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- /dev/null
+++ b/internal/node/poison.go
@@ -0,0 +1,83 @@
+package node
+
+import (
+	"encoding/base64"
+	"errors"
+	"strings"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"github.com/redwingnotch/redwingnotch/fleet"
+	"github.com/redwingnotch/redwingnotch/membership"
+	"github.com/redwingnotch/redwingnotch/quarantine"
+)
+
+// crashVersionShift puts the number of crashes above the time in the version of
+// a quarantine item, so that an item with more crashes wins.
+const crashVersionShift = 48
+
+// itemSeparator stands between model and boots in the value of an item.
+const itemSeparator = "\x00"
+
+// tellQuarantine tells all members what changed in the quarantine table.
+func (c *cell) tellQuarantine(now time.Time) {
+	for _, item := range c.quarantine.Export(now) {
+		message := quarantineItem(item, c.node.cfg.Quarantine)
+		if c.told[message.Key] >= message.Version {
+			continue
+		}
+		c.told[message.Key] = message.Version
+		err := c.node.members.broadcast(now, message)
+		if err != nil && !errors.Is(err, membership.ErrItemStale) {
+			level.Warn(c.node.cfg.Log).Log("event", "quarantine_not_told", "model", item.Key.Model, "err", err)
+		}
+		level.Warn(c.node.cfg.Log).Log("event", "quarantine", "model", item.Key.Model, "crashes", len(item.Crashes))
+	}
+}
+
+// importQuarantine takes in what another node told.
+func (c *cell) importQuarantine(message membership.Item) {
+	item, ok := quarantineOf(message)
+	if !ok {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.told[message.Key] = max(c.told[message.Key], message.Version)
+	c.quarantine.Import(time.Now(), []quarantine.Item{item})
+}
+
+func quarantineItem(item quarantine.Item, s quarantine.Settings) membership.Item {
+	value := []string{string(item.Key.Model)}
+	for _, boot := range item.Crashes {
+		value = append(value, string(boot))
+	}
+	keep := s.SuspectFor
+	if len(item.Crashes) >= quarantine.MaxCrashes {
+		keep = s.ConvictedFor
+	}
+	return membership.Item{
+		Kind:    membership.ItemQuarantine,
+		Key:     base64.RawStdEncoding.EncodeToString([]byte(item.Key.Hash)),
+		Version: uint64(len(item.Crashes))<<crashVersionShift | uint64(item.CrashedAt.UnixMilli()),
+		Value:   []byte(strings.Join(value, itemSeparator)),
+		Expires: item.CrashedAt.Add(keep),
+	}
+}
+
+func quarantineOf(message membership.Item) (quarantine.Item, bool) {
+	hash, err := base64.RawStdEncoding.DecodeString(message.Key)
+	parts := strings.Split(string(message.Value), itemSeparator)
+	if err != nil || len(parts) < 2 {
+		return quarantine.Item{}, false
+	}
+	item := quarantine.Item{
+		Key:       quarantine.Key{Model: fleet.ModelID(parts[0]), Hash: fleet.ContentHash(hash)},
+		CrashedAt: time.UnixMilli(int64(message.Version & (1<<crashVersionShift - 1))),
+	}
+	for _, boot := range parts[1:] {
+		item.Crashes = append(item.Crashes, fleet.BootID(boot))
+	}
+	return item, true
+}
