entry: a request waits for a successor while the controller is silent

Change: without a ready replica to dispatch to directly, the request keeps asking until its deadline. Poison bounded through three nodes: TestPoisonCostsTwoServersThroughAnyNodes.

--- a/internal/entry/acquire.go
+++ b/internal/entry/acquire.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"time"
 
@@ -14,6 +15,7 @@
 	pollWait    = time.Second            // longest wait of one Acquire
 	pollSlack   = 500 * time.Millisecond // above pollWait before the controller counts as unheard
 	repeatPause = 25 * time.Millisecond  // between tries while the controller is not heard
+	silentPause = 250 * time.Millisecond // between tries once it counts as silent
 )
 
 // grant is permission to dispatch one attempt. Its id is empty if it was made
@@ -39,16 +41,22 @@
 		callCtx, cancel := context.WithTimeout(ctx, pollWait+pollSlack)
 		resp, err := h.cfg.Grants.Acquire(callCtx, message)
 		cancel()
+		silent := time.Since(heard) >= h.cfg.SilentAfter
 		if ctx.Err() != nil {
 			h.giveUp(req, history, resp)
-			return grant{}, ended(ctx)
+			return grant{}, ended(ctx, silent)
 		}
 		switch {
 		case err != nil || resp.GetRedirect() != nil:
-			if time.Since(heard) >= h.cfg.SilentAfter {
-				return h.dispatchDirectly(req, history)
+			if !silent {
+				pause(ctx, repeatPause)
+				continue
 			}
-			pause(ctx, repeatPause)
+			// Without a ready replica the request waits for a successor.
+			if g, ok := h.dispatchDirectly(req, history); ok {
+				return g, nil
+			}
+			pause(ctx, silentPause)
 		case resp.GetGrant() != nil:
 			return grantOf(resp.GetGrant(), history.count), nil
 		case resp.GetRefusal() != nil:
@@ -103,8 +111,13 @@
 }
 
 // ended says why the request's context ended while nothing of it ran.
-func ended(ctx context.Context) *Error {
-	if context.Cause(ctx) == context.DeadlineExceeded {
+func ended(ctx context.Context, silent bool) *Error {
+	late := errors.Is(context.Cause(ctx), context.DeadlineExceeded)
+	switch {
+	case late && silent:
+		return refuse(http.StatusServiceUnavailable, CodeNoController,
+			"the controller is silent and no ready replica is known").after(2 * time.Second)
+	case late:
 		return refuse(http.StatusGatewayTimeout, CodeDeadlineExceeded, "the deadline passed while the request waited").after(time.Second)
 	}
 	return refuse(statusCallerGone, CodeCancelled, "the caller went away while the request waited")
--- a/internal/entry/direct.go
+++ b/internal/entry/direct.go
@@ -1,9 +1,7 @@
 package entry
 
 import (
-	"net/http"
 	"sync"
-	"time"
 
 	"github.com/redwingnotch/redwingnotch/dispatch"
 	"github.com/redwingnotch/redwingnotch/fleet"
@@ -17,8 +15,9 @@
 }
 
 // dispatchDirectly chooses a ready replica from the last snapshot while the
-// controller is silent. This node fills no more than the slots of a replica.
-func (h *Handler) dispatchDirectly(req *chatRequest, history *attempts) (grant, *Error) {
+// controller is silent, if there is one. This node fills no more than the slots
+// of a replica.
+func (h *Handler) dispatchDirectly(req *chatRequest, history *attempts) (grant, bool) {
 	h.direct.mu.Lock()
 	defer h.direct.mu.Unlock()
 	usable := dispatch.Direct(h.cfg.Grants.Snapshot(), req.target.Model, req.target.Adapter, req.hash, quarantine.MaxCrashes)
@@ -33,11 +32,10 @@
 		}
 	}
 	if best == nil {
-		return grant{}, refuse(http.StatusServiceUnavailable, CodeNoController,
-			"the controller is silent and no replica of %s is known to be ready and free", req.target).after(2 * time.Second)
+		return grant{}, false
 	}
 	h.direct.running[best.Backend]++
-	return grant{backend: best.Backend, address: best.Address, version: best.Version, attempt: history.count}, nil
+	return grant{backend: best.Backend, address: best.Address, version: best.Version, attempt: history.count}, true
 }
 
 // endDirect gives back what dispatchDirectly took.
--- a/internal/node/engine_test.go
+++ b/internal/node/engine_test.go
@@ -3,9 +3,11 @@
 import (
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -22,16 +24,22 @@
 	loadTime     = 2 * time.Second
 	tokenTime    = 50 * time.Millisecond
 	answerTokens = 20
+	restartTime  = time.Second
 )
 
+// poison marks requests that crash the engine.
+const poison = "poison"
+
 // testEngine is one backend server as far as these tests need it: it loads,
 // answers at a steady pace and counts what it was asked.
 type testEngine struct {
-	id     fleet.BackendID
-	boot   fleet.BootID
-	server *http.Server
+	id   fleet.BackendID
+	boot fleet.BootID
+	d    *deployment
 
 	mu      sync.Mutex
+	server  *http.Server
+	crashes int
 	epoch   fleet.Epoch
 	loaded  map[fleet.ModelID]engine.LoadedReplica
 	applied []string
@@ -60,21 +68,52 @@
 
 func (d *deployment) serveEngine(name string) *testEngine {
 	e := &testEngine{
+		d:  d,
 		id: fleet.BackendID(name), boot: fleet.BootID(name + "-boot"),
 		pace: tokenTime, tokens: answerTokens, loaded: make(map[fleet.ModelID]engine.LoadedReplica), runs: make(map[string]int),
 	}
+	e.serve()
+	d.engines = append(d.engines, e)
+	return e
+}
+
+// serve starts a boot of the engine.
+func (e *testEngine) serve() {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+engine.PathReport, e.serveReport)
 	mux.HandleFunc("POST "+engine.PathOrders, e.serveOrder)
 	mux.HandleFunc("POST "+engine.PathInfer, e.serveInfer)
 	mux.HandleFunc("POST "+engine.PathCancel, func(w http.ResponseWriter, _ *http.Request) {})
 	mux.HandleFunc("POST /orders", e.serveCall)
-	e.server = &http.Server{Handler: mux}
-	listener, err := d.network.Listen(name + ":90")
-	assert.NilError(d.t, err)
-	go e.server.Serve(listener)
-	d.engines = append(d.engines, e)
-	return e
+	listener, err := e.d.network.Listen(string(e.id) + ":90")
+	assert.NilError(e.d.t, err)
+	server := &http.Server{Handler: mux}
+	e.mu.Lock()
+	e.server = server
+	e.mu.Unlock()
+	go server.Serve(listener)
+}
+
+func (e *testEngine) close() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.server.Close()
+}
+
+// crash ends the boot with all its connections, unless it has ended. The next
+// one starts later.
+func (e *testEngine) crash(boot fleet.BootID) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.boot != boot {
+		return
+	}
+	e.crashes++
+	e.boot = fleet.BootID(fmt.Sprint(e.id, "-boot", e.crashes))
+	e.epoch, e.applied = 0, nil
+	clear(e.loaded)
+	e.server.Close()
+	time.AfterFunc(restartTime, e.serve)
 }
 
 func (d *deployment) list(name string, backend fleet.BackendServer) {
@@ -125,7 +164,10 @@
 		time.AfterFunc(loadTime, func() {
 			e.mu.Lock()
 			defer e.mu.Unlock()
-			replica := e.loaded[o.Model]
+			replica, loading := e.loaded[o.Model]
+			if !loading {
+				return
+			}
 			replica.State, replica.Progress = fleet.ReplicaReady, 1
 			e.loaded[o.Model] = replica
 		})
@@ -145,6 +187,7 @@
 	e.mu.Lock()
 	ready := e.loaded[target.Model].State == fleet.ReplicaReady
 	e.running++
+	boot := e.boot
 	e.mu.Unlock()
 	defer func() {
 		e.mu.Lock()
@@ -155,9 +198,15 @@
 		refuse(w, engine.CodeNotLoaded)
 		return
 	}
+	body, _ := io.ReadAll(r.Body)
 	w.Header().Set(engine.HeaderRequestID, id)
 	control := http.NewResponseController(w)
 	control.Flush()
+	if strings.Contains(string(body), poison) {
+		time.Sleep(tokenTime)
+		e.crash(boot)
+		return
+	}
 	received, _ := strconv.Atoi(r.Header.Get(engine.HeaderReceived))
 	for i := received; i < e.tokens; i++ {
 		if e.pace > 0 {
--- a/internal/node/harness_test.go
+++ b/internal/node/harness_test.go
@@ -151,7 +151,7 @@
 	}
 	d.client.CloseIdleConnections()
 	for _, e := range d.engines {
-		e.server.Close()
+		e.close()
 	}
 	d.api.Close()
 }
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -231,3 +231,50 @@
 		d.api.Faults.SetOutage(false)
 	})
 }
+
+func TestPoisonCostsTwoServersThroughAnyNodes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDeployment(t)
+		defer d.close()
+		var engines []*testEngine
+		for _, name := range []string{"e1", "e2", "e3", "e4"} {
+			engines = append(engines, d.addEngine(name))
+		}
+		d.models[1].MaxReplicas = 4
+		nodes := []string{"n1", "n2", "n3"}
+		for _, name := range nodes {
+			d.start(name)
+		}
+		time.Sleep(settleTime)
+		var callers errgroup.Group
+		for i := range 6 {
+			callers.Go(func() error {
+				for range 10 {
+					got := d.send(nodes[i%3], "POST", "/v1/chat/completions", `{"model":"deck","stream":true,"messages":"`+poison+`"}`, "Redwingnotch-Deadline", "20s")
+					if strings.Contains(got.body, "[DONE]") {
+						return errors.New("the poison was answered")
+					}
+					time.Sleep(time.Second)
+				}
+				return nil
+			})
+			callers.Go(func() error {
+				for n := range 5 {
+					body := fmt.Sprintf(`{"model":"deck","stream":true,"messages":"innocent %d of %d"}`, n, i)
+					got := d.send(nodes[i%3], "POST", "/v1/chat/completions", body)
+					if got.body != wholeAnswer() {
+						return fmt.Errorf("innocent: %w %q", got.err, got.body)
+					}
+				}
+				return nil
+			})
+		}
+		assert.NilError(t, callers.Wait())
+		crashes := 0
+		for _, e := range engines {
+			crashes += e.crashes
+		}
+		assert.Assert(t, crashes <= 2, "%d crashes", crashes)
+		assert.Assert(t, crashes > 0)
+	})
+}
