--- a/internal/settings/daemon.go
+++ b/internal/settings/daemon.go
@@ -43,6 +43,26 @@
 	KeyRetention    Duration `arg:"--key-retention,env:REDWINGNOTCH_KEY_RETENTION" default:"72h" min:"1s" max:"8760h" help:"time for which idempotency keys are remembered"`
 	MaxKeys         Int      `arg:"--max-keys,env:REDWINGNOTCH_MAX_KEYS" default:"20000" min:"1" max:"10000000" help:"idempotency keys that this node remembers in memory"`
 
+	UrgentTarget    Duration `arg:"--urgent-target,env:REDWINGNOTCH_URGENT_TARGET" default:"2s" min:"1ms" max:"24h" help:"first token of urgent requests is due within this time"`
+	StandardTarget  Duration `arg:"--standard-target,env:REDWINGNOTCH_STANDARD_TARGET" default:"30s" min:"1ms" max:"24h" help:"first token of standard requests is due within this time"`
+	BulkTarget      Duration `arg:"--bulk-target,env:REDWINGNOTCH_BULK_TARGET" default:"10m" min:"1ms" max:"24h" help:"first token of bulk requests is due within this time"`
+	UrgentWorth     Float    `arg:"--urgent-worth,env:REDWINGNOTCH_URGENT_WORTH" default:"100" min:"0" max:"1e9" help:"worth of an urgent answer within target, units of account"`
+	StandardWorth   Float    `arg:"--standard-worth,env:REDWINGNOTCH_STANDARD_WORTH" default:"10" min:"0" max:"1e9" help:"worth of a standard answer within target, units of account"`
+	BulkWorth       Float    `arg:"--bulk-worth,env:REDWINGNOTCH_BULK_WORTH" default:"1" min:"0" max:"1e9" help:"worth of a bulk answer within target, units of account"`
+	UrgentFloor     Float    `arg:"--urgent-floor,env:REDWINGNOTCH_URGENT_FLOOR" default:"0.5" min:"0" max:"1" help:"share of slot time kept for urgent requests in any overload"`
+	StandardFloor   Float    `arg:"--standard-floor,env:REDWINGNOTCH_STANDARD_FLOOR" default:"0.2" min:"0" max:"1" help:"share of slot time kept for standard requests in any overload"`
+	BulkFloor       Float    `arg:"--bulk-floor,env:REDWINGNOTCH_BULK_FLOOR" default:"0.1" min:"0" max:"1" help:"share of slot time kept for bulk requests in any overload"`
+	StandardCeiling Float    `arg:"--standard-ceiling,env:REDWINGNOTCH_STANDARD_CEILING" default:"0.9" min:"0.01" max:"1" help:"share of a backend server's slots that standard and bulk requests may fill"`
+	BulkCeiling     Float    `arg:"--bulk-ceiling,env:REDWINGNOTCH_BULK_CEILING" default:"0.75" min:"0.01" max:"1" help:"share of a backend server's slots that bulk requests may fill"`
+	MaxWaiting      Int      `arg:"--max-waiting,env:REDWINGNOTCH_MAX_WAITING" default:"20000" min:"1" max:"10000000" help:"requests that wait at the controller at most, number"`
+
+	IdleHourPrice     Float    `arg:"--idle-hour-price,env:REDWINGNOTCH_IDLE_HOUR_PRICE" default:"4" min:"0.000001" max:"1e9" help:"price of an accelerator that is loaded and idle, units of account per hour"`
+	UrgentColdWorth   Float    `arg:"--urgent-cold-worth,env:REDWINGNOTCH_URGENT_COLD_WORTH" default:"1" min:"0" max:"1e9" help:"worth of sparing an urgent request a cold start, units of account"`
+	StandardColdWorth Float    `arg:"--standard-cold-worth,env:REDWINGNOTCH_STANDARD_COLD_WORTH" default:"0.2" min:"0" max:"1e9" help:"worth of sparing a standard request a cold start, units of account"`
+	BulkColdWorth     Float    `arg:"--bulk-cold-worth,env:REDWINGNOTCH_BULK_COLD_WORTH" default:"0.01" min:"0" max:"1e9" help:"worth of sparing a bulk request a cold start, units of account"`
+	MinKeep           Duration `arg:"--min-keep,env:REDWINGNOTCH_MIN_KEEP" default:"1m" min:"1ms" max:"24h" help:"time for which an unused replica is kept at least"`
+	MaxKeep           Duration `arg:"--max-keep,env:REDWINGNOTCH_MAX_KEEP" default:"2h" min:"1ms" max:"240h" help:"time for which an unused replica is kept at most"`
+
 	LoadsPerSecond   Float `arg:"--loads-per-second,env:REDWINGNOTCH_LOADS_PER_SECOND" default:"3" min:"0.01" max:"10000" help:"model loads that the weight store takes, per second"`
 	LoadsInFlight    Int   `arg:"--loads-in-flight,env:REDWINGNOTCH_LOADS_IN_FLIGHT" default:"4" min:"1" max:"10000" help:"model loads side by side at full speed, number"`
 	AdaptersInFlight Int   `arg:"--adapters-in-flight,env:REDWINGNOTCH_ADAPTERS_IN_FLIGHT" default:"32" min:"1" max:"10000" help:"adapter loads side by side, number"`
@@ -108,6 +128,12 @@
 	if d.Secret != "" && len(d.Secret) < minSecretBytes {
 		add("--peer-secret", "PEER_SECRET", "(hidden)", fmt.Sprintf("is shorter than %d bytes", minSecretBytes))
 	}
+	if sum := d.UrgentFloor.Value + d.StandardFloor.Value + d.BulkFloor.Value; sum > 1 {
+		faults = append(faults, Fault{Problem: fmt.Sprintf("--urgent-floor, --standard-floor and --bulk-floor add up to %g, more than 1", sum)})
+	}
+	if d.MinKeep.Duration > d.MaxKeep.Duration {
+		add("--min-keep", "MIN_KEEP", d.MinKeep.text(), "is above --max-keep")
+	}
 	if strings.ContainsAny(d.Node, "./ \t") {
 		add("--node", "NODE", d.Node, "must not contain dots, slashes or spaces")
 	}
