entry: fewer allocations a request; a hedge can't cancel the try that won

Cause: attributes, ids and frames were made anew for each request, each try took a goroutine; and a second try that started just after the first one would have cancelled the kept stream. Change: attribute sets made once, one write an event, the first try runs in the request's goroutine, the tries contend for one flag.

--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -10,10 +10,10 @@
 )
 
 // Framing of server-sent events.
-var (
-	eventStart = []byte("data: ")
-	eventEnd   = []byte("\n\n")
-	eventDone  = []byte("data: [DONE]\n\n")
+const (
+	eventStart = "data: "
+	eventEnd   = "\n\n"
+	eventDone  = "[DONE]"
 )
 
 // answerWriter passes chunks on to a caller, as server-sent events or as one
@@ -26,6 +26,7 @@
 	begun   bool          // bytes may have reached the caller
 	tokens  int           // tokens passed on, over all attempts
 	whole   []byte        // body of an answer that is not streamed
+	frame   []byte        // reused for each event
 	ended   bool
 }
 
@@ -51,16 +52,18 @@
 		a.w.Header().Set("Cache-Control", "no-store")
 		a.begun = true
 	}
-	return a.send(eventStart, chunk.Data, eventEnd)
+	return a.send(chunk.Data)
 }
 
-func (a *answerWriter) send(parts ...[]byte) error {
+// send writes one event and hands it to the caller at once.
+func (a *answerWriter) send(data []byte) error {
 	// Writers without deadlines, as in tests, write without one.
 	_ = a.control.SetWriteDeadline(time.Now().Add(a.timeout))
-	for _, part := range parts {
-		if _, err := a.w.Write(part); err != nil {
-			return errCallerGone{err}
-		}
+	a.frame = append(a.frame[:0], eventStart...)
+	a.frame = append(a.frame, data...)
+	a.frame = append(a.frame, eventEnd...)
+	if _, err := a.w.Write(a.frame); err != nil {
+		return errCallerGone{err}
 	}
 	if err := a.control.Flush(); err != nil {
 		return errCallerGone{err}
@@ -81,7 +84,7 @@
 			a.w.Header().Set("Content-Type", "text/event-stream")
 			a.begun = true
 		}
-		return a.send(eventDone)
+		return a.send([]byte(eventDone))
 	}
 	a.w.Header().Set("Content-Type", "application/json")
 	_ = a.control.SetWriteDeadline(time.Now().Add(a.timeout))
--- a/internal/entry/chat.go
+++ b/internal/entry/chat.go
@@ -80,9 +80,13 @@
 }
 
 func (h *Handler) parseChat(w http.ResponseWriter, r *http.Request) (chatRequest, *Error) {
-	var req chatRequest
+	req := chatRequest{dispatchID: h.NextID()}
 	var refused *Error
-	if req.envelope, refused = parseEnvelope(r.Header, time.Now(), h.cfg.Deadlines); refused != nil {
+	req.envelope, refused = parseEnvelope(r.Header, time.Now(), h.cfg.Deadlines)
+	if req.id == "" {
+		req.id = req.dispatchID
+	}
+	if refused != nil {
 		return req, refused
 	}
 	if req.body, refused = h.readBody(w, r); refused != nil {
@@ -96,7 +100,6 @@
 	if err != nil {
 		return req, refuse(http.StatusBadRequest, CodeBadRequest, "body: model: %v", err)
 	}
-	req.dispatchID = h.NextID()
 	req.target = target
 	req.stream = fields.Stream
 	req.prompt = len(req.body) / bytesPerToken
--- a/internal/entry/headers.go
+++ b/internal/entry/headers.go
@@ -4,8 +4,6 @@
 	"net/http"
 	"time"
 
-	"github.com/google/uuid"
-
 	"github.com/redwingnotch/redwingnotch/fleet"
 )
 
@@ -31,7 +29,7 @@
 
 // envelope is what the headers say of a request.
 type envelope struct {
-	id       string
+	id       string // as the caller gave it; empty if it did not
 	caller   string
 	rank     fleet.Rank
 	arrival  time.Time
@@ -46,9 +44,6 @@
 	if e.id, bad = parseName(h, HeaderRequestID); bad != nil {
 		return e, bad
 	}
-	if e.id == "" {
-		e.id = uuid.NewString()
-	}
 	if e.caller, bad = parseName(h, HeaderCaller); bad != nil {
 		return e, bad
 	}
--- a/internal/entry/hedge.go
+++ b/internal/entry/hedge.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/redwingnotch/redwingnotch/dispatch"
@@ -24,79 +26,76 @@
 	err       error
 }
 
+// contest decides which of two tries to start a stream is kept: the one that
+// starts first.
+type contest struct {
+	taken       atomic.Bool
+	cancelFirst context.CancelCauseFunc
+	second      chan started // result of the second try; nil if none was made
+}
+
+// win reports whether the calling try is the first to start.
+func (c *contest) win() bool { return c.taken.CompareAndSwap(false, true) }
+
+// errHedged cancels a first try when the second one has started.
+var errHedged = errors.New("second try started first")
+
 // start begins a stream. If the engine confirms nothing in time, a second try
-// goes out on a connection that no earlier request has used, and the try that
-// starts first is kept.
+// goes out on a connection that no earlier request has used.
 func (h *Handler) start(ctx context.Context, g grant, req engine.InferRequest) (engine.Stream, string, error) {
-	results := make(chan started, 2)
-	firstCtx, cancelFirst := context.WithCancel(ctx)
-	go h.try(firstCtx, g, req, results)
-	timer := time.NewTimer(hedgeAfter)
-	defer timer.Stop()
-	select {
-	case r := <-results:
-		// The context of the kept stream ends with ctx.
-		context.AfterFunc(ctx, cancelFirst)
-		return r.stream, r.requestID, r.err
-	case <-timer.C:
+	firstCtx, cancelFirst := context.WithCancelCause(ctx)
+	c := &contest{cancelFirst: cancelFirst}
+	made := make(chan struct{})
+	timer := time.AfterFunc(hedgeAfter, func() {
+		defer close(made)
+		h.hedge(ctx, c, g, req)
+	})
+	stream, err := h.cfg.Engine(g.address).Infer(firstCtx, req)
+	first := started{stream: stream, requestID: req.RequestID, err: err}
+	if !timer.Stop() {
+		<-made
+		first = h.settleHedge(c, g, first)
 	}
+	return first.stream, first.requestID, first.err
+}
+
+// hedge makes the second try, if the budget allows one.
+func (h *Handler) hedge(ctx context.Context, c *contest, g grant, req engine.InferRequest) {
 	if !h.spent.retry() {
-		context.AfterFunc(ctx, cancelFirst)
-		r := <-results
-		return r.stream, r.requestID, r.err
+		return
 	}
 	h.cfg.Metrics.Retry("hedge")
-	return h.hedge(ctx, g, req, results, cancelFirst)
-}
-
-func (h *Handler) hedge(ctx context.Context, g grant, req engine.InferRequest, results chan started, cancelFirst context.CancelFunc) (engine.Stream, string, error) {
-	firstID := req.RequestID
 	req.RequestID += hedgeSuffix
 	req.FreshConn = true
-	secondCtx, cancelSecond := context.WithCancel(ctx)
-	go h.try(secondCtx, g, req, results)
-	kept := <-results
-	pending := 1
-	if kept.err != nil {
-		kept = better(kept, <-results)
-		pending = 0
-	}
-	drop := cancelFirst
-	keep := cancelSecond
-	lost := firstID
-	if kept.requestID == firstID {
-		drop, keep, lost = cancelSecond, cancelFirst, req.RequestID
-	}
-	drop()
-	context.AfterFunc(ctx, keep)
-	if pending > 0 {
-		h.discard(g, lost, results)
-	}
-	return kept.stream, kept.requestID, kept.err
-}
-
-// better prefers a started stream, then the error that says more: one after
-// which the request may have run.
-func better(a, b started) started {
-	if b.err == nil || (a.err != nil && dispatch.NotRun(a.err)) {
-		return b
-	}
-	return a
-}
-
-// discard closes the slower try when it ends, and cancels it at the engine.
-func (h *Handler) discard(g grant, requestID string, results chan started) {
+	c.second = make(chan started, 1)
 	h.running.Go(func() {
-		if r := <-results; r.err == nil {
-			r.stream.Close()
+		stream, err := h.cfg.Engine(g.address).Infer(ctx, req)
+		if err == nil && !c.win() {
+			stream.Close()
+			h.cancelAtEngine(g, req.RequestID)
+			err = errHedged
+		}
+		if err == nil {
+			c.cancelFirst(errHedged)
 		}
+		c.second <- started{stream: stream, requestID: req.RequestID, err: err}
 	})
-	h.cancelAtEngine(g, requestID)
 }
 
-func (h *Handler) try(ctx context.Context, g grant, req engine.InferRequest, results chan<- started) {
-	stream, err := h.cfg.Engine(g.address).Infer(ctx, req)
-	results <- started{stream: stream, requestID: req.RequestID, err: err}
+// settleHedge returns the try that is kept.
+func (h *Handler) settleHedge(c *contest, g grant, first started) started {
+	if c.second == nil || first.err == nil && c.win() {
+		return first
+	}
+	second := <-c.second
+	if second.err != nil && !dispatch.NotRun(first.err) {
+		return first
+	}
+	if first.err == nil {
+		first.stream.Close()
+	}
+	h.cancelAtEngine(g, first.requestID)
+	return second
 }
 
 // budget is a dispatch.Budget for concurrent use.
--- a/internal/entry/services.go
+++ b/internal/entry/services.go
@@ -52,12 +52,16 @@
 
 func (h *Handler) parseCall(w http.ResponseWriter, r *http.Request) (envelope, idempotency.Call, *Error) {
 	env, refused := parseEnvelope(r.Header, time.Now(), h.cfg.Deadlines)
+	unique := h.NextID()
+	if env.id == "" {
+		env.id = unique
+	}
 	if refused != nil {
 		return env, idempotency.Call{}, refused
 	}
 	call := idempotency.Call{
 		Key:       idempotency.Key(env.key),
-		RequestID: h.NextID(),
+		RequestID: unique,
 		Caller:    env.caller,
 		Service:   fleet.ServiceID(r.PathValue("service")),
 		Method:    r.Method,
--- a/internal/node/grants.go
+++ b/internal/node/grants.go
@@ -47,7 +47,7 @@
 // Do implements the client of twirp.
 func (a *authClient) Do(req *http.Request) (*http.Response, error) {
 	req.Header.Set(headerSecret, a.secret)
-	resp, err := httpsend.Do(a.client, req)
+	resp, err := a.client.Do(req)
 	if err != nil && errors.Is(req.Context().Err(), context.DeadlineExceeded) {
 		a.client.CloseIdleConnections()
 	}
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -26,6 +27,28 @@
 	violations metric.Int64Counter
 	running    metric.Int64UpDownCounter
 	orders     metric.Int64Counter
+	labels     sync.Map // of metric.MeasurementOption by requestLabels
+}
+
+// requestLabels are the attributes of a request. They take few values.
+type requestLabels struct{ kind, rank, outcome, code string }
+
+// option returns the attributes as an option, made once.
+func (m *Metrics) option(l requestLabels) metric.MeasurementOption {
+	if cached, ok := m.labels.Load(l); ok {
+		return cached.(metric.MeasurementOption)
+	}
+	var attributes []attribute.KeyValue
+	for _, a := range []struct{ key, value string }{
+		{"kind", l.kind}, {"rank", l.rank}, {"outcome", l.outcome}, {"code", l.code},
+	} {
+		if a.value != "" {
+			attributes = append(attributes, attribute.String(a.key, a.value))
+		}
+	}
+	option := metric.WithAttributeSet(attribute.NewSet(attributes...))
+	m.labels.Store(l, option)
+	return option
 }
 
 // latencyBounds are histogram bounds in seconds.
@@ -75,14 +98,13 @@
 func (m *Metrics) RequestEnded(kind, rank, outcome, code string, duration time.Duration) {
 	ctx := context.Background()
 	m.running.Add(ctx, -1)
-	m.requests.Add(ctx, 1, metric.WithAttributes(attribute.String("kind", kind),
-		attribute.String("rank", rank), attribute.String("outcome", outcome), attribute.String("code", code)))
-	m.duration.Record(ctx, duration.Seconds(), metric.WithAttributes(attribute.String("kind", kind), attribute.String("rank", rank)))
+	m.requests.Add(ctx, 1, m.option(requestLabels{kind, rank, outcome, code}))
+	m.duration.Record(ctx, duration.Seconds(), m.option(requestLabels{kind: kind, rank: rank}))
 }
 
 // FirstToken records the time to the first token.
 func (m *Metrics) FirstToken(rank string, d time.Duration) {
-	m.firstToken.Record(context.Background(), d.Seconds(), metric.WithAttributes(attribute.String("rank", rank)))
+	m.firstToken.Record(context.Background(), d.Seconds(), m.option(requestLabels{rank: rank}))
 }
 
 // Retry counts a repeated dispatch.
