--- /dev/null
+++ b/standin/engine/http.go
@@ -0,0 +1,190 @@
+package engine
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+
+	"github.com/redwingnotch/redwingnotch/engine"
+	"github.com/redwingnotch/redwingnotch/fleet"
+)
+
+// maxRequestBytes bounds a request's body.
+const maxRequestBytes = 8 << 20
+
+func (e *Engine) routes() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+engine.PathInfer, e.serveInfer)
+	mux.HandleFunc("POST "+engine.PathCancel, e.serveCancel)
+	mux.HandleFunc("POST "+engine.PathOrders, e.serveOrder)
+	mux.HandleFunc("GET "+engine.PathReport, e.serveReport)
+	mux.HandleFunc("GET "+engine.PathCacheEvents, e.serveCacheEvents)
+	return mux
+}
+
+// running returns the present process. Between boots it cuts the connection.
+func (e *Engine) running() *process {
+	p := e.current()
+	if p == nil {
+		panic(http.ErrAbortHandler)
+	}
+	return p
+}
+
+func (e *Engine) serveInfer(w http.ResponseWriter, r *http.Request) {
+	p := e.running()
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxRequestBytes))
+	if err != nil {
+		refuse(w, fmt.Errorf("%w: %w", engine.ErrRejected, err))
+		return
+	}
+	req, err := parseRequest(r, body)
+	if err != nil {
+		refuse(w, fmt.Errorf("%w: %w", engine.ErrRejected, err))
+		return
+	}
+	ctx, cancel := context.WithCancelCause(r.Context())
+	defer cancel(nil)
+	stop := context.AfterFunc(p.ctx, func() { cancel(context.Canceled) })
+	defer stop()
+	req.ctx = ctx
+	req.cancel = cancel
+	if err := p.admit(req); err != nil {
+		refuse(w, err)
+		return
+	}
+	p.answer(w, req, e.marked(body))
+}
+
+func (e *Engine) marked(body []byte) bool {
+	return e.config.CrashMarker != "" && bytes.Contains(body, []byte(e.config.CrashMarker))
+}
+
+// answer streams the answer. An answer that is not whole cuts the connection.
+func (p *process) answer(w http.ResponseWriter, r *request, crash bool) {
+	whole := false
+	defer func() { p.release(r, whole) }()
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.Header().Set(engine.HeaderRequestID, r.id)
+	s := &eventStream{ctx: r.ctx, w: w, interval: p.engine.config.KeepAlive, flusher: w.(http.Flusher)}
+	s.write(": accepted\n\n")
+	if crash {
+		_ = s.keepAliveUntil(r.waiter.granted)
+		p.engine.Crash()
+		panic(http.ErrAbortHandler)
+	}
+	if err := p.generate(r, s); err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	whole = true
+}
+
+func parseRequest(r *http.Request, body []byte) (*request, error) {
+	target, err := fleet.ParseTarget(r.Header.Get(engine.HeaderTarget))
+	if err != nil {
+		return nil, err
+	}
+	rank, err := fleet.ParseRank(r.Header.Get(engine.HeaderPriority))
+	if err != nil {
+		return nil, err
+	}
+	p, err := parsePrompt(body)
+	if err != nil {
+		return nil, err
+	}
+	received, err := headerInt(r, engine.HeaderReceived)
+	if err != nil || received > p.maxTokens {
+		return nil, fmt.Errorf("malformed %s", engine.HeaderReceived)
+	}
+	return &request{
+		id:       r.Header.Get(engine.HeaderRequestID),
+		target:   target,
+		rank:     rank,
+		prompt:   p,
+		received: received,
+		whole:    r.Header.Get(engine.HeaderAnswer) == engine.AnswerWhole,
+	}, nil
+}
+
+func headerInt(r *http.Request, name string) (int, error) {
+	text := r.Header.Get(name)
+	if text == "" {
+		return 0, nil
+	}
+	value, err := strconv.ParseUint(text, 10, 31)
+	return int(value), err
+}
+
+func (e *Engine) serveCancel(w http.ResponseWriter, r *http.Request) {
+	e.running().cancelRequest(r.Header.Get(engine.HeaderRequestID))
+	writeJSON(w, http.StatusOK, struct{}{})
+}
+
+func (e *Engine) serveOrder(w http.ResponseWriter, r *http.Request) {
+	p := e.running()
+	var order engine.Order
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxRequestBytes)).Decode(&order); err != nil {
+		refuse(w, fmt.Errorf("%w: %w", engine.ErrRejected, err))
+		return
+	}
+	report, err := p.carryOut(order)
+	if err != nil {
+		refuse(w, err)
+		return
+	}
+	writeJSON(w, http.StatusOK, report)
+}
+
+func (e *Engine) serveReport(w http.ResponseWriter, _ *http.Request) {
+	p := e.running()
+	e.mu.Lock()
+	report := p.laggingReport()
+	e.mu.Unlock()
+	writeJSON(w, http.StatusOK, report)
+}
+
+func (e *Engine) serveCacheEvents(w http.ResponseWriter, r *http.Request) {
+	after, err := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
+	if err != nil {
+		refuse(w, fmt.Errorf("%w: malformed after", engine.ErrRejected))
+		return
+	}
+	p := e.running()
+	e.mu.Lock()
+	body := p.prefixes.since(after)
+	e.mu.Unlock()
+	writeJSON(w, http.StatusOK, body)
+}
+
+var refusalStatuses = []struct {
+	err    error
+	status int
+}{
+	{engine.ErrRejected, http.StatusBadRequest},
+	{engine.ErrNotLoaded, http.StatusNotFound},
+	{engine.ErrDraining, http.StatusServiceUnavailable},
+	{engine.ErrNoMemory, http.StatusInsufficientStorage},
+}
+
+// refuse answers with a typed error. Nothing has run.
+func refuse(w http.ResponseWriter, err error) {
+	status := http.StatusConflict
+	for _, s := range refusalStatuses {
+		if errors.Is(err, s.err) {
+			status = s.status
+		}
+	}
+	detail := engine.ErrorDetail{Code: engine.CodeOf(err), Message: err.Error()}
+	writeJSON(w, status, engine.ErrorBody{Error: detail})
+}
+
+func writeJSON(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(body)
+}
--- a/standin/host/host.go
+++ b/standin/host/host.go
@@ -17,6 +17,7 @@
 	board   *fault.Board
 
 	mu     sync.Mutex
+	listen func() (net.Listener, error) // opens the host's address again
 	server *http.Server
 	done   chan struct{}
 }
@@ -37,11 +38,38 @@
 	if err != nil {
 		return "", fmt.Errorf("stand-in: %w", err)
 	}
+	bound := l.Addr().String()
+	h.SetListen(func() (net.Listener, error) { return net.Listen("tcp", bound) })
 	if err := h.Serve(l); err != nil {
 		l.Close()
 		return "", err
 	}
-	return l.Addr().String(), nil
+	return bound, nil
+}
+
+// SetListen sets how Restart opens the host's address. Start sets it itself.
+func (h *Host) SetListen(listen func() (net.Listener, error)) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.listen = listen
+}
+
+// ErrNoAddress is returned by Restart if no way to listen is set.
+var ErrNoAddress = errors.New("stand-in has no address to listen on")
+
+// Restart serves the same address again after Close.
+func (h *Host) Restart() error {
+	h.mu.Lock()
+	listen := h.listen
+	h.mu.Unlock()
+	if listen == nil {
+		return ErrNoAddress
+	}
+	l, err := listen()
+	if err != nil {
+		return fmt.Errorf("stand-in: %w", err)
+	}
+	return h.Serve(l)
 }
 
 // Serve serves the listener in the background until Close.
