--- a/membership/awake.go
+++ b/membership/awake.go
@@ -4,6 +4,10 @@
 	"time"
 )
 
+// wakeQuorum is the number of answers that do for a node that may not act yet,
+// if none of those that answer may act either.
+const wakeQuorum = 10
+
 // startSettle is the time after the start of a process in which the node may
 // not act, so that it hears of a running node of the same name.
 const startSettle = 1500 * time.Millisecond
@@ -23,7 +27,8 @@
 // authority over a cell. It may not after its start, and after a pause of more
 // than Settings.PauseLimit between ticks, until a ping sent since then was
 // answered: by one node that may act, or by half of the members that are not
-// known to be gone. A node that knows of no other waits Settings.AloneAfter.
+// known to be gone, of which ten do. A node that knows of no other waits
+// Settings.AloneAfter.
 func (c *Core) Awake(now time.Time) bool {
 	return c.wake.awake && !c.wake.superseded && c.self.State != StateLeft && !c.late(now)
 }
@@ -89,7 +94,7 @@
 	if others == 0 {
 		return age >= c.settings.AloneAfter
 	}
-	return answered > 0 && 2*answered >= others
+	return answered > 0 && (2*answered >= others || answered >= wakeQuorum)
 }
 
 // LastHeard returns when any other member was last heard from directly; zero
--- a/membership/core.go
+++ b/membership/core.go
@@ -30,10 +30,11 @@
 	sequence uint64
 	seeds    []string
 
-	members map[fleet.NodeID]*entry
-	order   []*entry // of members, sorted by id
-	items   map[itemKey]Item
-	queue   updateQueue
+	members   map[fleet.NodeID]*entry
+	order     []*entry                // of members, sorted by id
+	unsettled map[fleet.NodeID]*entry // members that are not alive
+	items     map[itemKey]Item
+	queue     updateQueue
 
 	probes    map[uint64]*probe // by nonce
 	relayed   map[uint64]relay  // by nonce
@@ -78,15 +79,16 @@
 	self.State = StateAlive
 	self.HeardAt = now
 	c := &Core{
-		settings: s,
-		secret:   slices.Clone(secret),
-		rng:      rng,
-		self:     self,
-		members:  map[fleet.NodeID]*entry{},
-		items:    map[itemKey]Item{},
-		probes:   map[uint64]*probe{},
-		relayed:  map[uint64]relay{},
-		nonce:    rng.Uint64(),
+		settings:  s,
+		secret:    slices.Clone(secret),
+		rng:       rng,
+		self:      self,
+		members:   map[fleet.NodeID]*entry{},
+		unsettled: map[fleet.NodeID]*entry{},
+		items:     map[itemKey]Item{},
+		probes:    map[uint64]*probe{},
+		relayed:   map[uint64]relay{},
+		nonce:     rng.Uint64(),
 	}
 	c.startTimers(now)
 	c.wake = wakeState{since: now, starting: true}
@@ -221,7 +223,7 @@
 	}
 	before := c.changes
 	for _, r := range p.Updates {
-		c.merge(now, memberOf(r), &out)
+		c.merge(now, memberOf(r), p.Type != PacketType_PACKET_TYPE_SYNC, &out)
 	}
 	for _, r := range p.Items {
 		c.receiveItem(now, itemOf(r), &out)
--- a/membership/gossip.go
+++ b/membership/gossip.go
@@ -84,27 +84,16 @@
 	if c.queue.empty() {
 		return
 	}
-	c.queue.order()
-	for i := range c.queue.entries {
-		if !c.addUpdate(k, &c.queue.entries[i]) {
-			break
-		}
-	}
-	c.queue.dropSent(transmitLimit(len(c.order) + 1))
+	c.queue.take(transmitLimit(len(c.order)+1), func(key updateKey) bool { return c.addUpdate(k, key) })
 }
 
 // addUpdate adds one queued update and reports whether there was room.
-func (c *Core) addUpdate(k *packer, p *pending) bool {
-	added := true
-	if p.key.member == "" {
-		added = k.addItem(itemRecordOf(c.items[p.key.item]))
-	} else if m, ok := c.Member(p.key.member); ok {
-		added = k.addMember(recordOf(m))
-	}
-	if added {
-		p.sent++
+func (c *Core) addUpdate(k *packer, key updateKey) bool {
+	if key.member == "" {
+		return k.addItem(itemRecordOf(c.items[key.item]))
 	}
-	return added
+	m, ok := c.Member(key.member)
+	return !ok || k.addMember(recordOf(m))
 }
 
 // sendGossip sends queued updates to some members.
--- a/membership/membership_test.go
+++ b/membership/membership_test.go
@@ -240,7 +240,7 @@
 	delete(c.members, gone.ID)
 	c.order = c.order[:1]
 	var out Effects
-	c.merge(n.now, gone, &out)
+	c.merge(n.now, gone, true, &out)
 	assert.Equal(t, len(out.Events), 0)
 	_, ok := c.Member(gone.ID)
 	assert.Assert(t, !ok)
--- a/membership/merge.go
+++ b/membership/merge.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -57,7 +58,7 @@
 	if known && !e.window.accept(sender.Incarnation, p.Sequence) {
 		return false
 	}
-	c.merge(now, sender, out)
+	c.merge(now, sender, true, out)
 	if !known {
 		e = c.members[sender.ID]
 		if e == nil {
@@ -81,15 +82,17 @@
 }
 
 // merge takes over what a packet says of a member if it is newer than what is
-// known: a higher incarnation, or a later state at the same one.
-func (c *Core) merge(now time.Time, m Member, out *Effects) {
+// known: a higher incarnation, or a later state at the same one. It sends a
+// member that was unknown on to others if spread is set; what a comparison
+// brought is known to others already.
+func (c *Core) merge(now time.Time, m Member, spread bool, out *Effects) {
 	if m.ID == c.self.ID {
 		c.mergeSelf(now, m, out)
 		return
 	}
 	e, ok := c.members[m.ID]
 	if !ok {
-		c.mergeUnknown(now, m, out)
+		c.mergeUnknown(now, m, spread, out)
 		return
 	}
 	newer := m.Incarnation > e.Incarnation
@@ -104,7 +107,7 @@
 		m.ReleaseVersion = max(m.ReleaseVersion, was.ReleaseVersion)
 	}
 	e.Member = m
-	e.changedAt = now
+	c.stateChanged(now, e)
 	c.changes++
 	c.queue.addMember(m.ID)
 	out.Events = append(out.Events, changeEvents(was, m)...)
@@ -112,16 +115,19 @@
 
 // mergeUnknown adds a member that is not known. Gone ones are not added, so
 // that a forgotten member does not come back.
-func (c *Core) mergeUnknown(now time.Time, m Member, out *Effects) {
+func (c *Core) mergeUnknown(now time.Time, m Member, spread bool, out *Effects) {
 	if m.State.Gone() || len(c.members) >= MaxMembers {
 		return
 	}
-	e := &entry{Member: m, changedAt: now}
+	e := &entry{Member: m}
 	c.members[m.ID] = e
+	c.stateChanged(now, e)
 	at, _ := c.position(m.ID)
 	c.order = slices.Insert(c.order, at, e)
 	c.changes++
-	c.queue.addMember(m.ID)
+	if spread {
+		c.queue.addMember(m.ID)
+	}
 	out.Events = append(out.Events, Event{Kind: EventJoined, Member: m})
 	if m.State != StateAlive {
 		out.Events = append(out.Events, Event{Kind: stateEvent(m.State), Member: m, Was: m.Incarnation})
@@ -244,12 +250,25 @@
 	}
 }
 
+// stateChanged notes the time and whether the member's state may run out.
+func (c *Core) stateChanged(now time.Time, e *entry) {
+	e.changedAt = now
+	if e.State == StateAlive {
+		delete(c.unsettled, e.ID)
+		return
+	}
+	c.unsettled[e.ID] = e
+}
+
 // expireMembers declares suspects dead that did not refute in time, and drops
 // members that are gone for long.
 func (c *Core) expireMembers(now time.Time, out *Effects) {
+	if len(c.unsettled) == 0 {
+		return
+	}
 	suspicion := c.settings.suspicion(len(c.order) + 1)
-	forgotten := false
-	for _, e := range c.order {
+	for _, id := range slices.Sorted(maps.Keys(c.unsettled)) {
+		e := c.unsettled[id]
 		age := now.Sub(e.changedAt)
 		switch {
 		case e.State == StateSuspect && age >= suspicion:
@@ -257,21 +276,25 @@
 		case e.State == StateLeaving && !e.silentSince.IsZero() && now.Sub(e.silentSince) >= suspicion:
 			c.setState(now, e, StateDead, out)
 		case e.State.Gone() && age >= c.settings.RetainGone:
-			delete(c.members, e.ID)
-			c.queue.removeMember(e.ID)
-			out.Events = append(out.Events, Event{Kind: EventForgotten, Member: e.Member, Was: e.Incarnation})
-			forgotten = true
+			c.forget(e, out)
 		}
 	}
-	if forgotten {
-		c.order = slices.DeleteFunc(c.order, func(e *entry) bool { return c.members[e.ID] == nil })
-	}
+}
+
+// forget drops a member from the table.
+func (c *Core) forget(e *entry, out *Effects) {
+	delete(c.members, e.ID)
+	delete(c.unsettled, e.ID)
+	at, _ := c.position(e.ID)
+	c.order = slices.Delete(c.order, at, at+1)
+	c.queue.removeMember(e.ID)
+	out.Events = append(out.Events, Event{Kind: EventForgotten, Member: e.Member, Was: e.Incarnation})
 }
 
 // setState changes a member's state by this node's own finding.
 func (c *Core) setState(now time.Time, e *entry, s State, out *Effects) {
 	e.State = s
-	e.changedAt = now
+	c.stateChanged(now, e)
 	c.queue.addMember(e.ID)
 	out.Events = append(out.Events, Event{Kind: stateEvent(s), Member: e.Member, Was: e.Incarnation})
 }
--- a/membership/probe.go
+++ b/membership/probe.go
@@ -122,19 +122,14 @@
 	return c.nonce
 }
 
-// pingSeeds pings up to n seeds that are not the address of a reachable member.
+// pingSeeds pings up to n random seeds that are not the address of a reachable
+// member.
 func (c *Core) pingSeeds(now time.Time, n int, out *Effects) {
-	known := map[string]bool{}
-	for _, e := range c.order {
-		if reachable(e) {
-			known[e.GossipAddr] = true
-		}
-	}
 	for _, i := range c.rng.Perm(len(c.seeds)) {
 		if n == 0 {
 			return
 		}
-		if known[c.seeds[i]] {
+		if c.knownAddr(c.seeds[i]) {
 			continue
 		}
 		n--
@@ -144,6 +139,11 @@
 	}
 }
 
+// knownAddr reports whether a reachable member has the gossip address.
+func (c *Core) knownAddr(addr string) bool {
+	return slices.ContainsFunc(c.order, func(e *entry) bool { return reachable(e) && e.GossipAddr == addr })
+}
+
 // rejoin pings one dead member and one seed, so that the two sides of a healed
 // partition find each other.
 func (c *Core) rejoin(now time.Time, out *Effects) {
@@ -222,7 +222,7 @@
 	}
 	delete(c.probes, p.Nonce)
 	if p.Target != nil {
-		c.merge(now, memberOf(p.Target), out)
+		c.merge(now, memberOf(p.Target), true, out)
 		return
 	}
 	if e := c.members[fleet.NodeID(p.Sender.Id)]; e != nil {
