--- /dev/null
+++ b/release/generate.go
@@ -0,0 +1,3 @@
+package release
+
+//go:generate sh ../tools/generate.sh release release.proto
