--- /dev/null
+++ b/release/conflict.go
@@ -0,0 +1,95 @@
+package release
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+)
+
+// Collision is one field that a note and a version accepted meanwhile state
+// differently.
+type Collision struct {
+	Place
+	Subject  string `json:"subject"` // such as "model lathe"
+	Field    string `json:"field"`
+	Ours     string `json:"ours"`
+	Theirs   string `json:"theirs"`
+	Version  uint64 `json:"version"`  // that stated it
+	Operator string `json:"operator"` // who published that version
+}
+
+// String returns one line for an operator.
+func (c Collision) String() string {
+	return fmt.Sprintf("%d:%d: %s, %s: this note says %s, version %d by %s says %s",
+		c.Line, c.Column, c.Subject, c.Field, c.Ours, c.Version, c.Operator, c.Theirs)
+}
+
+// ConflictError says that others changed meanwhile what a note states.
+// Nothing was applied.
+type ConflictError struct {
+	BasedOn    uint64
+	Current    uint64
+	Collisions []Collision
+}
+
+// Error implements error, one line a collision.
+func (e *ConflictError) Error() string {
+	lines := []string{fmt.Sprintf("the note is based on version %d and collides with changes up to version %d", e.BasedOn, e.Current)}
+	for _, c := range e.Collisions {
+		lines = append(lines, c.String())
+	}
+	return strings.Join(lines, "\n")
+}
+
+// collisions returns where the note states something else than a difference
+// that it is not based on.
+func (n *Note) collisions(d *Difference) []Collision {
+	var found []Collision
+	add := func(subject string, changes []fieldChange) {
+		for _, c := range changes {
+			found = append(found, Collision{
+				Place: n.place(subject, c.name), Subject: subject, Field: string(c.name),
+				Ours: c.new, Theirs: c.old, Version: d.Version, Operator: d.Operator,
+			})
+		}
+	}
+	models, adapters := n.rowIndex()
+	for _, theirs := range d.Models {
+		if ours, ok := models[modelSubject(theirs.ID)]; ok {
+			add(modelSubject(theirs.ID), modelChanges(theirs, ours))
+		}
+		if theirs.WithdrawnIn == 0 && slices.Contains(n.WithdrawnModels, theirs.ID) {
+			add(modelSubject(theirs.ID), []fieldChange{{fieldWithdraw, withdrawnText(0), withdrawnText(1)}})
+		}
+	}
+	for _, theirs := range d.Adapters {
+		subject := adapterSubject(theirs.AdapterKey)
+		if ours, ok := adapters[subject]; ok {
+			add(subject, adapterChanges(theirs, ours))
+		}
+		if theirs.WithdrawnIn == 0 && slices.Contains(n.WithdrawnAdapters, theirs.AdapterKey) {
+			add(subject, []fieldChange{{fieldWithdraw, withdrawnText(0), withdrawnText(1)}})
+		}
+	}
+	for _, theirs := range d.Ranks {
+		for _, ours := range n.Ranks {
+			if ours.Rank == theirs.Rank {
+				add(rankSubject(ours.Rank), rankChanges(theirs, ours))
+			}
+		}
+	}
+	return found
+}
+
+// rowIndex returns the rows of the note by subject.
+func (n *Note) rowIndex() (map[string]Model, map[string]Adapter) {
+	models := make(map[string]Model, len(n.Models))
+	for _, m := range n.Models {
+		models[modelSubject(m.ID)] = m
+	}
+	adapters := make(map[string]Adapter, len(n.Adapters))
+	for _, a := range n.Adapters {
+		adapters[adapterSubject(a.AdapterKey)] = a
+	}
+	return models, adapters
+}
--- /dev/null
+++ b/release/findings.go
@@ -0,0 +1,63 @@
+package release
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"strings"
+)
+
+// Place is a position in a note, from 1 on. The zero value is unknown.
+type Place struct {
+	Line   int `json:"line"`
+	Column int `json:"column"`
+}
+
+// Finding is one fault of a note.
+type Finding struct {
+	Place
+	Field   string `json:"field"` // such as models[2].slots; empty for the whole note
+	Problem string `json:"problem"`
+}
+
+// String returns "line:column: field: problem".
+func (f Finding) String() string {
+	if f.Field == "" {
+		return fmt.Sprintf("%d:%d: %s", f.Line, f.Column, f.Problem)
+	}
+	return fmt.Sprintf("%d:%d: %s: %s", f.Line, f.Column, f.Field, f.Problem)
+}
+
+// Findings are all faults of a note, ordered by place. As an error it says that
+// nothing was applied.
+type Findings []Finding
+
+// Error implements error, one line a finding.
+func (fs Findings) Error() string {
+	lines := make([]string, len(fs))
+	for i, f := range fs {
+		lines[i] = f.String()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// maxFindings bounds the report on a note that is not one at all.
+const maxFindings = 1000
+
+// add appends a finding.
+func (fs *Findings) add(at Place, field, format string, args ...any) {
+	if len(*fs) < maxFindings {
+		*fs = append(*fs, Finding{Place: at, Field: field, Problem: fmt.Sprintf(format, args...)})
+	}
+}
+
+// sorted returns the findings by place, or nil if there are none.
+func (fs Findings) sorted() Findings {
+	if len(fs) == 0 {
+		return nil
+	}
+	slices.SortStableFunc(fs, func(a, b Finding) int {
+		return cmp.Or(cmp.Compare(a.Line, b.Line), cmp.Compare(a.Column, b.Column))
+	})
+	return fs
+}
--- /dev/null
+++ b/release/parse.go
@@ -0,0 +1,229 @@
+package release
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+
+	yaml "github.com/goccy/go-yaml"
+	"github.com/goccy/go-yaml/ast"
+	"github.com/goccy/go-yaml/parser"
+
+	"github.com/redwingnotch/redwingnotch/fleet"
+)
+
+// noteParser walks the syntax tree of a note and collects findings.
+type noteParser struct {
+	note     *Note
+	findings Findings
+}
+
+// member reads the value of one key of a mapping.
+type member struct {
+	required bool
+	read     func(value ast.Node, path string)
+}
+
+// ParseNote reads a release note. It returns Findings with every fault, or nil.
+// It does not know the state in force; Note.Check does that.
+func ParseNote(data []byte) (*Note, Findings) {
+	p := &noteParser{note: &Note{places: map[field]Place{}}}
+	if len(data) > MaxNoteBytes {
+		p.findings.add(Place{1, 1}, "", "the note has %d bytes, at most %d", len(data), MaxNoteBytes)
+		return nil, p.findings
+	}
+	root, ok := p.parseFile(data)
+	if !ok {
+		return nil, p.findings.sorted()
+	}
+	p.readNote(root)
+	p.checkTogether()
+	return p.note, p.findings.sorted()
+}
+
+// parseFile returns the root of the one document.
+func (p *noteParser) parseFile(data []byte) (ast.Node, bool) {
+	file, err := parser.ParseBytes(data, 0, parser.AllowDuplicateMapKey())
+	if err != nil {
+		p.addSyntaxError(err)
+		return nil, false
+	}
+	docs := slices.DeleteFunc(slices.Clone(file.Docs), func(d *ast.DocumentNode) bool { return d.Body == nil })
+	if len(docs) == 0 {
+		p.findings.add(Place{1, 1}, "", "the note is empty")
+		return nil, false
+	}
+	if len(docs) > 1 {
+		p.findings.add(placeOf(docs[1].Body), "", "want one document, not %d", len(docs))
+	}
+	return docs[0].Body, true
+}
+
+// addSyntaxError reports a note that is not YAML.
+func (p *noteParser) addSyntaxError(err error) {
+	at := Place{1, 1}
+	text := err.Error()
+	var syntax *yaml.SyntaxError
+	if errors.As(err, &syntax) {
+		text = syntax.Message
+		if syntax.Token != nil && syntax.Token.Position != nil {
+			at = Place{syntax.Token.Position.Line, syntax.Token.Position.Column}
+		}
+	}
+	p.findings.add(at, "", "not YAML: %s", text)
+}
+
+// readNote reads the whole note.
+func (p *noteParser) readNote(root ast.Node) {
+	p.mapping(root, "", map[string]member{
+		"title":    {read: func(v ast.Node, path string) { p.note.Title = p.text(v, path, maxTitleBytes) }},
+		"based_on": {read: p.readBase},
+		"models":   {read: func(v ast.Node, path string) { p.list(v, path, p.readModel) }},
+		"adapters": {read: func(v ast.Node, path string) { p.list(v, path, p.readAdapter) }},
+		"ranks":    {read: p.readRanks},
+		"withdraw": {read: p.readWithdraw},
+	})
+}
+
+// readBase reads the version that the operator had read.
+func (p *noteParser) readBase(n ast.Node, path string) {
+	p.note.BasedOn = uint64(p.integer(n, path, 1, 1<<62))
+	p.note.places[field{name: fieldBase}] = placeOf(n)
+}
+
+// mapping reads the keys of a mapping. It reports unknown, repeated and missing
+// keys, and reads the rest.
+func (p *noteParser) mapping(n ast.Node, path string, members map[string]member) {
+	seen := map[string]bool{}
+	for _, pair := range p.pairs(n, path) {
+		name, ok := p.key(pair, path, seen)
+		if !ok {
+			continue
+		}
+		m, known := members[name]
+		if !known {
+			p.findings.add(placeOf(pair.Key), join(path, name), "unknown field")
+			continue
+		}
+		m.read(pair.Value, join(path, name))
+	}
+	for _, name := range sortedNames(members) {
+		if members[name].required && !seen[name] && isMapping(n) {
+			p.findings.add(p.startOf(n), join(path, name), "missing")
+		}
+	}
+}
+
+// key returns the name of a pair and reports one that came before.
+func (p *noteParser) key(pair *ast.MappingValueNode, path string, seen map[string]bool) (string, bool) {
+	key, ok := pair.Key.(*ast.StringNode)
+	if !ok {
+		p.findings.add(placeOf(pair.Key), path, "want a field name, not %s", describe(pair.Key))
+		return "", false
+	}
+	if seen[key.Value] {
+		p.findings.add(placeOf(pair.Key), join(path, key.Value), "stated twice")
+		return "", false
+	}
+	seen[key.Value] = true
+	return key.Value, true
+}
+
+// pairs returns the pairs of a mapping.
+func (p *noteParser) pairs(n ast.Node, path string) []*ast.MappingValueNode {
+	switch m := n.(type) {
+	case *ast.MappingNode:
+		return m.Values
+	case *ast.MappingValueNode:
+		return []*ast.MappingValueNode{m}
+	}
+	p.findings.add(placeOf(n), path, "want a mapping, not %s", describe(n))
+	return nil
+}
+
+// startOf returns where a mapping's first key stands.
+func (p *noteParser) startOf(n ast.Node) Place {
+	if m, ok := n.(*ast.MappingNode); ok && len(m.Values) > 0 {
+		return placeOf(m.Values[0].Key)
+	}
+	if m, ok := n.(*ast.MappingValueNode); ok {
+		return placeOf(m.Key)
+	}
+	return placeOf(n)
+}
+
+func isMapping(n ast.Node) bool {
+	switch n.(type) {
+	case *ast.MappingNode, *ast.MappingValueNode:
+		return true
+	}
+	return false
+}
+
+// list reads each entry of a list.
+func (p *noteParser) list(n ast.Node, path string, read func(entry ast.Node, path string)) {
+	l, ok := n.(*ast.SequenceNode)
+	if !ok {
+		p.findings.add(placeOf(n), path, "want a list, not %s", describe(n))
+		return
+	}
+	for i, entry := range l.Values {
+		read(entry, fmt.Sprintf("%s[%d]", path, i))
+	}
+}
+
+func join(path, name string) string {
+	if path == "" {
+		return name
+	}
+	return path + "." + name
+}
+
+func sortedNames(members map[string]member) []string {
+	names := make([]string, 0, len(members))
+	for name := range members {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// remember notes where a row and its fields stand. It reports a row that came
+// before.
+func (p *noteParser) remember(subject string, n ast.Node, path string) {
+	row := field{subject, fieldRow}
+	if first, ok := p.note.places[row]; ok {
+		p.findings.add(p.startOf(n), path, "%s is stated twice, first at line %d", subject, first.Line)
+		return
+	}
+	p.note.places[row] = p.startOf(n)
+	if !isMapping(n) {
+		return
+	}
+	for _, pair := range p.pairs(n, path) {
+		if key, ok := pair.Key.(*ast.StringNode); ok {
+			p.note.places[field{subject, fieldName(key.Value)}] = placeOf(pair.Key)
+		}
+	}
+}
+
+// readRanks reads the overridden rank settings.
+func (p *noteParser) readRanks(n ast.Node, path string) {
+	members := map[string]member{}
+	for r := range fleet.Rank(fleet.RankCount) {
+		members[r.String()] = member{read: func(v ast.Node, path string) { p.readRank(r, v, path) }}
+	}
+	p.mapping(n, path, members)
+}
+
+// readRank reads the settings of one rank.
+func (p *noteParser) readRank(r fleet.Rank, n ast.Node, path string) {
+	row := RankSettings{Rank: r}
+	p.mapping(n, path, map[string]member{
+		"target": {required: true, read: func(v ast.Node, path string) { row.Target = p.duration(v, path, maxTarget) }},
+		"floor":  {required: true, read: func(v ast.Node, path string) { row.Floor = p.number(v, path, 0, 1) }},
+		"worth":  {required: true, read: func(v ast.Node, path string) { row.Worth = p.number(v, path, 0, maxWorth) }},
+	})
+	p.remember(rankSubject(r), n, path)
+	p.note.Ranks = append(p.note.Ranks, row)
+}
--- /dev/null
+++ b/release/publish.go
@@ -0,0 +1,297 @@
+package release
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+	"unicode/utf8"
+
+	"github.com/google/uuid"
+
+	"github.com/redwingnotch/redwingnotch/platform"
+)
+
+// Errors of Publish and Settle.
+var (
+	ErrNotAccepted = errors.New("the note was not accepted")
+	ErrUnknown     = errors.New("it is not known whether the note was accepted")
+	ErrBadID       = errors.New("malformed writer id")
+)
+
+// UnknownError says that a note may have been accepted, or may yet be. Settle
+// with the id tells later.
+type UnknownError struct {
+	ID  string
+	Err error
+}
+
+// Error implements error.
+func (e *UnknownError) Error() string {
+	return fmt.Sprintf("%v; ask again with id %s: %v", ErrUnknown, e.ID, e.Err)
+}
+
+// Unwrap returns ErrUnknown and the cause.
+func (e *UnknownError) Unwrap() []error { return []error{ErrUnknown, e.Err} }
+
+// Publisher publishes notes by conditional writes of the head object.
+type Publisher struct {
+	Store    platform.Store
+	Operator string
+	Now      func() time.Time // nil selects time.Now
+	Attempts int              // at a note whose base others overtake; zero selects defaultAttempts
+}
+
+const defaultAttempts = 8
+
+// Accepted says which version a note became. Before is the state that it was
+// merged into.
+type Accepted struct {
+	Version    uint64
+	ID         string
+	AcceptedAt time.Time
+	Difference *Difference // nil from Settle if no longer kept
+	Before     *State      // nil from Settle
+}
+
+// Publish merges the note into the state in force and writes it. It returns
+// only when the write is known to have taken effect, or else Findings,
+// ErrNoChange, a *ConflictError, an error that wraps ErrNotAccepted, or an
+// *UnknownError.
+func (p *Publisher) Publish(ctx context.Context, note *Note) (Accepted, error) {
+	if p.Operator == "" || !utf8.ValidString(p.Operator) {
+		return Accepted{}, fmt.Errorf("%w: no operator is named", ErrNotAccepted)
+	}
+	base := note.BasedOn
+	for range cmp.Or(p.Attempts, defaultAttempts) {
+		head, state, err := loadState(ctx, p.Store)
+		if err != nil {
+			return Accepted{}, fmt.Errorf("%w: %w", ErrNotAccepted, err)
+		}
+		if base == 0 {
+			base = head.Version
+		}
+		if err := note.checkConflicts(head, base); err != nil {
+			return Accepted{}, err
+		}
+		done, err := p.attempt(ctx, note, head, state)
+		if !errors.Is(err, platform.ErrConflict) {
+			return done, err
+		}
+	}
+	return Accepted{}, fmt.Errorf("%w: others changed the release at each attempt", ErrNotAccepted)
+}
+
+// loadState reads the head and the state at it.
+func loadState(ctx context.Context, store platform.Store) (Head, *State, error) {
+	var err error
+	for range readAttempts {
+		var head Head
+		if head, err = ReadHead(ctx, store); err != nil {
+			return Head{}, nil, err
+		}
+		var u Update
+		u, err = head.Update(ctx, store, 0)
+		if errors.Is(err, platform.ErrNotFound) {
+			continue
+		}
+		if err != nil {
+			return Head{}, nil, err
+		}
+		state := NewState()
+		if _, err = u.bring(&state); err != nil {
+			return Head{}, nil, err
+		}
+		return head, state, nil
+	}
+	return Head{}, nil, err
+}
+
+// ReadState reads the state in force from the store.
+func ReadState(ctx context.Context, store platform.Store) (Head, *State, error) {
+	return loadState(ctx, store)
+}
+
+// checkConflicts returns a *ConflictError if versions after base state other
+// values than the note.
+func (n *Note) checkConflicts(head Head, base uint64) error {
+	if base > head.Version {
+		return Findings{{Place: n.places[field{name: fieldBase}], Field: "based_on", Problem: fmt.Sprintf("version %d is not in force yet, which is %d", base, head.Version)}}
+	}
+	ds, ok, err := head.differences(base)
+	if err != nil {
+		return fmt.Errorf("%w: %w", ErrNotAccepted, err)
+	}
+	conflict := &ConflictError{BasedOn: base, Current: head.Version}
+	if !ok {
+		return fmt.Errorf("%w: the changes since version %d are no longer kept, base the note on version %d", ErrNotAccepted, base, head.Version)
+	}
+	for _, d := range ds {
+		conflict.Collisions = append(conflict.Collisions, n.collisions(d)...)
+	}
+	if len(conflict.Collisions) > 0 {
+		return conflict
+	}
+	return nil
+}
+
+// attempt writes the note on one head. It returns an error that wraps
+// platform.ErrConflict if another note came first.
+func (p *Publisher) attempt(ctx context.Context, note *Note, head Head, state *State) (Accepted, error) {
+	d, err := note.Merge(state, p.Operator, p.now())
+	if err != nil {
+		return Accepted{}, err
+	}
+	d.Writer = newID(head.ObjectVersion)
+	next, err := p.nextHead(ctx, head, state, d)
+	if err != nil {
+		return Accepted{}, fmt.Errorf("%w: %w", ErrNotAccepted, err)
+	}
+	value, err := next.encode()
+	if err != nil {
+		return Accepted{}, fmt.Errorf("%w: %w", ErrNotAccepted, err)
+	}
+	_, err = platform.PutSettled(ctx, p.Store, platform.KindRelease, HeadName, value, head.ObjectVersion, d.Writer)
+	accepted := Accepted{Version: d.Version, ID: d.Writer, AcceptedAt: d.AcceptedAt, Difference: d, Before: state}
+	switch {
+	case err == nil:
+		p.dropSnapshot(ctx, head, next)
+		return accepted, nil
+	case errors.Is(err, platform.ErrUnknown):
+		return p.settle(ctx, accepted, err)
+	case errors.Is(err, platform.ErrConflict):
+		p.dropSnapshot(ctx, next, head)
+		return Accepted{}, err
+	}
+	p.dropSnapshot(ctx, next, head)
+	return Accepted{}, fmt.Errorf("%w: %w", ErrNotAccepted, err)
+}
+
+// settle reads once more whether a write of unknown outcome took effect.
+func (p *Publisher) settle(ctx context.Context, a Accepted, cause error) (Accepted, error) {
+	_, err := Settle(ctx, p.Store, a.ID)
+	switch {
+	case err == nil:
+		return a, nil
+	case errors.Is(err, ErrNotAccepted):
+		return Accepted{}, fmt.Errorf("%w: %w", platform.ErrConflict, err)
+	}
+	return Accepted{}, &UnknownError{ID: a.ID, Err: cause}
+}
+
+// Settle tells whether the note with the writer id was accepted. It returns an
+// error that wraps ErrNotAccepted if it never can be, and an *UnknownError if
+// that can't be told.
+func Settle(ctx context.Context, store platform.Store, id string) (Accepted, error) {
+	expected, err := expectedVersion(id)
+	if err != nil {
+		return Accepted{}, err
+	}
+	head, err := ReadHead(ctx, store)
+	if err != nil {
+		return Accepted{}, &UnknownError{ID: id, Err: err}
+	}
+	if e, ok := head.find(id); ok {
+		a := Accepted{Version: e.Version, ID: id, AcceptedAt: e.AcceptedAt}
+		if len(e.Difference) > 0 {
+			a.Difference, err = DecodeDifference(e.Difference)
+		}
+		return a, err
+	}
+	if head.ObjectVersion <= expected {
+		return Accepted{}, &UnknownError{ID: id, Err: errors.New("the write may still take effect")}
+	}
+	if len(head.Log) >= maxLogEntries {
+		return Accepted{}, &UnknownError{ID: id, Err: errors.New("the log of accepted notes no longer reaches back that far; see the audit trail")}
+	}
+	return Accepted{}, fmt.Errorf("%w: another write came first", ErrNotAccepted)
+}
+
+// idSeparator stands between the unique part of a writer id and the version of
+// the head object that the write expects.
+const idSeparator = "@"
+
+func newID(expected uint64) string {
+	return uuid.NewString() + idSeparator + strconv.FormatUint(expected, 10)
+}
+
+func expectedVersion(id string) (uint64, error) {
+	_, version, found := strings.Cut(id, idSeparator)
+	expected, err := strconv.ParseUint(version, 10, 64)
+	if !found || err != nil {
+		return 0, fmt.Errorf("%w: %q", ErrBadID, id)
+	}
+	return expected, nil
+}
+
+// nextHead returns the head after the difference. If it needs a snapshot, the
+// snapshot's objects are written first.
+func (p *Publisher) nextHead(ctx context.Context, head Head, before *State, d *Difference) (Head, error) {
+	next, snapshot := head.append(d)
+	if !snapshot {
+		return next, nil
+	}
+	after := before.Clone()
+	if err := after.Apply(d); err != nil {
+		return Head{}, err
+	}
+	objects, err := p.writeSnapshot(ctx, after)
+	if err != nil {
+		return Head{}, err
+	}
+	return next.trim(after.Version, objects), nil
+}
+
+// writeSnapshot writes the state in objects of a name of their own.
+func (p *Publisher) writeSnapshot(ctx context.Context, s *State) ([]string, error) {
+	data := EncodeState(s)
+	run := uuid.NewString()
+	var names []string
+	for start := 0; start < len(data); start += chunkBytes {
+		chunk := data[start:min(start+chunkBytes, len(data))]
+		name := fmt.Sprintf("%s%d-%s-%d", snapshotPrefix, s.Version, run, len(names))
+		if _, err := platform.PutSettled(ctx, p.Store, platform.KindRelease, name, chunk, 0, uuid.NewString()); err != nil {
+			return nil, fmt.Errorf("write release snapshot: %w", err)
+		}
+		names = append(names, name)
+	}
+	return names, nil
+}
+
+// dropSnapshot deletes the snapshot objects of one head that the other does not
+// use. One that can't be deleted stays behind unused.
+func (p *Publisher) dropSnapshot(ctx context.Context, unused, used Head) {
+	if unused.SnapshotVersion == used.SnapshotVersion {
+		return
+	}
+	for _, name := range unused.SnapshotObjects {
+		if obj, err := p.Store.Get(ctx, platform.KindRelease, name); err == nil {
+			_ = p.Store.Delete(ctx, platform.KindRelease, name, obj.Version)
+		}
+	}
+}
+
+func (p *Publisher) now() time.Time {
+	if p.Now != nil {
+		return p.Now()
+	}
+	return time.Now()
+}
+
+// bring applies the update to a state, which it may replace. It reports
+// whether the version rose.
+func (u Update) bring(s **State) (bool, error) {
+	before := (*s).Version
+	if u.State != nil && u.State.Version > before {
+		*s = u.State
+	}
+	for _, d := range u.Differences {
+		if err := (*s).Apply(d); err != nil && !errors.Is(err, ErrStale) {
+			return (*s).Version > before, err
+		}
+	}
+	return (*s).Version > before, nil
+}
--- /dev/null
+++ b/release/rows.go
@@ -0,0 +1,154 @@
+package release
+
+import (
+	"slices"
+
+	"github.com/goccy/go-yaml/ast"
+
+	"github.com/redwingnotch/redwingnotch/fleet"
+)
+
+// readModel reads one row of models.
+func (p *noteParser) readModel(n ast.Node, path string) {
+	var m Model
+	p.mapping(n, path, map[string]member{
+		"id":        {required: true, read: func(v ast.Node, path string) { m.ID = fleet.ModelID(p.name(v, path, maxNameBytes)) }},
+		"version":   {required: true, read: func(v ast.Node, path string) { m.Version = fleet.Version(p.name(v, path, maxVersionBytes)) }},
+		"replicas":  {required: true, read: func(v ast.Node, path string) { m.Replicas = p.readReplicas(v, path) }},
+		"memory":    {required: true, read: func(v ast.Node, path string) { m.MemoryBytes = p.size(v, path) }},
+		"load_time": {required: true, read: func(v ast.Node, path string) { m.LoadTime = p.duration(v, path, maxLoadTime) }},
+		"slots":     {required: true, read: func(v ast.Node, path string) { m.Slots = int(p.integer(v, path, 1, maxSlots)) }},
+		"ranks":     {read: func(v ast.Node, path string) { m.Ranks = p.readModelRanks(v, path) }},
+	})
+	if m.ID == "" {
+		return
+	}
+	p.remember(modelSubject(m.ID), n, path)
+	p.note.Models = append(p.note.Models, m)
+}
+
+// readReplicas reads the replica limit of each cell.
+func (p *noteParser) readReplicas(n ast.Node, path string) []CellReplicas {
+	var rows []CellReplicas
+	seen := map[string]bool{}
+	for _, pair := range p.pairs(n, path) {
+		name, ok := p.key(pair, path, seen)
+		if !ok {
+			continue
+		}
+		cell := fleet.CellID(p.name(pair.Key, path, maxNameBytes))
+		count := int(p.integer(pair.Value, join(path, name), 0, maxReplicas))
+		rows = append(rows, CellReplicas{Cell: cell, Count: count})
+	}
+	slices.SortFunc(rows, func(a, b CellReplicas) int {
+		if a.Cell < b.Cell {
+			return -1
+		}
+		return 1
+	})
+	return rows
+}
+
+// readModelRanks reads the ranks that a model serves.
+func (p *noteParser) readModelRanks(n ast.Node, path string) []fleet.Rank {
+	var ranks []fleet.Rank
+	p.list(n, path, func(v ast.Node, path string) {
+		r, ok := p.rank(v, path)
+		if ok && slices.Contains(ranks, r) {
+			p.findings.add(placeOf(v), path, "%s is stated twice", r)
+			return
+		}
+		if ok {
+			ranks = append(ranks, r)
+		}
+	})
+	slices.Sort(ranks)
+	return ranks
+}
+
+// readAdapter reads one row of adapters.
+func (p *noteParser) readAdapter(n ast.Node, path string) {
+	var a Adapter
+	p.mapping(n, path, map[string]member{
+		"model":   {required: true, read: func(v ast.Node, path string) { a.Model = fleet.ModelID(p.name(v, path, maxNameBytes)) }},
+		"id":      {required: true, read: func(v ast.Node, path string) { a.ID = fleet.AdapterID(p.name(v, path, maxNameBytes)) }},
+		"version": {required: true, read: func(v ast.Node, path string) { a.Version = fleet.Version(p.name(v, path, maxVersionBytes)) }},
+		"memory":  {required: true, read: func(v ast.Node, path string) { a.MemoryBytes = p.size(v, path) }},
+	})
+	if a.ID == "" || a.Model == "" {
+		return
+	}
+	p.remember(adapterSubject(a.AdapterKey), n, path)
+	p.note.Adapters = append(p.note.Adapters, a)
+}
+
+// readWithdraw reads what is withdrawn.
+func (p *noteParser) readWithdraw(n ast.Node, path string) {
+	p.mapping(n, path, map[string]member{
+		"models":   {read: func(v ast.Node, path string) { p.list(v, path, p.readWithdrawnModel) }},
+		"adapters": {read: func(v ast.Node, path string) { p.list(v, path, p.readWithdrawnAdapter) }},
+	})
+}
+
+func (p *noteParser) readWithdrawnModel(n ast.Node, path string) {
+	id := fleet.ModelID(p.name(n, path, maxNameBytes))
+	if id == "" {
+		return
+	}
+	p.rememberWithdrawn(modelSubject(id), n, path)
+	p.note.WithdrawnModels = append(p.note.WithdrawnModels, id)
+}
+
+func (p *noteParser) readWithdrawnAdapter(n ast.Node, path string) {
+	s := p.text(n, path, 2*maxNameBytes+1)
+	if s == "" {
+		return
+	}
+	t, err := fleet.ParseTarget(s)
+	if err != nil || t.Adapter == "" {
+		p.findings.add(placeOf(n), path, "%q does not name an adapter, want model+adapter", s)
+		return
+	}
+	key := AdapterKey{Model: t.Model, ID: t.Adapter}
+	p.rememberWithdrawn(adapterSubject(key), n, path)
+	p.note.WithdrawnAdapters = append(p.note.WithdrawnAdapters, key)
+}
+
+// rememberWithdrawn notes where a row is withdrawn. It reports one that is
+// stated too, or withdrawn twice.
+func (p *noteParser) rememberWithdrawn(subject string, n ast.Node, path string) {
+	withdraw := field{subject, fieldWithdraw}
+	if first, ok := p.note.places[withdraw]; ok {
+		p.findings.add(placeOf(n), path, "%s is withdrawn twice, first at line %d", subject, first.Line)
+		return
+	}
+	p.note.places[withdraw] = placeOf(n)
+}
+
+// checkTogether reports rows that are both stated and withdrawn, and a note
+// that states nothing.
+func (p *noteParser) checkTogether() {
+	for _, id := range p.note.WithdrawnModels {
+		p.checkNotStated(modelSubject(id))
+	}
+	for _, key := range p.note.WithdrawnAdapters {
+		p.checkNotStated(adapterSubject(key))
+	}
+	floors := 0.0
+	for _, r := range p.note.Ranks {
+		floors += r.Floor
+		if floors > 1 {
+			p.findings.add(p.note.place(rankSubject(r.Rank), fieldFloor), "ranks", "the floors add up to more than 1")
+		}
+	}
+	if p.note.Empty() && len(p.findings) == 0 {
+		p.findings.add(Place{1, 1}, "", "the note states nothing")
+	}
+}
+
+func (p *noteParser) checkNotStated(subject string) {
+	stated, ok := p.note.places[field{subject, fieldRow}]
+	if ok {
+		p.findings.add(p.note.places[field{subject, fieldWithdraw}], "withdraw", "%s is also stated at line %d", subject, stated.Line)
+	}
+}
--- /dev/null
+++ b/release/values.go
@@ -0,0 +1,194 @@
+package release
+
+import (
+	"fmt"
+	"math"
+	"strconv"
+	"strings"
+	"time"
+	"unicode"
+	"unicode/utf8"
+
+	"github.com/goccy/go-yaml/ast"
+
+	"github.com/redwingnotch/redwingnotch/fleet"
+)
+
+// placeOf returns where the node stands.
+func placeOf(n ast.Node) Place {
+	if n == nil || n.GetToken() == nil || n.GetToken().Position == nil {
+		return Place{Line: 1, Column: 1}
+	}
+	at := n.GetToken().Position
+	return Place{Line: at.Line, Column: at.Column}
+}
+
+// describe names the kind of a node for a finding.
+func describe(n ast.Node) string {
+	switch n.(type) {
+	case nil:
+		return "nothing"
+	case *ast.NullNode:
+		return "nothing"
+	case *ast.MappingNode, *ast.MappingValueNode:
+		return "a mapping"
+	case *ast.SequenceNode:
+		return "a list"
+	case *ast.StringNode, *ast.LiteralNode:
+		return "text"
+	case *ast.IntegerNode:
+		return "a whole number"
+	case *ast.FloatNode:
+		return "a number"
+	case *ast.InfinityNode, *ast.NanNode:
+		return "infinity or not-a-number"
+	case *ast.BoolNode:
+		return "true or false"
+	case *ast.AnchorNode, *ast.AliasNode:
+		return "an anchor or alias, which notes do not use"
+	}
+	return "something else"
+}
+
+// text reads a string of 1 to limit bytes.
+func (p *noteParser) text(n ast.Node, path string, limit int) string {
+	s, ok := n.(*ast.StringNode)
+	if !ok {
+		p.findings.add(placeOf(n), path, "want text, not %s", describe(n))
+		return ""
+	}
+	if s.Value == "" || len(s.Value) > limit || !utf8.ValidString(s.Value) {
+		p.findings.add(placeOf(n), path, "want 1 to %d bytes of text", limit)
+		return ""
+	}
+	return s.Value
+}
+
+// name reads a name: text without spaces, control characters, "/" and "+".
+func (p *noteParser) name(n ast.Node, path string, limit int) string {
+	s := p.text(n, path, limit)
+	bad := func(r rune) bool {
+		return unicode.IsSpace(r) || unicode.IsControl(r) || r == '/' || r == '+'
+	}
+	if strings.ContainsFunc(s, bad) {
+		p.findings.add(placeOf(n), path, "%q is not a name: spaces, / and + are not allowed", s)
+		return ""
+	}
+	return s
+}
+
+// integer reads a whole number within bounds.
+func (p *noteParser) integer(n ast.Node, path string, lowest, highest int64) int64 {
+	i, ok := n.(*ast.IntegerNode)
+	if !ok {
+		p.findings.add(placeOf(n), path, "want a whole number, not %s", describe(n))
+		return lowest
+	}
+	value, ok := int64Of(i)
+	if !ok || value < lowest || value > highest {
+		p.findings.add(placeOf(n), path, "%s is out of range, want %d to %d", i.Token.Value, lowest, highest)
+		return lowest
+	}
+	return value
+}
+
+func int64Of(n *ast.IntegerNode) (int64, bool) {
+	switch v := n.Value.(type) {
+	case int64:
+		return v, true
+	case uint64:
+		return int64(v), v <= math.MaxInt64
+	}
+	return 0, false
+}
+
+// number reads a number within bounds.
+func (p *noteParser) number(n ast.Node, path string, lowest, highest float64) float64 {
+	var value float64
+	switch v := n.(type) {
+	case *ast.FloatNode:
+		value = v.Value
+	case *ast.IntegerNode:
+		whole, _ := int64Of(v)
+		value = float64(whole)
+	default:
+		p.findings.add(placeOf(n), path, "want a number, not %s", describe(n))
+		return lowest
+	}
+	if !(value >= lowest && value <= highest) {
+		p.findings.add(placeOf(n), path, "%v is out of range, want %v to %v", value, lowest, highest)
+		return lowest
+	}
+	return value
+}
+
+// duration reads a time such as 25s or 1m30s, above zero.
+func (p *noteParser) duration(n ast.Node, path string, highest time.Duration) time.Duration {
+	s := p.text(n, path, maxVersionBytes)
+	if s == "" {
+		return 0
+	}
+	d, err := time.ParseDuration(s)
+	if err != nil {
+		p.findings.add(placeOf(n), path, "%q is not a time, want such as 25s or 1m30s", s)
+		return 0
+	}
+	if d < time.Millisecond || d > highest {
+		p.findings.add(placeOf(n), path, "%s is out of range, want 1ms to %s", s, highest)
+		return 0
+	}
+	return d.Truncate(time.Millisecond)
+}
+
+// sizeUnits are the units of a size, longest first.
+var sizeUnits = []struct {
+	suffix string
+	bytes  float64
+}{{"TiB", 1 << 40}, {"GiB", 1 << 30}, {"MiB", 1 << 20}, {"KiB", 1 << 10}, {"B", 1}}
+
+// size reads an amount of memory such as 14GiB or 200MiB, above zero.
+func (p *noteParser) size(n ast.Node, path string) int64 {
+	s := p.text(n, path, maxVersionBytes)
+	if s == "" {
+		return 0
+	}
+	bytes, err := parseSize(s)
+	if err != nil {
+		p.findings.add(placeOf(n), path, "%v", err)
+		return 0
+	}
+	if bytes < 1 || bytes > maxMemoryBytes {
+		p.findings.add(placeOf(n), path, "%s is out of range, want 1B to %dTiB", s, maxMemoryBytes>>40)
+		return 0
+	}
+	return int64(bytes)
+}
+
+func parseSize(s string) (float64, error) {
+	for _, u := range sizeUnits {
+		digits, found := strings.CutSuffix(s, u.suffix)
+		if !found {
+			continue
+		}
+		value, err := strconv.ParseFloat(strings.TrimSpace(digits), 64)
+		if err != nil || math.IsNaN(value) {
+			break
+		}
+		return value * u.bytes, nil
+	}
+	return 0, fmt.Errorf("%q is not a size, want such as 14GiB or 200MiB", s)
+}
+
+// rank reads the name of a rank.
+func (p *noteParser) rank(n ast.Node, path string) (fleet.Rank, bool) {
+	s := p.text(n, path, maxNameBytes)
+	if s == "" {
+		return 0, false
+	}
+	r, err := fleet.ParseRank(s)
+	if err != nil {
+		p.findings.add(placeOf(n), path, "%v", err)
+		return 0, false
+	}
+	return r, true
+}
