benchresults: reader of benchmark output apart from the capacity page

Cause: plots read the same results. Change: internal/benchresults holds the reader and the fit; internal/capacity keeps the page. Measured: nothing to measure; tests as before. Conclusion: one reader.

--- a/internal/capacity/results.go
+++ b/internal/benchresults/results.go
@@ -1,4 +1,6 @@
-package main
+// Package benchresults reads the output of go test -bench and fits lines over
+// benchmarks that were run at several sizes.
+package benchresults
 
 import (
 	"errors"
@@ -11,35 +13,35 @@
 	"golang.org/x/perf/benchfmt"
 )
 
-// ErrNoMeasurement means that a page asks for a figure that no run gave.
+// ErrNoMeasurement means that somebody asks for a figure that no run gave.
 var ErrNoMeasurement = errors.New("no such measurement")
 
-// point is one measured value of one metric at one size.
-type point struct {
-	size  float64
-	value float64
+// Point is one measured value of one metric at one size.
+type Point struct {
+	Size  float64
+	Value float64
 }
 
-// seriesKey names the points of one metric of one benchmark over one size
+// SeriesKey names the points of one metric of one benchmark over one size
 // parameter, such as ScaleMembership over members, in wire-B/s.
-type seriesKey struct {
-	benchmark string
-	parameter string
-	unit      string
+type SeriesKey struct {
+	Benchmark string
+	Parameter string
+	Unit      string
 }
 
-// results holds the values of one run of the benchmarks.
-type results struct {
+// Results holds the values of one run of the benchmarks.
+type Results struct {
 	values map[string]map[string]float64 // full name, then unit
-	series map[seriesKey][]point
+	series map[SeriesKey][]Point
 }
 
-// readResults reads the output of go test -bench. The last value of a repeated
+// Read reads the output of go test -bench. The last value of a repeated
 // benchmark wins.
-func readResults(r io.Reader, fileName string) (*results, error) {
-	out := &results{
+func Read(r io.Reader, fileName string) (*Results, error) {
+	out := &Results{
 		values: make(map[string]map[string]float64),
-		series: make(map[seriesKey][]point),
+		series: make(map[SeriesKey][]Point),
 	}
 	reader := benchfmt.NewReader(r, fileName)
 	for reader.Scan() {
@@ -55,7 +57,7 @@
 }
 
 // add records all metrics of one benchmark line.
-func (r *results) add(res *benchfmt.Result) {
+func (r *Results) add(res *benchfmt.Result) {
 	name := benchmarkName(res.Name)
 	metrics := r.values[name]
 	if metrics == nil {
@@ -84,19 +86,19 @@
 }
 
 // buildSeries groups values whose names end in /parameter=number.
-func (r *results) buildSeries() {
+func (r *Results) buildSeries() {
 	for name, metrics := range r.values {
 		benchmark, parameter, size, ok := splitSize(name)
 		if !ok {
 			continue
 		}
 		for unit, value := range metrics {
-			key := seriesKey{benchmark, parameter, unit}
-			r.series[key] = append(r.series[key], point{size, value})
+			key := SeriesKey{benchmark, parameter, unit}
+			r.series[key] = append(r.series[key], Point{size, value})
 		}
 	}
 	for _, points := range r.series {
-		sort.Slice(points, func(i, j int) bool { return points[i].size < points[j].size })
+		sort.Slice(points, func(i, j int) bool { return points[i].Size < points[j].Size })
 	}
 }
 
@@ -117,8 +119,8 @@
 	return name[:slash], parameter, size, true
 }
 
-// at returns one measured value.
-func (r *results) at(name, unit string) (float64, error) {
+// At returns one measured value.
+func (r *Results) At(name, unit string) (float64, error) {
 	value, ok := r.values[name][unit]
 	if !ok {
 		return 0, fmt.Errorf("%w: %s in %s", ErrNoMeasurement, name, unit)
@@ -126,21 +128,24 @@
 	return value, nil
 }
 
-// keys returns the names of all series, sorted.
-func (r *results) keys() []seriesKey {
-	keys := make([]seriesKey, 0, len(r.series))
+// Keys returns the names of all series, sorted.
+func (r *Results) Keys() []SeriesKey {
+	keys := make([]SeriesKey, 0, len(r.series))
 	for key := range r.series {
 		keys = append(keys, key)
 	}
 	sort.Slice(keys, func(i, j int) bool {
 		a, b := keys[i], keys[j]
-		if a.benchmark != b.benchmark {
-			return a.benchmark < b.benchmark
+		if a.Benchmark != b.Benchmark {
+			return a.Benchmark < b.Benchmark
 		}
-		if a.parameter != b.parameter {
-			return a.parameter < b.parameter
+		if a.Parameter != b.Parameter {
+			return a.Parameter < b.Parameter
 		}
-		return a.unit < b.unit
+		return a.Unit < b.Unit
 	})
 	return keys
 }
+
+// Series returns the points of a series by rising size.
+func (r *Results) Series(key SeriesKey) []Point { return r.series[key] }
--- a/internal/capacity/capacity_test.go
+++ b/internal/capacity/capacity_test.go
@@ -5,6 +5,8 @@
 	"testing"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/redwingnotch/redwingnotch/internal/benchresults"
 )
 
 const sampleRun = `goos: linux
@@ -16,18 +18,18 @@
 PASS
 `
 
-func sample(t *testing.T) *results {
+func sample(t *testing.T) *figures {
 	t.Helper()
-	r, err := readResults(strings.NewReader(sampleRun), "sample")
+	r, err := benchresults.Read(strings.NewReader(sampleRun), "sample")
 	assert.NilError(t, err)
-	return r
+	return &figures{r}
 }
 
 func TestFitFindsSlopeAndFixedPart(t *testing.T) {
-	l, err := sample(t).fit("ScaleTable", "members", "wire-B/s")
+	l, err := sample(t).Fit("ScaleTable", "members", "wire-B/s")
 	assert.NilError(t, err)
-	assert.Equal(t, formatNumber(l.slope), "2")
-	assert.Equal(t, formatNumber(l.fixed), "8")
+	assert.Equal(t, formatNumber(l.Slope), "2")
+	assert.Equal(t, formatNumber(l.Fixed), "8")
 }
 
 func TestPageIsFilledFromTheRun(t *testing.T) {
@@ -39,9 +41,9 @@
 
 func TestPageWithoutMeasurementFails(t *testing.T) {
 	_, err := renderPage(`{{at "Takeover" "B/s"}}`, sample(t))
-	assert.ErrorIs(t, err, ErrNoMeasurement)
+	assert.ErrorIs(t, err, benchresults.ErrNoMeasurement)
 	_, err = renderPage(`{{slope "Takeover" "members" "B/s"}}`, sample(t))
-	assert.ErrorIs(t, err, ErrNoMeasurement)
+	assert.ErrorIs(t, err, benchresults.ErrNoMeasurement)
 }
 
 func TestFormatNumber(t *testing.T) {
--- a/internal/capacity/main.go
+++ b/internal/capacity/main.go
@@ -10,6 +10,8 @@
 	"os"
 
 	"github.com/alexflint/go-arg"
+
+	"github.com/redwingnotch/redwingnotch/internal/benchresults"
 )
 
 // options are the command's flags.
@@ -51,9 +53,9 @@
 	if err != nil {
 		return nil, fmt.Errorf("read page template: %w", err)
 	}
-	r, err := readResults(bench, benchPath)
+	r, err := benchresults.Read(bench, benchPath)
 	if err != nil {
 		return nil, err
 	}
-	return renderPage(string(text), r)
+	return renderPage(string(text), &figures{r})
 }
--- a/internal/capacity/page.go
+++ b/internal/capacity/page.go
@@ -6,12 +6,17 @@
 	"strconv"
 	"strings"
 	"text/template"
+
+	"github.com/redwingnotch/redwingnotch/internal/benchresults"
 )
 
+// figures are measured results as a page template uses them.
+type figures struct{ *benchresults.Results }
+
 // renderPage fills the page's template with measured figures. Each figure in
 // the page is an expression over the results, so the page can be redone from
 // another run.
-func renderPage(text string, r *results) ([]byte, error) {
+func renderPage(text string, r *figures) ([]byte, error) {
 	page, err := template.New("page").Funcs(r.functions()).Parse(text)
 	if err != nil {
 		return nil, fmt.Errorf("parse page template: %w", err)
@@ -24,9 +29,9 @@
 }
 
 // functions returns what a page template may call.
-func (r *results) functions() template.FuncMap {
+func (r *figures) functions() template.FuncMap {
 	return template.FuncMap{
-		"at":     r.at,
+		"at":     r.At,
 		"slope":  r.slope,
 		"est":    r.estimate,
 		"slopes": r.slopesTable,
@@ -38,41 +43,41 @@
 }
 
 // slope returns a series' growth per unit of its size parameter.
-func (r *results) slope(benchmark, parameter, unit string) (float64, error) {
-	l, err := r.fit(benchmark, parameter, unit)
-	return l.slope, err
+func (r *figures) slope(benchmark, parameter, unit string) (float64, error) {
+	l, err := r.Fit(benchmark, parameter, unit)
+	return l.Slope, err
 }
 
 // estimate returns the fitted value of a series at a size.
-func (r *results) estimate(benchmark, parameter, unit string, size float64) (float64, error) {
-	l, err := r.fit(benchmark, parameter, unit)
-	return l.fixed + l.slope*size, err
+func (r *figures) estimate(benchmark, parameter, unit string, size float64) (float64, error) {
+	l, err := r.Fit(benchmark, parameter, unit)
+	return l.Fixed + l.Slope*size, err
 }
 
 // slopesTable returns one row per series: the measured points and the fit.
-func (r *results) slopesTable() (string, error) {
+func (r *figures) slopesTable() (string, error) {
 	var out strings.Builder
 	out.WriteString("| benchmark | over | unit | measured (size: value) | slope |\n|---|---|---|---|---|\n")
-	for _, key := range r.keys() {
-		points := r.series[key]
+	for _, key := range r.Keys() {
+		points := r.Series(key)
 		if len(points) < 2 {
 			continue
 		}
-		l, err := r.fit(key.benchmark, key.parameter, key.unit)
+		l, err := r.Fit(key.Benchmark, key.Parameter, key.Unit)
 		if err != nil {
 			return "", err
 		}
 		fmt.Fprintf(&out, "| %s | %s | %s | %s | %s |\n",
-			key.benchmark, key.parameter, key.unit, formatPoints(points), formatNumber(l.slope))
+			key.Benchmark, key.Parameter, key.Unit, formatPoints(points), formatNumber(l.Slope))
 	}
 	return strings.TrimSuffix(out.String(), "\n"), nil
 }
 
 // formatPoints lists measured points as "8: 120, 80: 900".
-func formatPoints(points []point) string {
+func formatPoints(points []benchresults.Point) string {
 	parts := make([]string, len(points))
 	for i, p := range points {
-		parts[i] = formatNumber(p.size) + ": " + formatNumber(p.value)
+		parts[i] = formatNumber(p.Size) + ": " + formatNumber(p.Value)
 	}
 	return strings.Join(parts, ", ")
 }
