--- a/internal/httpsend/httpsend_test.go
+++ b/internal/httpsend/httpsend_test.go
@@ -18,10 +18,17 @@
 const address = "peer:80"
 
 func post(ctx context.Context, client *http.Client) error {
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/", bytes.NewReader([]byte("order")))
+	return send(ctx, client, http.MethodPost, "")
+}
+
+func send(ctx context.Context, client *http.Client, method, key string) error {
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+address+"/", bytes.NewReader([]byte("order")))
 	if err != nil {
 		return err
 	}
+	if key != "" {
+		req.Header.Set("Idempotency-Key", key)
+	}
 	resp, err := Do(client, req)
 	if err == nil {
 		_, err = io.Copy(io.Discard, resp.Body)
@@ -85,7 +92,22 @@
 	})
 }
 
-func TestPostIsNotSentAgainOnAStaleConnection(t *testing.T) {
+// TestNothingIsSentTwice uses requests that the standard client repeats when a
+// connection of an earlier request breaks.
+func TestNothingIsSentTwice(t *testing.T) {
+	for _, tc := range []struct {
+		name, method, key string
+	}{
+		{"post", http.MethodPost, ""},
+		{"post with a key", http.MethodPost, "k"},
+		{"get", http.MethodGet, ""},
+	} {
+		t.Run(tc.name, func(t *testing.T) { sendTwice(t, tc.method, tc.key) })
+	}
+}
+
+// sendTwice sends two requests. The server breaks the connection of the second.
+func sendTwice(t *testing.T, method, key string) {
 	synctest.Test(t, func(t *testing.T) {
 		network := pipenet.New()
 		l, err := network.Listen(address)
@@ -99,9 +121,9 @@
 		go func() { _ = server.Serve(l) }()
 		defer server.Close()
 		client := NewClient(Options{Dial: network.Dial})
-		assert.NilError(t, post(t.Context(), client))
+		assert.NilError(t, send(t.Context(), client, method, key))
 		synctest.Wait()
-		err = post(t.Context(), client)
+		err = send(t.Context(), client, method, key)
 		assert.ErrorIs(t, err, ErrMaybeSent)
 		assert.ErrorIs(t, err, ErrReused)
 		assert.Equal(t, runs, 2)
--- a/internal/httpsend/track.go
+++ b/internal/httpsend/track.go
@@ -86,6 +86,8 @@
 	return httptrace.WithClientTrace(ctx, trace), c
 }
 
+// gotConn notes the connection of the next try. The standard client repeats
+// some requests of which bytes have left; the seal makes such a try fail.
 func (c *call) gotConn(info httptrace.GotConnInfo) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -95,6 +97,13 @@
 		c.untracked = true
 		return
 	}
+	if len(c.used) > 0 {
+		last := c.used[len(c.used)-1]
+		if last.conn.writes() != last.start {
+			tracked.seal()
+			return
+		}
+	}
 	c.used = append(c.used, use{conn: tracked, start: tracked.writes()})
 }
 
