--- a/admission/backend.go
+++ b/admission/backend.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -66,7 +67,7 @@
 
 // admits reports whether a request of the rank and cost fits. A backend server
 // that runs nothing takes any rank.
-func (b *backendState) admits(rank fleet.Rank, cost int, ceilings *[fleet.RankCount]int) bool {
+func (b *backendState) admits(rank fleet.Rank, cost int, limits *rankLimits) bool {
 	total := b.total()
 	if total == 0 {
 		return true
@@ -78,7 +79,46 @@
 	for r := rank; r < fleet.RankCount; r++ {
 		lower += b.used[r]
 	}
-	return lower <= ceilings[rank]
+	reserved := 0
+	for r := fleet.Rank(0); r < rank; r++ {
+		reserved += b.reserve(r, cost, limits.window)
+	}
+	most := min(limits.ceilings[rank], capacityUnits-reserved)
+	return lower <= max(most, limits.floors[rank])
+}
+
+// reserveDeviations is the number of standard deviations above its recent mean
+// up to which slots are kept free for a rank, taking arrivals as Poisson.
+const reserveDeviations = 1.5
+
+// reserve returns the capacity units to keep from lower ranks for the requests
+// of a rank that are to be expected from its recent use.
+func (b *backendState) reserve(rank fleet.Rank, cost int, window time.Duration) int {
+	mean := b.usage.byRank[rank] / window.Seconds()
+	return int((mean + reserveDeviations*math.Sqrt(mean)) * float64(cost))
+}
+
+// rankLimits bound what a rank and those below it may fill of one backend
+// server, in capacity units.
+type rankLimits struct {
+	ceilings [fleet.RankCount]int
+	floors   [fleet.RankCount]int // of the rank and those below
+	window   time.Duration        // of slot accounts
+}
+
+// newRankLimits derives the limits from the settings.
+func newRankLimits(s *Settings) rankLimits {
+	limits := rankLimits{window: s.FloorWindow}
+	sum := 0.0
+	for r := fleet.RankCount - 1; r >= 0; r-- {
+		sum += s.Ranks[r].Floor
+		limits.floors[r] = int(sum * capacityUnits)
+		limits.ceilings[r] = int(s.Ranks[r].Ceiling * capacityUnits)
+		if s.FIFO {
+			limits.floors[r] = capacityUnits
+		}
+	}
+	return limits
 }
 
 // setForeign derives from a lagging report how many requests run that this
--- a/admission/decide.go
+++ b/admission/decide.go
@@ -142,14 +142,9 @@
 func (q *Queue) Tick(now time.Time) []Decision {
 	if now.Sub(q.scanned) >= scanInterval {
 		q.scanned = now
-		for _, id := range sortedKeys(q.waiters) {
-			q.checkWaiter(now, q.waiters[id])
-		}
-	}
-	for _, id := range sortedKeys(q.models) {
-		q.serveModel(now, q.models[id])
+		q.refuseUseless(now)
 	}
-	q.serveHeld(now)
+	q.serveAll(now)
 	q.checkBooks()
 	return q.Decided()
 }
@@ -163,30 +158,39 @@
 	return out
 }
 
-// checkWaiter ends one wait if it became useless.
-func (q *Queue) checkWaiter(now time.Time, w *waiter) {
+// refuseUseless ends the waits that became useless, in order of request id.
+func (q *Queue) refuseUseless(now time.Time) {
+	useless := make(map[string]Refusal)
+	for id, w := range q.waiters {
+		if refusal, refused := q.checkWaiter(now, w); refused {
+			useless[id] = refusal
+		}
+	}
+	for _, id := range sortedKeys(useless) {
+		q.refuse(q.waiters[id], useless[id])
+	}
+}
+
+// checkWaiter returns the refusal of a wait that became useless.
+func (q *Queue) checkWaiter(now time.Time, w *waiter) (Refusal, bool) {
 	if now.Sub(w.offered) >= q.settings.PollTimeout {
-		q.refuse(w, Refusal{Code: CodeCancelled, Detail: "the entry node stopped asking"})
-		return
+		return Refusal{Code: CodeCancelled, Detail: "the entry node stopped asking"}, true
 	}
 	m := q.models[w.Target.Model]
 	if refusal, refused := q.tooLateNow(now, m, w); refused {
-		q.refuse(w, refusal)
-		return
-	}
-	if q.settings.FIFO || supplyOf(m).readySlots > 0 {
-		return
+		return refusal, true
 	}
-	if refusal, refused := q.tooLate(now, m, w); refused {
-		q.refuse(w, refusal)
+	if q.settings.FIFO || m.serving {
+		return Refusal{}, false
 	}
+	return q.tooLate(now, m, w)
 }
 
 // checkBooks asserts that each waiter stands in exactly one place.
 func (q *Queue) checkBooks() {
 	queued := len(q.held)
-	for _, m := range q.models {
-		for _, t := range m.targets {
+	for id := range q.demanded {
+		for _, t := range q.models[id].targets {
 			for r := range t.byRank {
 				queued += t.byRank[r].len()
 			}
@@ -208,20 +212,18 @@
 			byTarget[target] = &fleet.Demand{Target: target, LastArrival: last}
 		}
 	}
-	for _, w := range q.waiters {
-		d := byTarget[w.Target]
-		if d == nil {
-			d = &fleet.Demand{Target: w.Target, LastArrival: w.Arrival}
-			byTarget[w.Target] = d
-		}
-		d.Waiting[w.Rank]++
-		if earliest := d.EarliestDeadline[w.Rank]; earliest.IsZero() || w.Deadline.Before(earliest) {
-			d.EarliestDeadline[w.Rank] = w.Deadline
-		}
-		if d.OldestArrival.IsZero() || w.Arrival.Before(d.OldestArrival) {
-			d.OldestArrival = w.Arrival
+	for id := range q.demanded {
+		for _, t := range q.models[id].targets {
+			d := demandOf(byTarget, fleet.Target{Model: id, Adapter: t.adapter})
+			for r := range t.byRank {
+				t.byRank[r].addTo(d, fleet.Rank(r))
+			}
 		}
 	}
+	for _, w := range q.held {
+		d := demandOf(byTarget, w.Target)
+		addDemand(d, w.Rank, 1, w.Deadline, w.Arrival)
+	}
 	out := make([]fleet.Demand, 0, len(byTarget))
 	for _, d := range byTarget {
 		out = append(out, *d)
@@ -229,3 +231,42 @@
 	slices.SortFunc(out, func(a, b fleet.Demand) int { return compareTargets(a.Target, b.Target) })
 	return out
 }
+
+// demandOf returns the target's row and adds it if needed.
+func demandOf(rows map[fleet.Target]*fleet.Demand, t fleet.Target) *fleet.Demand {
+	d := rows[t]
+	if d == nil {
+		d = &fleet.Demand{Target: t}
+		rows[t] = d
+	}
+	return d
+}
+
+// addTo adds a queue's waiters to the demand. The oldest arrival is taken among
+// the first waiters of the callers.
+func (q *rankQueue) addTo(d *fleet.Demand, rank fleet.Rank) {
+	if q.len() == 0 {
+		return
+	}
+	oldest := q.callers[0].waiters[0].Arrival
+	for _, c := range q.callers[1:] {
+		if head := c.waiters[0]; head.Arrival.Before(oldest) {
+			oldest = head.Arrival
+		}
+	}
+	addDemand(d, rank, q.len(), time.Unix(0, q.deadlines[0]), oldest)
+}
+
+// addDemand adds waiters to a row.
+func addDemand(d *fleet.Demand, rank fleet.Rank, n int, deadline, arrival time.Time) {
+	d.Waiting[rank] += n
+	if earliest := d.EarliestDeadline[rank]; earliest.IsZero() || deadline.Before(earliest) {
+		d.EarliestDeadline[rank] = deadline
+	}
+	if d.OldestArrival.IsZero() || arrival.Before(d.OldestArrival) {
+		d.OldestArrival = arrival
+	}
+	if arrival.After(d.LastArrival) {
+		d.LastArrival = arrival
+	}
+}
--- a/admission/model.go
+++ b/admission/model.go
@@ -17,6 +17,7 @@
 	learnt   learntTimes
 	info     fleet.Model
 	known    bool // in the release
+	serving  bool // has a replica that takes work
 	adapters map[fleet.AdapterID]bool
 	last     map[fleet.AdapterID]time.Time // latest arrival, "" for the base model
 }
@@ -131,6 +132,7 @@
 	q.backends = make(map[bootKey]*backendState, len(old))
 	for _, m := range q.models {
 		m.replicas = m.replicas[:0]
+		m.serving = false
 	}
 	byKey := make(map[fleet.ReplicaKey]*replicaState, len(rs))
 	for _, row := range rs {
@@ -138,10 +140,7 @@
 	}
 	q.reattachGrants(byKey)
 	q.applyLoads(now, loads, byKey)
-	for _, id := range sortedKeys(q.models) {
-		q.serveModel(now, q.models[id])
-	}
-	q.serveHeld(now)
+	q.serveAll(now)
 }
 
 // addReplica enters one row of the replica table.
@@ -161,6 +160,7 @@
 	b.replicas = append(b.replicas, r)
 	m := q.model(row.Model)
 	m.replicas = append(m.replicas, r)
+	m.serving = m.serving || r.serves()
 	return r
 }
 
@@ -213,6 +213,14 @@
 	}
 }
 
+// serveAll grants what it can for all models that are waited for, in order.
+func (q *Queue) serveAll(now time.Time) {
+	for _, id := range sortedKeys(q.demanded) {
+		q.serveModel(now, q.models[id])
+	}
+	q.serveHeld(now)
+}
+
 // sortedKeys returns a map's keys in order.
 func sortedKeys[K cmp.Ordered, V any](m map[K]V) []K {
 	return slices.Sorted(maps.Keys(m))
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -32,14 +32,15 @@
 // Queue is the core of admission for one cell.
 type Queue struct {
 	settings Settings
-	ceilings [fleet.RankCount]int // capacity units
+	limits   rankLimits
 	models   map[fleet.ModelID]*modelState
 	backends map[bootKey]*backendState
 	waiters  map[string]*waiter // by request id
 	waiting  [fleet.RankCount]int
-	held     []*waiter              // suspects that wait for their turn, in order of offer
-	grants   map[string]*grantState // by grant id
-	granted  map[string]*grantState // by request id
+	demanded map[fleet.ModelID]struct{} // models with queued waiters
+	held     []*waiter                  // suspects that wait for their turn, in order of offer
+	grants   map[string]*grantState     // by grant id
+	granted  map[string]*grantState     // by request id
 	callers  [fleet.RankCount]callerAccount
 	ready    []Decision // made outside of Tick, returned by the next Tick
 	seq      uint64
@@ -49,18 +50,16 @@
 
 // New returns an empty queue. The settings must be valid.
 func New(s Settings) *Queue {
-	q := &Queue{
+	return &Queue{
 		settings: s,
+		limits:   newRankLimits(&s),
 		models:   make(map[fleet.ModelID]*modelState),
 		backends: make(map[bootKey]*backendState),
 		waiters:  make(map[string]*waiter),
+		demanded: make(map[fleet.ModelID]struct{}),
 		grants:   make(map[string]*grantState),
 		granted:  make(map[string]*grantState),
 	}
-	for r, rs := range s.Ranks {
-		q.ceilings[r] = int(rs.Ceiling * capacityUnits)
-	}
-	return q
 }
 
 // Offer asks for a slot for the request. It is idempotent by request id: a
@@ -123,11 +122,21 @@
 		m.last[w.Target.Adapter] = w.Arrival
 	}
 	m.add(w, q.settings.FIFO)
+	q.demanded[w.Target.Model] = struct{}{}
+}
+
+// dequeue takes a waiter out of its queue.
+func (q *Queue) dequeue(w *waiter) {
+	m := q.models[w.Target.Model]
+	m.remove(w)
+	if len(m.targets) == 0 {
+		delete(q.demanded, w.Target.Model)
+	}
 }
 
 // hold moves a waiter to those kept apart by the quarantine.
 func (q *Queue) hold(w *waiter) {
-	q.models[w.Target.Model].remove(w)
+	q.dequeue(w)
 	w.held = true
 	q.held = append(q.held, w)
 }
@@ -140,7 +149,7 @@
 		q.held = slices.DeleteFunc(q.held, func(o *waiter) bool { return o == w })
 		return
 	}
-	q.models[w.Target.Model].remove(w)
+	q.dequeue(w)
 }
 
 // makeRoom refuses a waiter of the lowest rank below the given one, from the
--- a/admission/queue_test.go
+++ b/admission/queue_test.go
@@ -95,7 +95,7 @@
 	d := q.Offer(start, request("urgent", fleet.RankUrgent))
 	assert.Equal(t, d.Kind, admission.Refuse)
 	assert.Equal(t, d.Refusal.Code, admission.CodeDeadline)
-	assert.Equal(t, d.Refusal.RetryAfter, 30*time.Second)
+	assert.Equal(t, d.Refusal.RetryAfter, 15*time.Second)
 	assert.Equal(t, q.Offer(start, request("standard", fleet.RankStandard)).Kind, admission.Wait)
 }
 
@@ -107,8 +107,8 @@
 	for i := range 40 {
 		kinds[q.Offer(now, request(fmt.Sprint(i), fleet.RankUrgent)).Kind]++
 	}
-	// One runs; 2 s each with 30 s to the deadline lets 15 wait.
-	assert.DeepEqual(t, kinds, map[admission.DecisionKind]int{admission.Grant: 1, admission.Wait: 15, admission.Refuse: 24})
+	// One runs; 2 s each with 45 s to the deadline lets 23 wait: the last gets its slot at 44 s.
+	assert.DeepEqual(t, kinds, map[admission.DecisionKind]int{admission.Grant: 1, admission.Wait: 23, admission.Refuse: 16})
 }
 
 func TestRefusesOnExpiryAndWhenNotPolled(t *testing.T) {
--- a/admission/serve.go
+++ b/admission/serve.go
@@ -27,8 +27,9 @@
 	if now.Before(b.downUntil) {
 		return
 	}
+	b.usage.decay(now, q.settings.FloorWindow)
 	for {
-		w, fallback := q.pick(now, b)
+		w, fallback := q.pick(b)
 		if w == nil {
 			return
 		}
@@ -51,7 +52,7 @@
 
 // pick returns the waiter that a backend server should run next with the
 // replica to run it on, or nil.
-func (q *Queue) pick(now time.Time, b *backendState) (*waiter, *replicaState) {
+func (q *Queue) pick(b *backendState) (*waiter, *replicaState) {
 	var best [fleet.RankCount]*waiter
 	var on [fleet.RankCount]*replicaState
 	for _, r := range b.replicas {
@@ -65,7 +66,7 @@
 			q.pickRanks(t, r, &best, &on)
 		}
 	}
-	rank, found := q.pickRank(now, b, &best)
+	rank, found := q.pickRank(b, &best)
 	if !found {
 		return nil, nil
 	}
@@ -76,7 +77,7 @@
 func (q *Queue) pickRanks(t *targetQueues, r *replicaState, best *[fleet.RankCount]*waiter, on *[fleet.RankCount]*replicaState) {
 	for rank := range t.byRank {
 		queue := &t.byRank[rank]
-		if queue.len() == 0 || !r.backend.admits(fleet.Rank(rank), r.cost(), &q.ceilings) {
+		if queue.len() == 0 || !r.backend.admits(fleet.Rank(rank), r.cost(), &q.limits) {
 			continue
 		}
 		w := queue.first(q.callers[rank].overShare)
@@ -89,11 +90,10 @@
 
 // pickRank chooses the rank to serve: the one furthest below its floor, else
 // the most urgent.
-func (q *Queue) pickRank(now time.Time, b *backendState, best *[fleet.RankCount]*waiter) (fleet.Rank, bool) {
+func (q *Queue) pickRank(b *backendState, best *[fleet.RankCount]*waiter) (fleet.Rank, bool) {
 	if q.settings.FIFO {
 		return firstOffered(best)
 	}
-	b.usage.decay(now, q.settings.FloorWindow)
 	chosen, found := fleet.Rank(0), false
 	most := 0.0
 	for rank, w := range best {
@@ -179,7 +179,7 @@
 	if !r.serves() || !r.hasAdapter(w.Target.Adapter) || now.Before(r.backend.downUntil) {
 		return false
 	}
-	if !r.backend.admits(w.Rank, r.cost(), &q.ceilings) {
+	if !r.backend.admits(w.Rank, r.cost(), &q.limits) {
 		return false
 	}
 	table := q.settings.Quarantine
--- a/admission/settings.go
+++ b/admission/settings.go
@@ -40,13 +40,13 @@
 )
 
 // DefaultSettings returns settings that suit interactive urgent work, standard
-// work within a minute and bulk work within an hour.
+// work within two minutes and bulk work within a quarter of an hour.
 func DefaultSettings() Settings {
 	return Settings{
 		Ranks: [fleet.RankCount]RankSettings{
-			fleet.RankUrgent:   {FirstTokenTarget: 2 * time.Second, MaxWait: 30 * time.Second, Worth: 100, Floor: 0.5, Ceiling: 1},
-			fleet.RankStandard: {FirstTokenTarget: 30 * time.Second, MaxWait: 5 * time.Minute, Worth: 10, Floor: 0.2, Ceiling: 0.9},
-			fleet.RankBulk:     {FirstTokenTarget: 10 * time.Minute, MaxWait: time.Hour, Worth: 1, Floor: 0.1, Ceiling: 0.75},
+			fleet.RankUrgent:   {FirstTokenTarget: 2 * time.Second, MaxWait: 45 * time.Second, Worth: 100, Floor: 0.5, Ceiling: 1},
+			fleet.RankStandard: {FirstTokenTarget: 15 * time.Second, MaxWait: 2 * time.Minute, Worth: 10, Floor: 0.2, Ceiling: 0.9},
+			fleet.RankBulk:     {FirstTokenTarget: 5 * time.Minute, MaxWait: 15 * time.Minute, Worth: 1, Floor: 0.1, Ceiling: 0.75},
 		},
 		PollTimeout: DefaultPollTimeout,
 		FloorWindow: DefaultFloorWindow,
