node: serves by the release in force in the platform's store

Cause: the node got its models from its caller. Change: release.Replica decides; the node fetches from peers and the store, relays watch, versions travel by membership, a node that is cut off orders no loads and one that does not know the version in force refuses.

--- a/internal/node/catalog.go
+++ b/internal/node/catalog.go
@@ -7,6 +7,7 @@
 	"github.com/redwingnotch/redwingnotch/fleet"
 	"github.com/redwingnotch/redwingnotch/internal/entry"
 	"github.com/redwingnotch/redwingnotch/invariant"
+	"github.com/redwingnotch/redwingnotch/release"
 )
 
 // inForce is one version of the release. It does not change.
@@ -24,7 +25,10 @@
 }
 
 // catalog is the release in force at this node. Safe for concurrent use.
-type catalog struct{ current atomic.Pointer[inForce] }
+type catalog struct {
+	current  atomic.Pointer[inForce]
+	standing atomic.Uint32 // a release.Standing
+}
 
 func newCatalog() *catalog {
 	c := &catalog{}
@@ -34,7 +38,8 @@
 
 // set puts a version in force. Versions must rise.
 func (c *catalog) set(version uint64, models []fleet.Model, adapters []fleet.Adapter) {
-	invariant.Check(version > c.Version(), invariant.VersionMonotonic, "release %d after %d", version, c.Version())
+	before := c.current.Load().version
+	invariant.Check(version > before, invariant.VersionMonotonic, "release %d after %d", version, before)
 	f := &inForce{version: version, models: models, adapters: adapters, byTarget: make(map[fleet.Target]standing)}
 	byID := make(map[fleet.ModelID]fleet.Model, len(models))
 	for _, m := range models {
@@ -69,5 +74,14 @@
 // Names implements entry.Catalog.
 func (c *catalog) Names() []string { return c.current.Load().names }
 
-// Version implements entry.Catalog.
-func (c *catalog) Version() uint64 { return c.current.Load().version }
+// Version implements entry.Catalog. It is zero while the node may not serve by
+// what it knows.
+func (c *catalog) Version() uint64 {
+	if s := c.getStanding(); s == release.StandingUnknown || s == release.StandingExpired {
+		return 0
+	}
+	return c.current.Load().version
+}
+
+func (c *catalog) setStanding(s release.Standing) { c.standing.Store(uint32(s)) }
+func (c *catalog) getStanding() release.Standing  { return release.Standing(c.standing.Load()) }
--- a/internal/node/cell.go
+++ b/internal/node/cell.go
@@ -15,6 +15,7 @@
 	"github.com/redwingnotch/redwingnotch/lease"
 	"github.com/redwingnotch/redwingnotch/platform"
 	"github.com/redwingnotch/redwingnotch/quarantine"
+	"github.com/redwingnotch/redwingnotch/release"
 )
 
 // suspectHold is how long a new controller keeps suspected requests from
@@ -69,7 +70,7 @@
 	c.mu.Lock()
 	c.setAuthority(now, authority)
 	c.setRelease(now)
-	effects := c.controller.Tick(now, c.queue.Demands(now), c.node.cfg.Retention)
+	effects := c.controller.Tick(now, c.demands(now), c.node.cfg.Retention)
 	if authority.InOffice {
 		c.queue.SetReplicas(now, c.controller.Replicas(), c.replicaLoads())
 		c.queue.SetColdEstimates(c.coldEstimates())
@@ -80,6 +81,15 @@
 	return nil
 }
 
+// demands returns what waits. A node that is cut off from all others and from
+// the store orders no loads, as it may not know what is in force.
+func (c *cell) demands(now time.Time) []fleet.Demand {
+	if c.node.catalog.getStanding() != release.StandingCurrent {
+		return nil
+	}
+	return c.queue.Demands(now)
+}
+
 // setAuthority starts or ends a term of office. Requests that wait at the end
 // of a term are told to ask the successor.
 func (c *cell) setAuthority(now time.Time, a lease.Authority) {
@@ -133,10 +143,6 @@
 func (c *cell) deliver(decisions []admission.Decision) {
 	for _, d := range decisions {
 		delete(c.waiting, d.RequestID)
-		if d.Kind == admission.Preempt {
-			c.preempt(d)
-			continue
-		}
 		if poll := c.polls[d.RequestID]; poll != nil {
 			poll <- d
 			delete(c.polls, d.RequestID)
@@ -144,18 +150,6 @@
 	}
 }
 
-// preempt stops a granted request at its backend server. Its entry node sees
-// the stream end and asks again with the tokens it has.
-func (c *cell) preempt(d admission.Decision) {
-	c.node.background.Go(func() {
-		ctx, cancel := context.WithTimeout(c.node.halted, orderTimeout)
-		defer cancel()
-		if err := c.node.backends.engine(d.Grant.Address).Cancel(ctx, d.RequestID); err != nil {
-			level.Info(c.node.cfg.Log).Log("event", "preempt_failed", "backend", d.Grant.Replica.Backend, "err", err)
-		}
-	})
-}
-
 // handleReport takes in what an engine said of itself.
 func (c *cell) handleReport(requestedAt time.Time, r engine.Report) {
 	now := time.Now()
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -22,6 +22,7 @@
 	"github.com/redwingnotch/redwingnotch/membership"
 	"github.com/redwingnotch/redwingnotch/platform"
 	"github.com/redwingnotch/redwingnotch/quarantine"
+	"github.com/redwingnotch/redwingnotch/release"
 )
 
 // Gossip carries membership's datagrams. udp.Transport implements it.
@@ -67,6 +68,7 @@
 	ShutdownTimeout time.Duration
 
 	Membership  membership.Settings
+	Release     release.ReplicaSettings
 	Lease       lease.Config
 	Controller  controller.Config
 	Admission   admission.Settings
@@ -122,6 +124,7 @@
 	setDefault(&cfg.ShutdownTimeout, DefaultShutdownTimeout)
 	setDefault(&cfg.CallerAddress, cfg.Callers.Addr().String())
 	setDefault(&cfg.PeerAddress, cfg.Peers.Addr().String())
+	setDefault(&cfg.Release, release.DefaultReplicaSettings())
 	setDefault(&cfg.Membership, membership.DefaultSettings())
 	setDefault(&cfg.Quarantine, quarantine.DefaultSettings())
 	setDefault(&cfg.Controller.Budget.LoadsPerSecond, DefaultLoadsPerSecond)
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -14,6 +14,7 @@
 	"github.com/redwingnotch/redwingnotch/internal/entry"
 	"github.com/redwingnotch/redwingnotch/lease"
 	"github.com/redwingnotch/redwingnotch/membership"
+	"github.com/redwingnotch/redwingnotch/release"
 )
 
 // members carries out the membership core.
@@ -82,21 +83,24 @@
 		if !membership.SameRun(event.Was, event.Member.Incarnation) {
 			n.cell.entryLost(event.Member.ID, membership.RunOf(event.Was))
 		}
+	case membership.EventPaused:
+		n.releases.reconfirm(time.Now())
 	case membership.EventItem:
 		m.handleItem(event.Item)
 	}
 }
 
 func (m *members) handleItem(item membership.Item) {
-	if item.Kind == membership.ItemQuarantine {
+	switch item.Kind {
+	case membership.ItemRelease:
+		m.node.releases.announced(item.Version)
+	case membership.ItemQuarantine:
 		m.node.cell.importQuarantine(item)
-		return
-	}
-	if item.Kind != membership.ItemController || item.Key != string(m.node.cfg.Cell) {
-		return
-	}
-	if holder, ok := parseHolder(string(item.Value)); ok {
-		m.node.office.hint(holder, fleet.Epoch(item.Version))
+	case membership.ItemController:
+		holder, ok := parseHolder(string(item.Value))
+		if ok && item.Key == string(m.node.cfg.Cell) {
+			m.node.office.hint(holder, fleet.Epoch(item.Version))
+		}
 	}
 }
 
@@ -164,6 +168,18 @@
 	return addresses
 }
 
+// releasePeers is the member table as the release needs it.
+func (m *members) releasePeers() []release.Peer {
+	var peers []release.Peer
+	for _, row := range m.all() {
+		if row.ID == m.node.cfg.ID || row.State.Gone() {
+			continue
+		}
+		peers = append(peers, release.Peer{ID: row.ID, Zone: row.Zone, Version: row.ReleaseVersion, HeardAt: row.HeardAt})
+	}
+	return peers
+}
+
 // leaseMembers is the member table as the lease needs it.
 func (m *members) leaseMembers() []lease.Member {
 	rows := m.all()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -36,6 +36,7 @@
 	cell     *cell
 	backends *backends
 	catalog  *catalog
+	releases *releases
 	peers    *peerClients
 
 	callerServer *http.Server
@@ -67,6 +68,9 @@
 	if n.members, err = newMembers(n, now); err != nil {
 		return nil, err
 	}
+	if n.releases, err = newReleases(n, now); err != nil {
+		return nil, err
+	}
 	if n.keys, err = newKeys(n); err != nil {
 		return nil, err
 	}
@@ -115,7 +119,7 @@
 	group.Go(func() error { return everyNow(groupCtx, snapshotInterval, n.refreshSnapshot) })
 	group.Go(func() error { return every(groupCtx, sweepInterval, n.sweep) })
 	group.Go(func() error { return every(groupCtx, rejoinInterval, n.rejoin) })
-	group.Go(func() error { return n.runRelease(groupCtx) })
+	group.Go(func() error { return every(groupCtx, releaseTick, n.releases.tick) })
 	group.Go(func() error { return serve(n.callerServer, n.cfg.Callers) })
 	group.Go(func() error { return serve(n.peerServer, n.cfg.Peers) })
 	level.Info(n.cfg.Log).Log("event", "started", "incarnation", n.run, "callers", n.cfg.CallerAddress, "peers", n.cfg.PeerAddress)
