redwingnotch-dev: releases go through the platform's store

Cause: the deployment put models in force by a call that nodes no longer have. Change: Apply publishes a release note and waits until it is in force at all nodes.

--- a/internal/dev/day.go
+++ b/internal/dev/day.go
@@ -226,7 +226,9 @@
 // applyRelease puts the second release in force and asks each node by it.
 func (y *day) applyRelease(ctx context.Context) error {
 	before := time.Now()
-	y.d.Apply(SecondRelease())
+	if err := y.d.Apply(ctx, SecondRelease()); err != nil {
+		return err
+	}
 	added := Ask{Model: ModelCollar, Rank: fleet.RankStandard, MaxTokens: 8, Deadline: 20 * time.Second}
 	withdrawn := Ask{Model: ModelOld, Rank: fleet.RankStandard, MaxTokens: 8, Deadline: 20 * time.Second}
 	n := len(y.d.Nodes())
--- a/internal/dev/deployment.go
+++ b/internal/dev/deployment.go
@@ -81,7 +81,6 @@
 	options    Options
 	apiAddress string
 	backends   map[fleet.BackendID]platform.VMRecord
-	release    Release
 
 	mu    sync.Mutex
 	nodes []*Node
@@ -116,12 +115,15 @@
 		Ledger:   engine.NewLedger(),
 		options:  o,
 		backends: map[fleet.BackendID]platform.VMRecord{},
-		release:  release,
 	}
 	if err := d.startStandIns(); err != nil {
 		d.Close()
 		return nil, err
 	}
+	if err := d.Apply(context.Background(), release); err != nil {
+		d.Close()
+		return nil, err
+	}
 	for i := range o.Nodes {
 		if err := d.StartNode(fmt.Sprintf("entry-%d", i+1)); err != nil {
 			d.Close()
@@ -240,9 +242,7 @@
 	}()
 	d.mu.Lock()
 	d.nodes = append(d.nodes, n)
-	release := d.release
 	d.mu.Unlock()
-	running.SetInForce(release.Version, release.Models, nil)
 	return nil
 }
 
--- a/internal/dev/release.go
+++ b/internal/dev/release.go
@@ -1,9 +1,13 @@
 package dev
 
 import (
+	"context"
+	"fmt"
+	"strings"
 	"time"
 
 	"github.com/redwingnotch/redwingnotch/fleet"
+	"github.com/redwingnotch/redwingnotch/release"
 )
 
 // Release is one version of the models in force.
@@ -68,12 +72,54 @@
 // allModels are the models of all releases, as the engines know them.
 func allModels() []fleet.Model { return SecondRelease().Models }
 
-// Apply puts a release in force at all nodes, and at those started later.
-func (d *Deployment) Apply(r Release) {
-	d.mu.Lock()
-	d.release = r
-	d.mu.Unlock()
+// noteText writes the release as a release note.
+func (r Release) noteText() string {
+	var text strings.Builder
+	fmt.Fprintf(&text, "title: release %d\n", r.Version)
+	var withdrawn []string
+	for _, m := range r.Models {
+		if m.Withdrawn {
+			withdrawn = append(withdrawn, string(m.ID))
+		}
+	}
+	text.WriteString("models:\n")
+	for _, m := range r.Models {
+		if m.Withdrawn {
+			continue
+		}
+		fmt.Fprintf(&text, "  - {id: %s, version: %s, replicas: {%s: %d}, memory: %dMiB, load_time: %s, slots: %d}\n",
+			m.ID, m.Version, Cell, m.MaxReplicas, m.MemoryBytes>>20, m.LoadTime, m.Slots)
+	}
+	if len(withdrawn) > 0 {
+		fmt.Fprintf(&text, "withdraw: {models: [%s]}\n", strings.Join(withdrawn, ", "))
+	}
+	return text.String()
+}
+
+// operator is who publishes the releases of the deployment.
+const operator = "redwingnotch-dev"
+
+// inForcePoll is the interval at which nodes are asked what is in force.
+const inForcePoll = 20 * time.Millisecond
+
+// Apply publishes a release and waits until it is in force at all nodes.
+func (d *Deployment) Apply(ctx context.Context, r Release) error {
+	note, findings := release.ParseNote([]byte(r.noteText()))
+	if len(findings) > 0 {
+		return findings
+	}
+	publisher := release.Publisher{Store: d.API, Operator: operator}
+	accepted, err := publisher.Publish(ctx, note)
+	if err != nil {
+		return fmt.Errorf("release %d: %w", r.Version, err)
+	}
 	for _, n := range d.Nodes() {
-		n.SetInForce(r.Version, r.Models, nil)
+		for n.ReleaseVersion() < accepted.Version {
+			if err := ctx.Err(); err != nil {
+				return fmt.Errorf("release %d at node %s: %w", r.Version, n.ID(), err)
+			}
+			time.Sleep(inForcePoll)
+		}
 	}
+	return nil
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -210,6 +210,10 @@
 // ID returns the node's name.
 func (n *Node) ID() fleet.NodeID { return n.cfg.ID }
 
+// ReleaseVersion returns the release version in force at this node; zero if it
+// may not serve by what it knows.
+func (n *Node) ReleaseVersion() uint64 { return n.catalog.Version() }
+
 // CallerAddress returns the address told to callers.
 func (n *Node) CallerAddress() string { return n.cfg.CallerAddress }
 
