Operators' view of a node: status, and why a request ended as it did

Cause: rwnctl status and explain need what only the nodes know. Change: internal/operators holds the types and a client; nodes serve both at their peer address to callers that bear the deployment's secret, and remember the last 1024 requests that were refused, failed or tried again.

--- a/internal/entry/chat.go
+++ b/internal/entry/chat.go
@@ -13,6 +13,7 @@
 	"github.com/go-kit/log/level"
 
 	"github.com/redwingnotch/redwingnotch/fleet"
+	"github.com/redwingnotch/redwingnotch/internal/operators"
 )
 
 // bytesPerToken estimates the length of prompts.
@@ -41,6 +42,7 @@
 	prompt     int // estimated tokens
 	maxTokens  int
 	version    uint64 // release version by which it was validated
+	attempts   []operators.Attempt
 }
 
 func (h *Handler) serveChat(w http.ResponseWriter, r *http.Request) {
@@ -49,19 +51,20 @@
 	w.Header().Set(HeaderRequestID, req.id)
 	answer := &answerWriter{w: w, control: http.NewResponseController(w), stream: req.stream, timeout: h.cfg.WriteTimeout}
 	if refused == nil {
-		refused = h.runChat(r.Context(), req, answer)
+		refused = h.runChat(r.Context(), &req, answer)
 	}
-	h.endChat(w, req, answer, refused)
+	h.endChat(w, &req, answer, refused)
 }
 
 // endChat sends the error, if any, and records the outcome. An answer that has
 // begun and is not whole ends by breaking the connection.
-func (h *Handler) endChat(w http.ResponseWriter, req chatRequest, answer *answerWriter, failed *Error) {
-	outcome, code := fleet.OutcomeAnswered, Code("ok")
+func (h *Handler) endChat(w http.ResponseWriter, req *chatRequest, answer *answerWriter, failed *Error) {
+	outcome, code, detail := fleet.OutcomeAnswered, codeOK, ""
 	if failed != nil {
-		outcome, code = failed.Outcome, failed.Code
+		outcome, code, detail = failed.Outcome, failed.Code, failed.Message
 	}
 	now := time.Now()
+	h.remember(req, operators.Explanation{Code: string(code), Outcome: outcome.String(), Detail: detail, Duration: now.Sub(req.arrival)})
 	h.cfg.Metrics.RequestEnded("chat", req.rank.String(), outcome.String(), string(code), now.Sub(req.arrival))
 	logger := level.Debug(h.cfg.Log)
 	if failed != nil {
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -14,6 +14,7 @@
 	"github.com/redwingnotch/redwingnotch/dispatch"
 	"github.com/redwingnotch/redwingnotch/engine"
 	"github.com/redwingnotch/redwingnotch/fleet"
+	"github.com/redwingnotch/redwingnotch/internal/operators"
 	"github.com/redwingnotch/redwingnotch/peer"
 )
 
@@ -39,6 +40,14 @@
 	duration   time.Duration
 }
 
+func (e *attemptEnd) explain(g grant) operators.Attempt {
+	a := operators.Attempt{Backend: g.backend, End: string(e.kind), Tokens: e.tokens, Duration: e.duration}
+	if e.err != nil {
+		a.Error = e.err.Error()
+	}
+	return a
+}
+
 // attempts is the history of one request.
 type attempts struct {
 	count    int           // attempts made
@@ -56,24 +65,25 @@
 // runChat dispatches until the answer is whole, or nothing safe is left to try.
 // The deadline bounds the time to the first token. An answer that has begun is
 // not cut for being slow.
-func (h *Handler) runChat(ctx context.Context, req chatRequest, answer *answerWriter) *Error {
+func (h *Handler) runChat(ctx context.Context, req *chatRequest, answer *answerWriter) *Error {
 	var history attempts
 	h.spent.request()
 	for {
-		g, refused := h.acquire(ctx, &req, &history)
+		g, refused := h.acquire(ctx, req, &history)
 		if refused != nil {
 			return history.amend(refused)
 		}
 		if history.received > 0 && !dispatch.MayResume(history.broken(), g.version) {
-			h.finishGrant(&req, g, attemptEnd{kind: endNotRun})
+			h.finishGrant(req, g, attemptEnd{kind: endNotRun})
 			return history.amend(refuse(http.StatusBadGateway, CodeBackendFailed, "the answer broke off and can't be resumed: %v", history.last))
 		}
-		end := h.attempt(ctx, &req, g, &history, answer)
-		h.finishGrant(&req, g, end)
+		end := h.attempt(ctx, req, g, &history, answer)
+		h.finishGrant(req, g, end)
+		req.attempts = append(req.attempts, end.explain(g))
 		if end.kind == endOK {
 			return nil
 		}
-		if failed := h.settle(ctx, &req, g, end, &history, answer); failed != nil {
+		if failed := h.settle(ctx, req, g, end, &history, answer); failed != nil {
 			return failed
 		}
 		h.cfg.Metrics.Retry(string(end.kind))
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -114,11 +114,12 @@
 	requests atomic.Int64
 	direct   directLoad
 	spent    *budget
+	recent   *recentRequests
 }
 
 // New returns a handler.
 func New(cfg Config) *Handler {
-	h := &Handler{cfg: cfg, mux: http.NewServeMux(), spent: newBudget()}
+	h := &Handler{cfg: cfg, mux: http.NewServeMux(), spent: newBudget(), recent: newRecent()}
 	h.direct.running = make(map[fleet.BackendID]int)
 	h.mux.HandleFunc("GET /v1/entry", h.serveEntry)
 	h.mux.HandleFunc("GET /v1/models", h.serveModels)
--- a/internal/entry/errors.go
+++ b/internal/entry/errors.go
@@ -32,6 +32,8 @@
 	CodeBackendFailed    Code = "backend_failed"
 	CodeCancelled        Code = "cancelled"
 	CodeStopping         Code = "stopping"
+
+	codeOK Code = "ok" // in logs and metrics only
 )
 
 // Error is a refusal or failure as the caller sees it.
--- a/internal/entry/services.go
+++ b/internal/entry/services.go
@@ -31,7 +31,7 @@
 		refused = h.answerCall(w, h.send(ctx, call))
 		cancel()
 	}
-	outcome, code := fleet.OutcomeAnswered, Code("ok")
+	outcome, code := fleet.OutcomeAnswered, codeOK
 	if refused != nil {
 		outcome, code = refused.Outcome, refused.Code
 		refused.RequestID = env.id
--- a/internal/node/cell.go
+++ b/internal/node/cell.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -37,7 +38,8 @@
 	waiting    map[string]struct{}                // ids of requests that wait
 	told       map[string]uint64                  // versions of quarantine items told to the members
 
-	blockedLogged time.Time // used by tick only
+	blocked       atomic.Pointer[[]controller.Blocked] // at the last tick
+	blockedLogged time.Time                            // used by tick only
 }
 
 func newCell(n *Node) *cell {
--- a/internal/node/harness_test.go
+++ b/internal/node/harness_test.go
@@ -163,7 +163,7 @@
 	n, err := node.New(node.Config{
 		ID: fleet.NodeID(name), Region: "r", Zone: fleet.AvailabilityZone(fmt.Sprint("z", name[len(name)-1]%3)), Cell: "c",
 		Callers: callers, Peers: peers, Gossip: d.gossip.port(host + ":81"), GossipAddress: host + ":81", Seeds: seeds,
-		Secret: []byte("a secret of some length"), Store: d.api, VMs: d.api, Dial: d.network.Dial, Metrics: metrics,
+		Secret: []byte(secret), Store: d.api, VMs: d.api, Dial: d.network.Dial, Metrics: metrics,
 		Log: telemetry.NewLogger(testLog{d.t}, name, d.logLevel),
 	})
 	assert.NilError(d.t, err)
@@ -233,5 +233,7 @@
 	return reply{status: resp.StatusCode, header: resp.Header, body: string(data), err: err}
 }
 
+const secret = "a secret of some length"
+
 // settleTime is long enough for membership and lease to settle.
 const settleTime = 10 * time.Second
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -23,8 +23,11 @@
 
 // Node is one entry node. Use New.
 type Node struct {
-	cfg   Config
-	run   fleet.Incarnation // of this run
+	cfg Config
+	run fleet.Incarnation // of this run
+
+	startedAt time.Time
+
 	entry *entry.Handler
 	keys  *idempotency.Service
 	// claims are the durable part of keys. swept is the next prefix to sweep.
@@ -57,7 +60,7 @@
 	}
 	now := time.Now()
 	cfg.Callers = limitConnections(cfg.Callers, cfg.MaxConnections)
-	n := &Node{cfg: cfg, run: membership.NewIncarnation(now), done: make(chan struct{}), nameTaken: make(chan struct{})}
+	n := &Node{cfg: cfg, startedAt: now.UTC(), run: membership.NewIncarnation(now), done: make(chan struct{}), nameTaken: make(chan struct{})}
 	n.halted, n.halt = context.WithCancel(context.Background())
 	n.claims = idempotency.NewClaims(cfg.Store)
 	n.catalog = newCatalog()
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -14,6 +14,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/redwingnotch/redwingnotch/internal/node"
+	"github.com/redwingnotch/redwingnotch/internal/operators"
 	"github.com/redwingnotch/redwingnotch/standin/engine"
 )
 
@@ -311,3 +312,39 @@
 // inForceWithin is the time in which an accepted release is in force at today's
 // size.
 const inForceWithin = 3 * time.Second
+
+func TestOperatorsSeeStatusAndExplanations(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDeployment(t)
+		defer d.close()
+		d.addEngine("e1")
+		d.start("n1")
+		d.start("n2")
+		time.Sleep(settleTime)
+		assert.NilError(t, checkAnswer(d.send("n1", "POST", "/v1/chat/completions", latheRequest), "lathe", latheRequest))
+		assert.Equal(t, d.send("n1", "POST", "/v1/chat/completions", chat("nope", "?"), "Redwingnotch-Request-Id", "r-1").status, 404)
+
+		nodes, err := operators.Nodes(t.Context(), d.api)
+		assert.NilError(t, err)
+		assert.Equal(t, len(nodes), 2)
+		holder, _ := d.holder()
+		client := operators.Client{HTTP: d.client, Secret: secret}
+		status, err := client.Status(t.Context(), holder+":81")
+		assert.NilError(t, err)
+		assert.Equal(t, status.NotReady, "")
+		assert.Equal(t, status.Release.Version, uint64(1))
+		assert.Equal(t, status.Release.Standing, "current")
+		assert.Equal(t, string(status.Cell.Controller), holder)
+		assert.Equal(t, len(status.Cell.Replicas), 1)
+		assert.Equal(t, len(status.Members), 2)
+
+		explanation, err := client.Explain(t.Context(), "n1:81", "r-1")
+		assert.NilError(t, err)
+		assert.Equal(t, explanation.Code+" "+explanation.Outcome, "unknown_model not_run")
+		_, err = client.Explain(t.Context(), "n2:81", "r-1")
+		assert.ErrorIs(t, err, operators.ErrNotKnown)
+		client.Secret = "wrong"
+		_, err = client.Status(t.Context(), "n1:81")
+		assert.ErrorIs(t, err, operators.ErrSecret)
+	})
+}
--- a/internal/node/orders.go
+++ b/internal/node/orders.go
@@ -37,6 +37,7 @@
 
 // noteBlocked logs why targets that are asked for are not being loaded.
 func (c *cell) noteBlocked(now time.Time, blocked []controller.Blocked) {
+	c.blocked.Store(&blocked)
 	if len(blocked) == 0 || now.Sub(c.blockedLogged) < blockedLogInterval {
 		return
 	}
--- a/internal/node/register.go
+++ b/internal/node/register.go
@@ -13,22 +13,10 @@
 	"github.com/go-kit/log/level"
 	"github.com/google/uuid"
 
-	"github.com/redwingnotch/redwingnotch/fleet"
+	"github.com/redwingnotch/redwingnotch/internal/operators"
 	"github.com/redwingnotch/redwingnotch/platform"
 )
 
-// record is a node's object in the platform's store. Others join by it.
-type record struct {
-	Node        fleet.NodeID           `json:"node"`
-	Incarnation fleet.Incarnation      `json:"incarnation"`
-	Region      fleet.Region           `json:"region"`
-	Zone        fleet.AvailabilityZone `json:"availability_zone"`
-	Gossip      string                 `json:"gossip_address"`
-	Peer        string                 `json:"peer_address"`
-	Entry       string                 `json:"entry_address"`
-	StartedAt   time.Time              `json:"started_at"`
-}
-
 // Times of registration.
 const (
 	registerTimeout = 5 * time.Second
@@ -73,7 +61,7 @@
 	if err != nil {
 		return 0, err
 	}
-	var r record
+	var r operators.Node
 	if err := json.Unmarshal(object.Value, &r); err != nil {
 		return object.Version, nil // a damaged record is replaced
 	}
@@ -84,7 +72,7 @@
 }
 
 // bears reports whether the run of the record answers at its address.
-func (n *Node) bears(ctx context.Context, r record) bool {
+func (n *Node) bears(ctx context.Context, r operators.Node) bool {
 	ctx, cancel := context.WithTimeout(ctx, identityTimeout)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+r.Peer+identityPath, nil)
@@ -96,12 +84,12 @@
 		return false
 	}
 	defer resp.Body.Close()
-	var found record
+	var found operators.Node
 	return json.NewDecoder(http.MaxBytesReader(nil, resp.Body, 4096)).Decode(&found) == nil && found.Node == n.cfg.ID
 }
 
-func (n *Node) record() record {
-	return record{
+func (n *Node) record() operators.Node {
+	return operators.Node{
 		Node:        n.cfg.ID,
 		Incarnation: n.run,
 		Region:      n.cfg.Region,
@@ -109,7 +97,7 @@
 		Gossip:      n.cfg.GossipAddress,
 		Peer:        n.cfg.PeerAddress,
 		Entry:       n.cfg.CallerAddress,
-		StartedAt:   time.Now().UTC(),
+		StartedAt:   n.startedAt,
 	}
 }
 
@@ -134,7 +122,7 @@
 	}
 	var seeds []string
 	for _, object := range objects {
-		var r record
+		var r operators.Node
 		if json.Unmarshal(object.Value, &r) == nil && r.Gossip != "" {
 			seeds = append(seeds, r.Gossip)
 		}
@@ -161,7 +149,7 @@
 	ctx, cancel := context.WithTimeout(ctx, registerTimeout)
 	defer cancel()
 	object, err := n.cfg.Store.Get(ctx, platform.KindNode, string(n.cfg.ID))
-	var r record
+	var r operators.Node
 	if err != nil || json.Unmarshal(object.Value, &r) != nil || r.Incarnation != n.run {
 		return
 	}
