Fake cell passes on who holds the cell

Change: the fake cell gossips holder and epoch as the daemon must; the contract of HandleHint says so. Restarted nodes keep one tick chain.

--- a/controller/cell_test.go
+++ b/controller/cell_test.go
@@ -244,14 +244,14 @@
 func (c *fakeCell) LoadAhead(time.Time) []fleet.Target { return nil }
 
 func (c *fakeCell) tickNode(n *testNode) {
-	inc := n.inc
 	c.after(tickEvery, func() { c.tickNode(n) })
-	if n.crashed || n.paused || n.left || n.inc != inc {
+	if n.crashed || n.paused || n.left {
 		return
 	}
 	n.lease.SetMembers(c.now, c.members())
 	c.storeCalls(n, n.lease.Tick(c.now))
 	n.auth = n.lease.Authority(c.now)
+	c.gossip(n)
 	n.ctrl.SetAuthority(c.now, n.auth)
 	n.ctrl.SetRelease(c.now, c.release, c.models, c.adapter)
 	n.ctrl.SetBackends(c.now, c.vms(), c.now)
@@ -271,6 +271,16 @@
 	}
 }
 
+// gossip tells one other node what this one knows of the holder.
+func (c *fakeCell) gossip(n *testNode) {
+	peer := c.nodes[c.rng.Intn(len(c.nodes))]
+	holder, epoch := n.auth.Holder, n.auth.Epoch
+	if peer == n || epoch == 0 || c.lost() {
+		return
+	}
+	c.toNode(peer, peer.inc, c.delay(), func() { peer.lease.HandleHint(c.now, holder, epoch) })
+}
+
 func (c *fakeCell) cutOff(n *testNode, e *fakeEngine) bool {
 	return c.cut[string(n.id)] || c.cut[string(n.id)+"/"+string(e.id)]
 }
@@ -388,7 +398,7 @@
 	for !done() {
 		if c.now.Sub(start) > limit {
 			for _, n := range c.nodes {
-				c.t.Logf("%s: %+v blocked %v", n.id, n.auth, n.blocked)
+				c.t.Logf("%s/%d crashed %t left %t: %+v blocked %v", n.id, n.inc, n.crashed, n.left, n.auth, n.blocked)
 			}
 			for _, e := range c.engines {
 				c.t.Logf("%s boot %s epoch %d: %v", e.id, e.boot, e.epoch, e.replicas)
--- a/controller/failures_test.go
+++ b/controller/failures_test.go
@@ -217,7 +217,6 @@
 		c.crash(a)
 		c.run(time.Second)
 		c.start(a)
-		c.tickNode(a)
 		c.holding("m0").restart()
 		c.untilServed(takeoverBound+coldStart, "m0")
 		assert.Equal(t, c.count("m0"), 1)
--- a/controller/random_test.go
+++ b/controller/random_test.go
@@ -73,13 +73,12 @@
 		"restart node": func(t *rapid.T) {
 			if n := m.node(t); n.crashed || n.left {
 				c.start(n)
-				c.tickNode(n)
 			}
 		},
 		"leave": func(t *rapid.T) {
 			if n := m.node(t); !n.crashed && !n.paused {
 				n.lease.SetLeaving(c.now)
-				c.after(3*time.Second, func() { n.left = true })
+				c.toNode(n, n.inc, 3*time.Second, func() { n.left = true })
 			}
 		},
 		"called dead":  func(t *rapid.T) { c.dead = m.node(t) },
@@ -154,7 +153,6 @@
 			c.wake(n)
 		case n.crashed || n.left:
 			c.start(n)
-			c.tickNode(n)
 		}
 	}
 }
--- a/lease/core.go
+++ b/lease/core.go
@@ -145,6 +145,8 @@
 func (c *Core) HandleStoreContact(now time.Time) { c.contact(now) }
 
 // HandleHint takes in who is said to act with which epoch, as heard from peers.
+// Each node must pass on the Holder and Epoch of its Authority: a node to which
+// the cell was handed over learns of it in no other way.
 func (c *Core) HandleHint(_ time.Time, holder Holder, epoch fleet.Epoch) {
 	if epoch <= c.hint.Epoch || epoch <= c.record.Epoch {
 		return
