--- a/lease/authority.go
+++ b/lease/authority.go
@@ -1,6 +1,7 @@
 package lease
 
 import (
+	"slices"
 	"time"
 
 	"github.com/redwingnotch/redwingnotch/fleet"
@@ -10,11 +11,12 @@
 // decideAdvance takes office with an epoch granted in advance if the holder and
 // all earlier successors have failed and the store is silent.
 func (c *Core) decideAdvance(now time.Time) {
-	if !c.known || c.failedSince.IsZero() || c.leaving {
+	if !c.known || c.failedSince.IsZero() || c.leaving || !c.isSuccessor() {
 		return
 	}
-	if c.silentSince.IsZero() && now.Sub(c.lastContact) >= c.cfg.StoreSilence/2 {
-		c.readWanted = true // finds out whether the store answers
+	unproven := c.silentSince.IsZero() && now.Sub(c.lastContact) >= c.cfg.StoreSilence/2
+	if unproven && !c.mayClaim(now) {
+		c.readWanted = true // a claim would find out whether the store answers, a read does too
 	}
 	if c.silentSince.IsZero() || now.Sub(c.silentSince) < c.cfg.StoreSilence {
 		return
@@ -59,6 +61,10 @@
 	return a
 }
 
+func (c *Core) isSuccessor() bool {
+	return slices.ContainsFunc(c.record.Successors, func(s Successor) bool { return s.Holder == c.self })
+}
+
 func (c *Core) storeContact(now time.Time) bool {
 	return !c.lastContact.IsZero() && now.Sub(c.lastContact) <= c.cfg.StoreSilence
 }
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -106,6 +106,10 @@
 	return order < 0
 }
 
+// exactEvictions is the number of residents up to which all sets of evictions
+// are compared.
+const exactEvictions = 8
+
 // evictions returns the cheapest residents whose memory makes room for need.
 func evictions(now time.Time, need Need, s Server) ([]Resident, time.Duration, bool) {
 	missing := need.MemoryBytes - s.FreeBytes
@@ -123,20 +127,44 @@
 		return cmp.Or(cmp.Compare(costPerByte(now, a), costPerByte(now, b)),
 			cmp.Compare(a.Model, b.Model), cmp.Compare(a.Version, b.Version))
 	})
+	choose := cheapestSet
+	if len(offered) > exactEvictions {
+		choose = cheapestFirst
+	}
+	chosen := choose(now, offered, missing)
+	return chosen, totalCost(now, chosen), len(chosen) > 0
+}
+
+// cheapestSet compares all sets of residents that free the missing bytes.
+func cheapestSet(now time.Time, offered []Resident, missing int64) []Resident {
+	var best []Resident
+	for mask := 1; mask < 1<<len(offered); mask++ {
+		var freed int64
+		var set []Resident
+		for i, r := range offered {
+			if mask&(1<<i) != 0 {
+				freed += r.MemoryBytes
+				set = append(set, r)
+			}
+		}
+		if freed >= missing && (best == nil || totalCost(now, set) < totalCost(now, best)) {
+			best = set
+		}
+	}
+	return best
+}
+
+// cheapestFirst takes the cheapest per byte first and gives back what is not
+// needed. It returns nil if all of them free too little.
+func cheapestFirst(_ time.Time, offered []Resident, missing int64) []Resident {
 	var freed int64
-	var chosen []Resident
-	for _, r := range offered {
+	for i, r := range offered {
+		freed += r.MemoryBytes
 		if freed >= missing {
-			break
+			return dropUnneeded(slices.Clone(offered[:i+1]), freed-missing)
 		}
-		freed += r.MemoryBytes
-		chosen = append(chosen, r)
-	}
-	if freed < missing {
-		return nil, 0, false
 	}
-	chosen = dropUnneeded(chosen, freed-missing)
-	return chosen, totalCost(now, chosen), true
+	return nil
 }
 
 // dropUnneeded keeps the most valuable residents that the spare bytes allow.
--- /dev/null
+++ b/placement/placement_test.go
@@ -0,0 +1,182 @@
+package placement
+
+import (
+	"flag"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/redwingnotch/redwingnotch/fleet"
+)
+
+func init() {
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+}
+
+var now = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func need(memory int64) Need {
+	return Need{Model: "m", Version: "1", MemoryBytes: memory, LoadTime: 10 * time.Second}
+}
+
+func idle(model string, memory int64, kept bool) Resident {
+	r := Resident{Model: fleet.ModelID(model), MemoryBytes: memory, Evictable: true, ReloadTime: 10 * time.Second}
+	if kept {
+		r.KeepUntil = now.Add(time.Minute)
+	}
+	return r
+}
+
+func TestBest(t *testing.T) {
+	busy := idle("busy", 10, false)
+	busy.Evictable = false
+	for name, tc := range map[string]struct {
+		need    Need
+		servers []Server
+		want    fleet.BackendID
+		evicts  []fleet.ModelID
+	}{
+		"nearest weights": {need(5), []Server{
+			{Backend: "a", FreeBytes: 10, Near: fleet.NearRemote},
+			{Backend: "b", FreeBytes: 10, Near: fleet.NearMemory},
+			{Backend: "c", FreeBytes: 10, Near: fleet.NearDisk},
+		}, "b", nil},
+		"free place before one with loads": {need(5), []Server{
+			{Backend: "a", FreeBytes: 20, Loads: 1}, {Backend: "b", FreeBytes: 10},
+		}, "b", nil},
+		"eviction of what is past its time beats a far load": {need(5), []Server{
+			{Backend: "a", FreeBytes: 10, Near: fleet.NearRemote},
+			{Backend: "b", Near: fleet.NearMemory, Residents: []Resident{idle("old", 5, false)}},
+		}, "b", []fleet.ModelID{"old"}},
+		"never evicts what runs": {need(5), []Server{
+			{Backend: "a", Residents: []Resident{busy}},
+		}, "", nil},
+		"evicts the least valuable and no more than needed": {need(6), []Server{
+			{Backend: "a", FreeBytes: 1, Residents: []Resident{
+				idle("kept", 6, true), idle("small", 2, false), idle("large", 5, false),
+			}},
+		}, "a", []fleet.ModelID{"large"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			got, ok := Best(now, tc.need, tc.servers)
+			assert.Equal(t, ok, tc.want != "")
+			assert.Equal(t, got.Backend, tc.want)
+			var evicted []fleet.ModelID
+			for _, r := range got.Evict {
+				evicted = append(evicted, r.Model)
+			}
+			assert.DeepEqual(t, evicted, tc.evicts)
+		})
+	}
+}
+
+func TestSpeculativeLoadSparesWhatIsKept(t *testing.T) {
+	n := need(5)
+	n.Speculative = true
+	servers := []Server{{Backend: "a", Residents: []Resident{idle("kept", 5, true)}}}
+	_, ok := Best(now, n, servers)
+	assert.Assert(t, !ok)
+	n.Speculative = false
+	_, ok = Best(now, n, servers)
+	assert.Assert(t, ok)
+}
+
+func drawServers(t *rapid.T) []Server {
+	var servers []Server
+	for i := range rapid.IntRange(0, 5).Draw(t, "servers") {
+		s := Server{
+			Backend:   fleet.BackendID(fmt.Sprint(i)),
+			Near:      fleet.Nearness(rapid.IntRange(0, 2).Draw(t, "near")),
+			FreeBytes: rapid.Int64Range(0, 10).Draw(t, "free"),
+			Loads:     rapid.IntRange(0, 2).Draw(t, "loads"),
+		}
+		for j := range rapid.IntRange(0, 4).Draw(t, "residents") {
+			r := idle(fmt.Sprint(j), rapid.Int64Range(1, 8).Draw(t, "memory"), rapid.Bool().Draw(t, "kept"))
+			r.Evictable = rapid.Bool().Draw(t, "evictable")
+			s.Residents = append(s.Residents, r)
+		}
+		servers = append(servers, s)
+	}
+	return servers
+}
+
+func delayOf(n Need, c Choice, servers []Server) time.Duration {
+	for _, s := range servers {
+		if s.Backend == c.Backend {
+			return LoadDuration(n.LoadTime, s.Near)*time.Duration(1+s.Loads) + totalCost(now, c.Evict)
+		}
+	}
+	return 0
+}
+
+// TestBestAgainstFirstFit asserts that Best finds a place whenever the baseline
+// does, never costs more, makes enough room and evicts nothing in use.
+func TestBestAgainstFirstFit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := need(rapid.Int64Range(1, 20).Draw(t, "need"))
+		servers := drawServers(t)
+		best, ok := Best(now, n, servers)
+		naive, naiveOK := FirstFit(now, n, servers)
+		if ok != naiveOK {
+			t.Fatalf("found %t, baseline %t", ok, naiveOK)
+		}
+		if !ok {
+			return
+		}
+		if got, base := delayOf(n, best, servers), delayOf(n, naive, servers); got > base {
+			t.Fatalf("costs %v, baseline %v", got, base)
+		}
+		i := slices.IndexFunc(servers, func(s Server) bool { return s.Backend == best.Backend })
+		room := servers[i].FreeBytes
+		for _, r := range best.Evict {
+			if !r.Evictable {
+				t.Fatalf("evicts %v", r)
+			}
+			room += r.MemoryBytes
+		}
+		if room < n.MemoryBytes {
+			t.Fatalf("room for %d of %d", room, n.MemoryBytes)
+		}
+	})
+}
+
+func ids(n int) []fleet.BackendID {
+	var out []fleet.BackendID
+	for i := range n {
+		out = append(out, fleet.BackendID(fmt.Sprintf("backend-%d", i)))
+	}
+	return out
+}
+
+func TestCandidatesAreStableAndSpread(t *testing.T) {
+	const servers, models = 20, 500
+	all := NewRoster(ids(servers))
+	fewer := NewRoster(ids(servers - 1))
+	load := map[fleet.BackendID]int{}
+	moved := 0
+	for i := range models {
+		m := fleet.ModelID(fmt.Sprintf("model-%d", i))
+		set := all.Candidates(m, 4)
+		assert.Equal(t, len(set), 4)
+		for _, id := range set {
+			load[id]++
+			if id != "backend-19" && !slices.Contains(fewer.Candidates(m, 4), id) {
+				moved++
+			}
+		}
+	}
+	assert.Equal(t, moved, 0, "losing one server moves others")
+	const mean = models * 4 / servers
+	for id, n := range load {
+		assert.Assert(t, n > mean/2 && n < mean*2, "%s is candidate of %d models, mean %d", id, n, mean)
+	}
+	assert.Equal(t, len(NewRoster(ids(2)).Candidates("m", 4)), 2)
+	assert.Equal(t, CandidateCount(1), 4)
+	assert.Equal(t, CandidateCount(5), 10)
+}
