--- a/internal/policybench/naive.go
+++ b/internal/policybench/naive.go
@@ -8,6 +8,7 @@
 	"slices"
 	"time"
 
+	"github.com/redwingnotch/redwingnotch/controller"
 	"github.com/redwingnotch/redwingnotch/engine"
 	"github.com/redwingnotch/redwingnotch/fleet"
 	"github.com/redwingnotch/redwingnotch/platform"
@@ -47,7 +48,7 @@
 const naiveForget = 5 * time.Second
 
 // SetBackends takes over the VM list.
-func (n *naiveLoader) SetBackends(_ time.Time, rs []platform.VMRecord) {
+func (n *naiveLoader) SetBackends(_ time.Time, rs []platform.VMRecord, _ time.Time) {
 	listed := make(map[fleet.BackendID]bool)
 	for _, r := range rs {
 		listed[r.Backend.ID] = true
@@ -79,7 +80,7 @@
 }
 
 // HandleOrderResult takes over the report in an answer.
-func (n *naiveLoader) HandleOrderResult(now time.Time, res OrderResult) {
+func (n *naiveLoader) HandleOrderResult(now time.Time, res controller.OrderResult) {
 	if res.Report != nil {
 		n.HandleReport(now, res.SentAt, *res.Report)
 		return
@@ -96,11 +97,13 @@
 
 // Tick orders loads for targets that wait and unloads of what was kept long
 // enough.
-func (n *naiveLoader) Tick(now time.Time, demands []fleet.Demand, keep Retention) Effects {
-	var e Effects
+func (n *naiveLoader) Tick(now time.Time, demands []fleet.Demand, keep controller.Retention) controller.Effects {
+	var e controller.Effects
 	if now.Sub(n.askedAt) >= reportEvery {
 		n.askedAt = now
-		e.Reports = slices.Sorted(maps.Keys(n.servers))
+		for _, id := range slices.Sorted(maps.Keys(n.servers)) {
+			e.Reports = append(e.Reports, controller.ReportRequest{Backend: id})
+		}
 	}
 	for _, d := range demands {
 		if !d.LastArrival.IsZero() {
@@ -110,7 +113,8 @@
 			e.Orders = append(e.Orders, n.load(now, n.models[d.Target.Model])...)
 		}
 	}
-	return Effects{Orders: append(e.Orders, n.unloadExpired(now, keep)...), Reports: e.Reports}
+	e.Orders = append(e.Orders, n.unloadExpired(now, keep)...)
+	return e
 }
 
 // touch notes the latest use of a model's replicas.
@@ -159,14 +163,14 @@
 }
 
 // load orders a load on a random server.
-func (n *naiveLoader) load(now time.Time, m fleet.Model) []Order {
+func (n *naiveLoader) load(now time.Time, m fleet.Model) []controller.SendOrder {
 	ids := slices.Sorted(maps.Keys(n.servers))
 	n.rng.Shuffle(len(ids), func(i, j int) { ids[i], ids[j] = ids[j], ids[i] })
 	for _, id := range ids {
 		s := n.servers[id]
 		if s.usable() && n.free(s) >= m.MemoryBytes {
 			s.pending[m.ID] = now
-			return []Order{n.order(s, engine.OrderLoad, m.ID)}
+			return []controller.SendOrder{n.order(s, engine.OrderLoad, m.ID)}
 		}
 	}
 	for _, id := range ids {
@@ -178,12 +182,12 @@
 }
 
 // evict unloads idle replicas of a server until the need fits.
-func (n *naiveLoader) evict(now time.Time, s *naiveServer, need int64) []Order {
+func (n *naiveLoader) evict(now time.Time, s *naiveServer, need int64) []controller.SendOrder {
 	if !s.usable() || len(s.leaving) > 0 {
 		return nil
 	}
 	free := n.free(s)
-	var orders []Order
+	var orders []controller.SendOrder
 	for _, l := range s.report.Replicas {
 		if free >= need {
 			break
@@ -199,8 +203,8 @@
 }
 
 // unloadExpired unloads replicas that were kept long enough.
-func (n *naiveLoader) unloadExpired(now time.Time, keep Retention) []Order {
-	var orders []Order
+func (n *naiveLoader) unloadExpired(now time.Time, keep controller.Retention) []controller.SendOrder {
+	var orders []controller.SendOrder
 	for _, id := range slices.Sorted(maps.Keys(n.servers)) {
 		s := n.servers[id]
 		for _, l := range s.report.Replicas {
@@ -223,9 +227,9 @@
 }
 
 // order makes an order to a server.
-func (n *naiveLoader) order(s *naiveServer, kind engine.OrderKind, m fleet.ModelID) Order {
+func (n *naiveLoader) order(s *naiveServer, kind engine.OrderKind, m fleet.ModelID) controller.SendOrder {
 	n.orders++
-	return Order{Backend: s.row.Backend.ID, Order: engine.Order{
+	return controller.SendOrder{Backend: s.row.Backend.ID, Order: engine.Order{
 		ID:      fmt.Sprint("naive-", n.orders),
 		Kind:    kind,
 		Epoch:   1,
--- a/internal/policybench/policies.go
+++ b/internal/policybench/policies.go
@@ -1,7 +1,6 @@
 package policybench
 
 import (
-	"github.com/redwingnotch/redwingnotch/admission"
 	"github.com/redwingnotch/redwingnotch/keepwarm"
 )
 
@@ -19,9 +18,7 @@
 	naive.FIFO = true
 	return []Policies{
 		{Name: PolicyNaive, Admission: naive, Retention: keepwarm.FixedTenMinutes, Loader: newNaiveLoader},
-		{Name: PolicyFixed, Admission: d.Admission, Retention: keepwarm.FixedTenMinutes, Loader: newNaiveLoader, Quarantine: true},
-		{Name: PolicyRedwing, Admission: d.Admission, Retention: keepwarm.New(d.KeepWarm), Loader: newNaiveLoader, Quarantine: true},
+		{Name: PolicyFixed, Admission: d.Admission, Retention: keepwarm.FixedTenMinutes, Loader: newController, Quarantine: true},
+		{Name: PolicyRedwing, Admission: d.Admission, Retention: keepwarm.New(d.KeepWarm), Loader: newController, Quarantine: true},
 	}
 }
-
-var _ = admission.Settings{}
--- a/internal/policybench/world.go
+++ b/internal/policybench/world.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/redwingnotch/redwingnotch/admission"
+	"github.com/redwingnotch/redwingnotch/controller"
 	"github.com/redwingnotch/redwingnotch/engine"
 	"github.com/redwingnotch/redwingnotch/fleet"
 	"github.com/redwingnotch/redwingnotch/platform"
@@ -16,41 +17,19 @@
 
 // Retention is the keep-warm policy under test.
 type Retention interface {
-	KeepUntil(t fleet.Target, lastUsed time.Time) time.Time
-	LoadAhead(now time.Time) []fleet.Target
+	controller.Retention
 	Observe(now time.Time, t fleet.Target, rank fleet.Rank)
 }
 
-// Loader decides what is loaded where.
+// Loader decides what is loaded where: the controller or a naive version.
 type Loader interface {
-	SetBackends(now time.Time, rs []platform.VMRecord)
+	SetBackends(now time.Time, rs []platform.VMRecord, asOf time.Time)
 	HandleReport(now time.Time, requestedAt time.Time, r engine.Report)
-	HandleOrderResult(now time.Time, res OrderResult)
-	Tick(now time.Time, demands []fleet.Demand, keep Retention) Effects
+	HandleOrderResult(now time.Time, res controller.OrderResult)
+	Tick(now time.Time, demands []fleet.Demand, keep controller.Retention) controller.Effects
 	Replicas() []fleet.Replica
 }
 
-// Order is one order to send.
-type Order struct {
-	Backend fleet.BackendID
-	Order   engine.Order
-}
-
-// OrderResult is the end of one sending of an order.
-type OrderResult struct {
-	OrderID string
-	Backend fleet.BackendID
-	SentAt  time.Time
-	Report  *engine.Report // nil on error
-	Err     error
-}
-
-// Effects is what a loader asks for.
-type Effects struct {
-	Orders  []Order
-	Reports []fleet.BackendID
-}
-
 // Policies are the decisions of one run.
 type Policies struct {
 	Name       string
@@ -63,9 +42,9 @@
 // Intervals of the node's work in the harness.
 const (
 	busyTick     = 100 * time.Millisecond // while requests wait or loads run
-	idleTick     = 10 * time.Second
+	idleTick     = 2 * time.Second
 	pollInterval = 5 * time.Second
-	reportEvery  = time.Second // while busy
+	reportEvery  = time.Second // by the naive loader
 )
 
 // world is one run.
@@ -76,6 +55,7 @@
 	rng          *rand.Rand
 	models       []fleet.Model
 	modelByID    map[fleet.ModelID]fleet.Model
+	adapters     []fleet.Adapter
 	servers      []*server
 	byID         map[fleet.BackendID]*server
 	store        *weightStore
@@ -116,6 +96,7 @@
 	w.queue = admission.New(settings)
 	adapters := d.adapters(w.models, w.rng)
 	w.queue.SetModels(begin, w.models, adapters)
+	w.adapters = adapters
 	w.loader = p.Loader(w)
 	w.addServers()
 	return w
@@ -154,7 +135,7 @@
 		}
 		rs = append(rs, platform.VMRecord{VM: vm, Backend: fleet.BackendServer{ID: s.id, VM: s.vm.ID, Cell: cellID, Address: string(s.id), Fencing: true}})
 	}
-	w.loader.SetBackends(w.now, rs)
+	w.loader.SetBackends(w.now, rs, w.now)
 }
 
 // cellID names the one cell of a deployment.
@@ -199,8 +180,8 @@
 	for _, o := range effects.Orders {
 		w.send(o)
 	}
-	for _, id := range effects.Reports {
-		w.requestReport(id)
+	for _, r := range effects.Reports {
+		w.requestReport(r.Backend)
 	}
 	w.queue.SetReplicas(w.now, w.loader.Replicas(), nil)
 	for _, d := range w.queue.Tick(w.now) {
@@ -211,13 +192,13 @@
 }
 
 // send carries an order to its server and the answer back.
-func (w *world) send(o Order) {
+func (w *world) send(o controller.SendOrder) {
 	sentAt := w.now
 	w.after(nodeOneWay, func() {
 		s := w.byID[o.Backend]
 		report, err := s.order(o.Order)
 		w.after(nodeOneWay, func() {
-			res := OrderResult{OrderID: o.Order.ID, Backend: o.Backend, SentAt: sentAt, Err: err}
+			res := controller.OrderResult{OrderID: o.Order.ID, Backend: o.Backend, SentAt: sentAt, Err: err}
 			if err == nil {
 				res.Report = &report
 			}
