--- a/cmd/redwingnotch/main.go
+++ b/cmd/redwingnotch/main.go
@@ -18,13 +18,11 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
-	"github.com/redwingnotch/redwingnotch/admission"
 	"github.com/redwingnotch/redwingnotch/fleet"
 	"github.com/redwingnotch/redwingnotch/internal/node"
 	"github.com/redwingnotch/redwingnotch/internal/settings"
 	"github.com/redwingnotch/redwingnotch/internal/telemetry"
 	"github.com/redwingnotch/redwingnotch/invariant"
-	"github.com/redwingnotch/redwingnotch/keepwarm"
 	"github.com/redwingnotch/redwingnotch/membership/udp"
 	"github.com/redwingnotch/redwingnotch/platform"
 )
@@ -134,7 +132,8 @@
 		MaxConnections: int(s.MaxConnections.Value),
 	}
 	setTimes(&cfg, s)
-	setTerms(&cfg, s)
+	cfg.Admission = s.AdmissionSettings()
+	cfg.KeepWarm = s.KeepWarmSettings()
 	return cfg, nil
 }
 
@@ -160,29 +159,3 @@
 		fleet.RankBulk:     s.BulkDeadline.Duration,
 	}
 }
-
-// setTerms sets what ranks, idle accelerators and cold starts are worth.
-func setTerms(cfg *node.Config, s *settings.Daemon) {
-	cfg.Admission = admission.DefaultSettings()
-	cfg.Admission.MaxWaiting = int(s.MaxWaiting.Value)
-	ranks := &cfg.Admission.Ranks
-	for rank, target := range []settings.Duration{s.UrgentTarget, s.StandardTarget, s.BulkTarget} {
-		ranks[rank].FirstTokenTarget = target.Duration
-		ranks[rank].MaxWait = cfg.Deadlines[rank]
-	}
-	for rank, worth := range []settings.Float{s.UrgentWorth, s.StandardWorth, s.BulkWorth} {
-		ranks[rank].Worth = worth.Value
-	}
-	for rank, floor := range []settings.Float{s.UrgentFloor, s.StandardFloor, s.BulkFloor} {
-		ranks[rank].Floor = floor.Value
-	}
-	ranks[fleet.RankStandard].Ceiling = s.StandardCeiling.Value
-	ranks[fleet.RankBulk].Ceiling = s.BulkCeiling.Value
-	cfg.KeepWarm = keepwarm.DefaultSettings()
-	cfg.KeepWarm.IdleHourPrice = s.IdleHourPrice.Value
-	cfg.KeepWarm.MinKeep = s.MinKeep.Duration
-	cfg.KeepWarm.MaxKeep = s.MaxKeep.Duration
-	for rank, worth := range []settings.Float{s.UrgentColdWorth, s.StandardColdWorth, s.BulkColdWorth} {
-		cfg.KeepWarm.ColdWorth[rank] = worth.Value
-	}
-}
--- a/internal/policybench/bench_test.go
+++ b/internal/policybench/bench_test.go
@@ -1,29 +1,51 @@
 package policybench_test
 
 import (
+	"io"
 	"os"
+	"path/filepath"
+	"strings"
 	"testing"
 
 	"golang.org/x/sync/errgroup"
 	"gotest.tools/v3/assert"
 
-	"github.com/redwingnotch/redwingnotch/admission"
 	"github.com/redwingnotch/redwingnotch/internal/policybench"
-	"github.com/redwingnotch/redwingnotch/keepwarm"
+	"github.com/redwingnotch/redwingnotch/internal/settings"
 )
 
 // jsonFileVariable names the file that gets the rows as JSON lines, if set.
 const jsonFileVariable = "POLICY_JSON"
 
-func deployments() []policybench.Deployment {
-	a := admission.DefaultSettings()
-	k := keepwarm.DefaultSettings()
-	return []policybench.Deployment{policybench.Tocka(a, k), policybench.Naipes(a, k)}
+// deployments returns both deployments with the settings of their examples.
+func deployments(b *testing.B) []policybench.Deployment {
+	tocka := settingsOf(b, "tocka")
+	naipes := settingsOf(b, "naipes")
+	return []policybench.Deployment{
+		policybench.Tocka(tocka.AdmissionSettings(), tocka.KeepWarmSettings()),
+		policybench.Naipes(naipes.AdmissionSettings(), naipes.KeepWarmSettings()),
+	}
+}
+
+// settingsOf reads the settings of an example.
+func settingsOf(b *testing.B, name string) *settings.Daemon {
+	text, err := os.ReadFile(filepath.Join("..", "..", "examples", name, "settings.env"))
+	assert.NilError(b, err)
+	for line := range strings.Lines(string(text)) {
+		if key, value, found := strings.Cut(strings.TrimSpace(line), "="); found && !strings.HasPrefix(key, "#") {
+			b.Setenv(key, value)
+		}
+	}
+	var d settings.Daemon
+	args := []string{"--node=n", "--availability-zone=z", "--platform-url=http://127.0.0.1:1", "--peer-secret=0123456789abcdef0123456789abcdef"}
+	_, err = settings.Parse(&d, "redwingnotch", args, io.Discard)
+	assert.NilError(b, err)
+	return &d
 }
 
 func BenchmarkPolicy(b *testing.B) {
 	var all []policybench.Row
-	for _, d := range deployments() {
+	for _, d := range deployments(b) {
 		b.Run(d.Name, func(b *testing.B) {
 			var rows []policybench.Row
 			for _, s := range policybench.Scenarios() {
