node: a controller that is behind an entry node's release refuses nothing

Cause: a request for a model that a new release adds was refused as unknown while the controller had not yet taken the release over. Change: Acquire takes over this node's release first, and answers 'waiting' as long as the entry node's release is newer.

--- a/internal/dev/day.go
+++ b/internal/dev/day.go
@@ -20,7 +20,7 @@
 // Sizes of the day.
 const (
 	burstCallers   = 32
-	floodCallers   = 48
+	floodCallers   = 120
 	floodTime      = 6 * time.Second
 	orderSends     = 8
 	quietTime      = 2 * time.Second
@@ -310,7 +310,7 @@
 	bulk := y.measures.Rank(fleet.RankBulk)
 	ctx, cancel := context.WithTimeout(ctx, floodTime)
 	defer cancel()
-	ask := Ask{Model: ModelLathe, Rank: fleet.RankBulk, MaxTokens: 96, Deadline: 8 * time.Second}
+	ask := Ask{Model: ModelLathe, Rank: fleet.RankBulk, MaxTokens: 96, Deadline: 5 * time.Second}
 	var wg sync.WaitGroup
 	for i := range floodCallers {
 		c := y.newCaller(fmt.Sprintf("flood-%d", i), i)
--- a/internal/node/acquire.go
+++ b/internal/node/acquire.go
@@ -21,6 +21,10 @@
 		c.mu.Unlock()
 		return redirect, nil
 	}
+	if !c.hasRelease(time.Now(), req.GetReleaseVersion()) {
+		c.mu.Unlock()
+		return awaitRelease(ctx, req), nil
+	}
 	decision := c.offer(time.Now(), requestOfMessage(req))
 	if decision.Kind != admission.Wait {
 		c.mu.Unlock()
@@ -35,6 +39,27 @@
 	return c.await(ctx, req, poll, decision)
 }
 
+// hasRelease reports whether the cores know the release by which a request was
+// validated. It hands them this node's release first.
+func (c *cell) hasRelease(now time.Time, version uint64) bool {
+	if c.release < version {
+		c.setRelease(now)
+	}
+	return c.release >= version
+}
+
+// releaseWait is how long a request waits for a release that its entry node
+// knows before this one.
+const releaseWait = 200 * time.Millisecond
+
+// awaitRelease makes the entry node ask again later.
+func awaitRelease(ctx context.Context, req *peer.AcquireRequest) *peer.AcquireResponse {
+	// The entry node learns of its caller's end itself.
+	_ = sleep(ctx, min(releaseWait, time.Duration(req.GetWaitMs())*time.Millisecond))
+	waiting := &peer.Waiting{Reason: "release"}
+	return &peer.AcquireResponse{Result: &peer.AcquireResponse_Waiting{Waiting: waiting}}
+}
+
 // offer offers a request to the queue. Each request teaches the policy of idle
 // replicas once, however often it is offered.
 func (c *cell) offer(now time.Time, r admission.Request) admission.Decision {
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -279,3 +279,24 @@
 		assert.Assert(t, crashes > 0)
 	})
 }
+
+func TestControllerBehindTheReleaseRefusesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDeployment(t)
+		defer d.close()
+		d.addEngine("e1")
+		newer := d.models
+		d.models = newer[:1]
+		for _, name := range []string{"n1", "n2"} {
+			d.start(name)
+		}
+		time.Sleep(settleTime)
+		holder, _ := d.holder()
+		other := map[string]string{"n1": "n2", "n2": "n1"}[holder]
+		d.nodes[other].SetInForce(2, newer, nil)
+		time.AfterFunc(3*time.Second, func() { d.nodes[holder].SetInForce(2, newer, nil) })
+		body := chat("deck", "the order of the deck")
+		got := d.send(other, "POST", "/v1/chat/completions", body)
+		assert.NilError(t, checkAnswer(got, "deck", body))
+	})
+}
