--- a/internal/dev/day.go
+++ b/internal/dev/day.go
@@ -20,9 +20,10 @@
 // Sizes of the day.
 const (
 	burstCallers   = 32
-	floodCallers   = 48
+	floodCallers   = 120
 	floodTime      = 6 * time.Second
 	orderSends     = 8
+	maxRetryPause  = 500 * time.Millisecond // callers of a flood wait no longer than this
 	quietTime      = 2 * time.Second
 	inForceLimit   = 5 * time.Second
 	takeoverAskers = 8
@@ -312,13 +313,14 @@
 	bulk := y.measures.Rank(fleet.RankBulk)
 	ctx, cancel := context.WithTimeout(ctx, floodTime)
 	defer cancel()
-	ask := Ask{Model: ModelLathe, Rank: fleet.RankBulk, MaxTokens: 96, Deadline: 8 * time.Second}
+	ask := Ask{Model: ModelLathe, Rank: fleet.RankBulk, MaxTokens: 96, Deadline: 5 * time.Second}
 	var wg sync.WaitGroup
 	for i := range floodCallers {
 		c := y.newCaller(fmt.Sprintf("flood-%d", i), i)
 		wg.Go(func() {
 			for ctx.Err() == nil {
-				y.send(context.WithoutCancel(ctx), c, ask)
+				reply := y.send(context.WithoutCancel(ctx), c, ask)
+				time.Sleep(min(reply.RetryAfter, maxRetryPause))
 			}
 		})
 	}
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"net/http"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -15,6 +16,7 @@
 
 	"github.com/redwingnotch/redwingnotch/internal/node"
 	"github.com/redwingnotch/redwingnotch/internal/operators"
+	"github.com/redwingnotch/redwingnotch/peer"
 	"github.com/redwingnotch/redwingnotch/standin/engine"
 )
 
@@ -348,3 +350,37 @@
 		assert.ErrorIs(t, err, operators.ErrSecret)
 	})
 }
+
+// secretClient bears the deployment's secret.
+type secretClient struct{ *http.Client }
+
+func (c secretClient) Do(req *http.Request) (*http.Response, error) {
+	req.Header.Set(operators.HeaderSecret, secret)
+	return c.Client.Do(req)
+}
+
+func TestControllerBehindTheReleaseRefusesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDeployment(t)
+		defer d.close()
+		d.addEngine("e1")
+		d.start("n1")
+		time.Sleep(settleTime)
+		controller := peer.NewCellProtobufClient("http://n1:81", secretClient{d.client})
+		acquire := func() *peer.AcquireResponse {
+			now := time.Now()
+			resp, err := controller.Acquire(t.Context(), &peer.AcquireRequest{
+				RequestId: "r", EntryNode: "n2", EntryIncarnation: 1, Model: "collar", Rank: 1, MaxTokens: 1, Cell: "c", ReleaseVersion: 2,
+				ArrivalMs: now.UnixMilli(), DeadlineMs: now.Add(time.Minute).UnixMilli(), WaitMs: 1000,
+			})
+			assert.NilError(t, err)
+			return resp
+		}
+		assert.Equal(t, acquire().GetWaiting().GetReason(), "release", "a model of a release that the controller does not know")
+		d.publish("title: add\nmodels:\n  - {id: collar, version: v1, replicas: {c: 1}, memory: 1GiB, load_time: 2s, slots: 4}\n")
+		time.Sleep(inForceWithin)
+		for acquire().GetGrant() == nil {
+			assert.Assert(t, acquire().GetRefusal() == nil)
+		}
+	})
+}
