entry: crashes are told before the next attempt; what did not run is repeated to the deadline

Change: a failed attempt is reported before the next one is asked for; attempts that did not run are repeated with growing pauses until the deadline.

--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -51,13 +51,13 @@
 // attempts is the history of one request.
 type attempts struct {
 	count    int           // attempts made
+	ran      int           // of them, those that may have run
+	crashes  int           // of them, those that ended in a crash
 	excluded []string      // backend servers to avoid
 	received int           // tokens passed on to the caller
 	version  fleet.Version // that gave the received tokens
-	brokeAt  time.Time     // of the last attempt
-	crashes  int
-	last     error // of the last attempt
-	mayRun   bool  // some attempt may have run
+	brokeAt  time.Time     // end of the last attempt that may have run
+	last     error         // of the last attempt
 }
 
 func (a *attempts) excludes(b fleet.BackendID) bool { return slices.Contains(a.excluded, string(b)) }
@@ -78,8 +78,12 @@
 			return history.amend(refuse(http.StatusBadGateway, CodeBackendFailed, "the answer broke off and can't be resumed: %v", history.last))
 		}
 		end := h.attempt(ctx, req, g, &history, answer)
-		h.finishGrant(req, g, end)
 		req.attempts = append(req.attempts, end.explain(g))
+		if end.kind == endOK || end.kind == endCancelled {
+			h.finishGrant(req, g, end)
+		} else {
+			h.finishBeforeRetry(ctx, req, g, end)
+		}
 		if end.kind == endOK {
 			return nil
 		}
@@ -93,53 +97,72 @@
 }
 
 func (a *attempts) broken() dispatch.Broken {
-	return dispatch.Broken{Err: a.last, Received: a.received, Version: a.version, Tries: a.count - 1}
+	return dispatch.Broken{Err: a.last, Received: a.received, Version: a.version, Tries: a.ran - 1}
 }
 
 // amend corrects a refusal of a request that an earlier attempt may have run.
 func (a *attempts) amend(e *Error) *Error {
-	if a.mayRun {
+	if a.ran > 0 {
 		e.Outcome = fleet.OutcomeFailed
 	}
 	return e
 }
 
-// Limits of repeated attempts.
+// Limits of repeated attempts. Attempts that did not run are repeated, ever more
+// slowly, until the deadline.
 const (
-	maxAttempts = 4
-	maxCrashes  = 2 // attempts that end in a crash
+	maxRuns        = 4 // attempts that may have run
+	maxCrashes     = 2 // of them, those that ended in a crash
+	firstUnrunWait = 20 * time.Millisecond
+	maxUnrunWait   = time.Second
 )
 
 // settle records a failed attempt. It returns nil if another one may be made.
 func (h *Handler) settle(ctx context.Context, req *chatRequest, g grant, end attemptEnd, history *attempts, answer *answerWriter) *Error {
 	history.count++
-	history.last, history.brokeAt = end.err, time.Now()
-	history.mayRun = history.mayRun || end.kind != endNotRun
+	history.last = end.err
+	if end.kind != endNotRun {
+		history.ran++
+		history.brokeAt = time.Now()
+	}
 	if answer.tokens > history.received {
 		history.received, history.version = answer.tokens, g.version
 	}
 	if !history.excludes(g.backend) {
 		history.excluded = append(history.excluded, string(g.backend))
 	}
-	if end.kind == endCrashed {
-		history.crashes++
-	}
 	if ctx.Err() != nil || end.kind == endCancelled {
 		return history.amend(stopped(ctx, end.err))
 	}
 	if errors.Is(end.err, engine.ErrRejected) {
 		return history.amend(refuse(http.StatusBadRequest, CodeBadRequest, "%v", end.err))
 	}
+	answer.restart()
+	if end.kind == endNotRun {
+		pause(ctx, unrunWait(history.count-history.ran))
+		return nil
+	}
+	if end.kind == endCrashed {
+		history.crashes++
+	}
 	// An answer to another request is no answer to this one.
 	safe := dispatch.MayRetry(end.err, true, false) || errors.Is(end.err, engine.ErrMismatch)
-	if !safe || history.count >= maxAttempts || history.crashes >= maxCrashes || !h.spent.retry() {
+	if !safe || history.ran >= maxRuns || history.crashes >= maxCrashes || !h.spent.retry() {
 		failed := refuse(http.StatusBadGateway, CodeBackendFailed, "attempt %d failed: %v", history.count, end.err)
 		return history.amend(failed.after(time.Second))
 	}
-	answer.restart()
 	return nil
 }
 
+// unrunWait is the pause after the n-th attempt that did not run. The first is
+// repeated at once.
+func unrunWait(n int) time.Duration {
+	if n <= 1 {
+		return 0
+	}
+	return min(firstUnrunWait<<min(n-2, 10), maxUnrunWait)
+}
+
 // stopped says why a dispatched request was cancelled: its caller went away, or
 // its first token did not come by the deadline.
 func stopped(ctx context.Context, err error) *Error {
@@ -257,7 +280,20 @@
 		h.endDirect(g.backend)
 		return
 	}
-	h.cfg.Grants.Finish(&peer.FinishRequest{
+	h.cfg.Grants.Finish(h.finishMessage(req, g, end))
+}
+
+// finishBeforeRetry reports a failed attempt before the next one is asked for.
+func (h *Handler) finishBeforeRetry(ctx context.Context, req *chatRequest, g grant, end attemptEnd) {
+	if g.id == "" {
+		h.endDirect(g.backend)
+		return
+	}
+	h.cfg.Grants.FinishNow(ctx, h.finishMessage(req, g, end))
+}
+
+func (h *Handler) finishMessage(req *chatRequest, g grant, end attemptEnd) *peer.FinishRequest {
+	return &peer.FinishRequest{
 		Cell:             string(h.cfg.Cell),
 		GrantId:          g.id,
 		RequestId:        req.dispatchID,
@@ -267,5 +303,5 @@
 		Tokens:           uint32(end.tokens),
 		FirstTokenMs:     end.firstToken.Milliseconds(),
 		DurationMs:       end.duration.Milliseconds(),
-	})
+	}
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -28,6 +28,10 @@
 	// Finish reports the end of a grant, or cancels a waiting request if the
 	// grant id is empty. It does not wait for the controller.
 	Finish(req *peer.FinishRequest)
+	// FinishNow is Finish before another attempt: the controller hears of this
+	// end, such as a crash, before it is asked for the next grant. If it is not
+	// heard soon, the report goes on in the background.
+	FinishNow(ctx context.Context, req *peer.FinishRequest)
 	// Snapshot returns the replicas of the cell as last heard.
 	Snapshot() []fleet.Replica
 }
--- a/internal/node/grants.go
+++ b/internal/node/grants.go
@@ -115,6 +115,19 @@
 	p.node.background.Go(func() { p.finishRemote(req) })
 }
 
+// FinishNow implements entry.Grants.
+func (p *peerClients) FinishNow(ctx context.Context, req *peer.FinishRequest) {
+	ctx, cancel := context.WithTimeout(ctx, finishTimeout)
+	defer cancel()
+	client, err := p.controller()
+	if err == nil {
+		_, err = client.Finish(ctx, req)
+	}
+	if err != nil {
+		p.node.background.Go(func() { p.finishRemote(req) })
+	}
+}
+
 // finishRemote tells the node in office, and after a takeover its successor,
 // which ignores grants of earlier terms.
 func (p *peerClients) finishRemote(req *peer.FinishRequest) {
