--- a/idempotency/idempotency_test.go
+++ b/idempotency/idempotency_test.go
@@ -350,3 +350,23 @@
 		assert.Assert(t, key.Text.Issued())
 	})
 }
+
+// liar says "not run" of a call that has an answer.
+type liar struct{}
+
+func (liar) Run(context.Context, idempotency.Call) idempotency.Result {
+	return idempotency.Result{Outcome: fleet.OutcomeNotRun, Answer: idempotency.Answer{Status: 201}}
+}
+
+func TestFalseNotRunFiresTheInvariant(t *testing.T) {
+	var broken []invariant.Name
+	invariant.SetMode(invariant.ModeReport)
+	invariant.SetReporter(func(v invariant.Violation) { broken = append(broken, v.Name) })
+	defer invariant.SetMode(invariant.ModePanic)
+	c := newCluster(1)
+	core := idempotency.NewCore(idempotency.DefaultSettings(), owner("n1", 1), []byte("secret"))
+	s := idempotency.NewService(core, idempotency.NewClaims(c.store), liar{}, c, nil)
+	s.Call(t.Context(), order("k", "spindle"))
+	s.Wait()
+	assert.DeepEqual(t, broken, []invariant.Name{invariant.NotRunIsTrue})
+}
--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -39,13 +39,18 @@
 	}
 	n.entry.Wait()
 	n.keys.Wait()
-	invariant.Check(n.entry.Running() == 0, invariant.GracefulStop, "%d requests in progress after the stop", n.entry.Running())
+	checkNothingRuns(n.entry.Running())
 	n.members.left()
 	n.unregister(ctx)
 	level.Info(n.cfg.Log).Log("event", "stopped")
 	return nil
 }
 
+// checkNothingRuns asserts that a stop that waited for all requests cut none.
+func checkNothingRuns(running int64) {
+	invariant.Check(running == 0, invariant.GracefulStop, "%d requests in progress after the stop", running)
+}
+
 // giveUpName ends the run: another live node bears this node's name.
 func (n *Node) giveUpName() {
 	if n.stopping.Swap(true) {
