controller: a report as old as an order's answer says nothing; lease: a fresh claim proves life

The report was not older, so its silence about the new replica was believed. (2) A holder whose datagrams are lost, and the others, each see the other as dead while both reach the store; each claim was followed by a counter-claim. Ruled out: the candidate sets and the intents (both as designed in the log). Change: only reports measured later than what is known count. A claim that replaces another is a sign of life for ClaimGrace (5 s, the time to find a crash), unless membership knows a newer run or that the VM is gone.

--- a/controller/failures_test.go
+++ b/controller/failures_test.go
@@ -173,6 +173,29 @@
 // pretendDead makes membership call a living node dead.
 func (c *fakeCell) pretendDead(n *testNode) { c.dead = n }
 
+// TestReportAsOldAsAnOrdersAnswer gives the controller a report that the engine
+// made at the very time of its answer to a load order, but before the order.
+func TestReportAsOldAsAnOrdersAnswer(t *testing.T) {
+	c := newCell(t, 1, 1, 4, true)
+	c.run(5 * time.Second)
+	c.demand[fleet.Target{Model: "m0"}] = fleet.RankUrgent
+	c.run(time.Second)
+	ctrl := c.nodes[0].ctrl
+	replicas := ctrl.Replicas()
+	assert.Equal(t, len(replicas), 1)
+	holder := replicas[0].Backend
+	for _, e := range c.engines {
+		if e.id != holder {
+			continue
+		}
+		report := e.report()
+		ctrl.HandleReport(c.now, c.now, report)
+		report.Replicas = nil
+		ctrl.HandleReport(c.now, c.now, report)
+	}
+	assert.Equal(t, len(ctrl.Replicas()), 1, "the load is forgotten, and may be made twice")
+}
+
 func TestEngineRestartsEmpty(t *testing.T) {
 	eachKind(t, func(t *testing.T, c *fakeCell) {
 		c.settle()
--- a/controller/reports.go
+++ b/controller/reports.go
@@ -38,8 +38,8 @@
 	if fenced {
 		c.confirm(now, b, requestedAt)
 	}
-	if r.MeasuredAt.Before(b.measuredAt) {
-		return
+	if !r.MeasuredAt.After(b.measuredAt) {
+		return // as old as what is known, which may be the answer to an order
 	}
 	b.measuredAt = r.MeasuredAt
 	c.takeContent(now, b, r)
--- a/internal/node/harness_test.go
+++ b/internal/node/harness_test.go
@@ -21,12 +21,21 @@
 	"github.com/redwingnotch/redwingnotch/standin/engine"
 	"github.com/redwingnotch/redwingnotch/standin/objectapi"
 	"github.com/redwingnotch/redwingnotch/standin/pipenet"
+	"github.com/redwingnotch/redwingnotch/standin/weightstore"
 )
 
 // gossipNet passes datagrams between the nodes of one process.
 type gossipNet struct {
 	mu    sync.Mutex
 	ports map[string]chan []byte
+	cut   map[string]bool // addresses that neither send nor receive
+}
+
+// setCut replaces the set of addresses that are cut off.
+func (g *gossipNet) setCut(addresses map[string]bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.cut = addresses
 }
 
 type gossipPort struct {
@@ -48,6 +57,9 @@
 	p.net.mu.Lock()
 	defer p.net.mu.Unlock()
 	for _, packet := range packets {
+		if p.net.cut[p.address] != p.net.cut[packet.Addr] {
+			continue
+		}
 		select {
 		case p.net.ports[packet.Addr] <- packet.Data:
 		default:
@@ -84,6 +96,7 @@
 	client  *http.Client
 	stops   []func() // of stand-ins
 	ledger  *engine.Ledger
+	weights *weightstore.Store
 	slots   int
 
 	tokenTime time.Duration
@@ -105,6 +118,7 @@
 		network:   n,
 		logLevel:  "debug",
 		ledger:    engine.NewLedger(),
+		weights:   weightstore.New(weightstore.Options{}),
 		tokenTime: tokenTime,
 		slots:     4,
 		gossip:    &gossipNet{ports: make(map[string]chan []byte)},
--- a/lease/claim.go
+++ b/lease/claim.go
@@ -164,7 +164,7 @@
 
 // noteFailure keeps the time since when no live node holds the cell.
 func (c *Core) noteFailure(now time.Time) {
-	failed := c.known && (c.version == 0 || c.failed(c.record.Holder))
+	failed := c.known && (c.version == 0 || c.failed(c.record.Holder) && !c.provenAlive(now, c.record.Holder))
 	if !failed || len(c.members) == 0 {
 		c.failedSince = time.Time{}
 		return
@@ -174,6 +174,16 @@
 	}
 }
 
+// provenAlive reports whether the holder's own claim, just seen, outweighs that
+// membership does not reach it. Otherwise two parts of a partition that both
+// reach the store would take the cell from each other in turn.
+func (c *Core) provenAlive(now time.Time, h Holder) bool {
+	m, ok := c.members[h.Node]
+	replaced := ok && m.Incarnation > h.Incarnation
+	left := ok && (m.State == MemberLeft || m.State == MemberGone)
+	return !replaced && !left && !c.claimedAt.IsZero() && now.Sub(c.claimedAt) < c.cfg.ClaimGrace
+}
+
 // claim returns a record with this node as holder and an epoch above all
 // granted.
 func (c *Core) claim() Record {
--- a/lease/core.go
+++ b/lease/core.go
@@ -36,6 +36,7 @@
 	ReadInterval time.Duration // between reads while one is needed
 	ClaimStagger time.Duration // between the first attempts of two claimants
 	ReclaimDelay time.Duration // a fenced holder waits this long before it claims anew
+	ClaimGrace   time.Duration // a new claim proves for this long that its writer lives
 }
 
 // Defaults of Config.
@@ -44,6 +45,7 @@
 	DefaultReadInterval = 500 * time.Millisecond
 	DefaultClaimStagger = 300 * time.Millisecond
 	DefaultReclaimDelay = 3 * time.Second
+	DefaultClaimGrace   = 5 * time.Second
 )
 
 func (cfg Config) withDefaults() Config {
@@ -51,6 +53,7 @@
 	setDefault(&cfg.ReadInterval, DefaultReadInterval)
 	setDefault(&cfg.ClaimStagger, DefaultClaimStagger)
 	setDefault(&cfg.ReclaimDelay, DefaultReclaimDelay)
+	setDefault(&cfg.ClaimGrace, DefaultClaimGrace)
 	return cfg
 }
 
@@ -107,6 +110,7 @@
 	hint        Successor // highest epoch heard of and who acts with it
 	fencedBy    fleet.Epoch
 	fencedAt    time.Time
+	claimedAt   time.Time   // another node's claim was first seen to replace an earlier one
 	failedSince time.Time   // holder first seen failed; zero while it lives
 	silentSince time.Time   // first failed store call since failedSince
 	advance     fleet.Epoch // epoch acted with before a claim; zero if none
@@ -226,6 +230,9 @@
 func (c *Core) take(now time.Time, r Record, version uint64) {
 	invariant.Check(r.Epoch >= c.record.Epoch && r.Granted >= c.record.Granted, invariant.EpochMonotonic,
 		"cell %s: record epoch %d after %d", c.cell, r.Epoch, c.record.Epoch)
+	if c.known && r.Epoch > c.record.Epoch && r.Holder != c.self {
+		c.claimedAt = now
+	}
 	c.record, c.version, c.known = r, version, true
 	if r.Epoch > c.advance {
 		c.advance = 0
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -146,6 +146,37 @@
 	assert.Assert(t, b.authority(next).PredecessorStopped)
 }
 
+// tickAs steps one core as the member table looks to it.
+func (b *bench) tickAs(n fleet.NodeID, dead ...fleet.NodeID) {
+	for _, d := range dead {
+		b.state(d, lease.MemberDead)
+	}
+	b.tick(n, false)
+	for _, d := range dead {
+		b.state(d, lease.MemberAlive)
+	}
+}
+
+// TestPartsThatBothReachTheStoreDoNotAlternate cuts the holder off from the
+// other nodes but not from the store.
+func TestPartsThatBothReachTheStoreDoNotAlternate(t *testing.T) {
+	b := newBench(t, "a", "b", "c")
+	h := b.holder("a", "b", "c")
+	rest := others(h)
+	for end := b.now.Add(lease.DefaultClaimGrace); b.now.Before(end); b.now = b.now.Add(100 * time.Millisecond) {
+		b.tickAs(h, rest...)
+		b.tickAs(rest[0], h)
+		b.tickAs(rest[1], h)
+		for _, n := range []fleet.NodeID{"a", "b", "c"} {
+			if a := b.authority(n); a.InOffice && a.Epoch > b.authority(h).Epoch {
+				b.cores[h].HandleDeposed(b.now, a.Epoch)
+			}
+		}
+	}
+	assert.Assert(t, !b.authority(h).InOffice)
+	assert.Equal(t, b.authority(h).Epoch, fleet.Epoch(4), "one claim above the three granted")
+}
+
 func TestNewerIncarnationOfHolder(t *testing.T) {
 	b := newBench(t, "a", "b", "c")
 	h := b.holder("a", "b", "c")
