--- a/admin/client.go
+++ b/admin/client.go
@@ -9,6 +9,8 @@
 	"net/http"
 	"net/url"
 	"time"
+
+	"github.com/redwingnotch/redwingnotch/internal/httpsend"
 )
 
 // Errors of Client.
@@ -32,7 +34,7 @@
 
 // NewClient returns a client of the node at the admin address.
 func NewClient(address string) *Client {
-	return &Client{Address: address, HTTP: &http.Client{Timeout: callTimeout}}
+	return &Client{Address: address, HTTP: httpsend.NewClient(httpsend.Options{})}
 }
 
 // Status returns what the node knows of the deployment.
@@ -50,6 +52,8 @@
 }
 
 func (c *Client) get(ctx context.Context, path string, answer any) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+c.Address+path, nil)
 	if err != nil {
 		return fmt.Errorf("%w: %s: %w", ErrUnreachable, c.Address, err)
--- /dev/null
+++ b/internal/rwnctl/run.go
@@ -0,0 +1,183 @@
+// Package rwnctl is the operators' tool behind cmd/rwnctl.
+package rwnctl
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"text/tabwriter"
+	"time"
+
+	"github.com/redwingnotch/redwingnotch/admin"
+	"github.com/redwingnotch/redwingnotch/platform"
+	"github.com/redwingnotch/redwingnotch/release"
+)
+
+// Exit codes.
+const (
+	ExitOK          = 0
+	ExitRefused     = 1 // findings or a refusal; nothing changed
+	ExitUsage       = 2 // the command line is faulty; nothing was done
+	ExitUnknown     = 3 // a change may have taken effect, or may yet
+	ExitUnavailable = 4 // platform or nodes unavailable; nothing changed
+)
+
+// Env is what a run has of the outside.
+type Env struct {
+	In        io.Reader
+	Out       io.Writer
+	Err       io.Writer
+	Now       func() time.Time
+	OpenStore func(url string) platform.Store
+}
+
+// DefaultEnv returns the environment of the process.
+func DefaultEnv() Env {
+	return Env{In: os.Stdin, Out: os.Stdout, Err: os.Stderr, Now: time.Now, OpenStore: openStore}
+}
+
+func openStore(url string) platform.Store {
+	return platform.NewClient(platform.Options{BaseURL: url})
+}
+
+// run is one run of the tool.
+type run struct {
+	Env
+	args *Args
+}
+
+// Run carries out the command line and returns the exit code.
+func Run(ctx context.Context, args []string, env Env) int {
+	parsed, done, err := parseArgs(args, env.Out)
+	if err != nil {
+		fmt.Fprintf(env.Err, "rwnctl: %v\n", err)
+		return ExitUsage
+	}
+	if done {
+		return ExitOK
+	}
+	ctx, cancel := context.WithTimeout(ctx, parsed.Timeout)
+	defer cancel()
+	r := &run{Env: env, args: parsed}
+	if err := r.command(ctx); err != nil {
+		r.report(err)
+		return exitCode(err)
+	}
+	return ExitOK
+}
+
+// command carries out the command.
+func (r *run) command(ctx context.Context) error {
+	a := r.args
+	switch {
+	case a.Check != nil:
+		return r.check(ctx, a.Check.File)
+	case a.Apply != nil:
+		return r.apply(ctx, a.Apply.File)
+	case a.Withdraw != nil:
+		return r.withdraw(ctx, a.Withdraw.Target)
+	case a.Settle != nil:
+		return r.settle(ctx, a.Settle.ID)
+	case a.Status != nil:
+		return r.status(ctx)
+	case a.Audit != nil:
+		return r.audit(ctx, a.Audit.Since)
+	}
+	return r.explain(ctx, a.Explain.RequestID)
+}
+
+// exitCode returns the exit code of a failure.
+func exitCode(err error) int {
+	switch {
+	case errors.Is(err, errUsage), errors.Is(err, release.ErrBadID):
+		return ExitUsage
+	case errors.Is(err, release.ErrUnknown):
+		return ExitUnknown
+	case errors.Is(err, platform.ErrUnavailable), errors.Is(err, platform.ErrBudget), errors.Is(err, admin.ErrUnreachable),
+		errors.Is(err, context.DeadlineExceeded), errors.Is(err, context.Canceled):
+		return ExitUnavailable
+	}
+	return ExitRefused
+}
+
+// errUsage marks a faulty argument.
+var errUsage = errors.New("faulty argument")
+
+// failure is an error as JSON.
+type failure struct {
+	Error      string              `json:"error"`
+	ExitCode   int                 `json:"exit_code"`
+	Findings   release.Findings    `json:"findings,omitempty"`
+	Collisions []release.Collision `json:"collisions,omitempty"`
+	ID         string              `json:"id,omitempty"` // for settle
+}
+
+// report writes a failure to the error output.
+func (r *run) report(err error) {
+	if r.args.Output != outputJSON {
+		r.reportText(err)
+		return
+	}
+	f := failure{Error: err.Error(), ExitCode: exitCode(err)}
+	errors.As(err, &f.Findings)
+	var conflict *release.ConflictError
+	if errors.As(err, &conflict) {
+		f.Collisions = conflict.Collisions
+	}
+	var unknown *release.UnknownError
+	if errors.As(err, &unknown) {
+		f.ID = unknown.ID
+	}
+	_ = r.writeJSON(r.Err, f)
+}
+
+// reportText writes a failure line by line, findings with the file's name.
+func (r *run) reportText(err error) {
+	var findings release.Findings
+	if !errors.As(err, &findings) {
+		fmt.Fprintf(r.Err, "rwnctl: %v\n", err)
+		return
+	}
+	for _, f := range findings {
+		fmt.Fprintf(r.Err, "%s:%s\n", r.noteName(), f)
+	}
+	fmt.Fprintf(r.Err, "rwnctl: %d findings, nothing applied\n", len(findings))
+}
+
+// noteName returns the name of the note for findings.
+func (r *run) noteName() string {
+	switch {
+	case r.args.Check != nil:
+		return r.args.Check.File
+	case r.args.Apply != nil:
+		return r.args.Apply.File
+	}
+	return r.args.Withdraw.Target
+}
+
+// write writes a result as JSON, or as a table by the function.
+func (r *run) write(result any, table func(w io.Writer)) error {
+	if r.args.Output == outputJSON {
+		return r.writeJSON(r.Out, result)
+	}
+	w := tabwriter.NewWriter(r.Out, 0, 0, 2, ' ', 0)
+	table(w)
+	return w.Flush()
+}
+
+func (r *run) writeJSON(w io.Writer, value any) error {
+	encoder := json.NewEncoder(w)
+	encoder.SetIndent("", "  ")
+	return encoder.Encode(value)
+}
+
+// ago returns how long ago a time was, in full seconds.
+func (r *run) ago(t time.Time) string {
+	if t.IsZero() {
+		return "never"
+	}
+	return r.Now().Sub(t).Truncate(time.Second).String() + " ago"
+}
