Directed tests of two writers that meet fresh boots

Change: two tests, one for each side, that fail without the rule. Conclusion: the rule is tested from both sides.

--- a/controller/cell_test.go
+++ b/controller/cell_test.go
@@ -95,6 +95,7 @@
 	keep    time.Duration
 	loss    float64 // of each message or answer
 	cut     map[string]bool
+	unasked *testNode                                       // hears of no demand
 	dead    *testNode                                       // called dead by membership though it lives
 	order   func(n *testNode, o engine.Order) time.Duration // extra delay on the way to the engine
 	faults  []string
@@ -255,7 +256,11 @@
 	n.ctrl.SetAuthority(c.now, n.auth)
 	n.ctrl.SetRelease(c.now, c.release, c.models, c.adapter)
 	n.ctrl.SetBackends(c.now, c.vms(), c.now)
-	eff := n.ctrl.Tick(c.now, c.demands(), c)
+	demands := c.demands()
+	if n == c.unasked {
+		demands = nil
+	}
+	eff := n.ctrl.Tick(c.now, demands, c)
 	n.blocked = eff.Blocked
 	if eff.Wanted != nil {
 		n.lease.SetWanted(c.now, *eff.Wanted)
--- /dev/null
+++ b/controller/writers_test.go
@@ -0,0 +1,96 @@
+package controller_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/redwingnotch/redwingnotch/engine"
+	"github.com/redwingnotch/redwingnotch/fleet"
+)
+
+// twoWriters returns a cell whose holder a is called dead and cut off.
+func twoWriters(t *testing.T, engines int) (c *fakeCell, a *testNode) {
+	c = newCell(t, 5, 3, engines, true)
+	a = c.settle()
+	c.dead = a
+	c.cut[string(a.id)+"/store"] = true
+	c.cutEngines(a, true, c.engines...)
+	return c, a
+}
+
+// attract gives the engine the weights, so that it is chosen.
+func (e *fakeEngine) attract(m fleet.ModelID) {
+	e.cached = []engine.CachedWeights{{Model: m, Version: "1", Near: fleet.NearMemory}}
+}
+
+func (c *fakeCell) cutEngines(n *testNode, cut bool, engines ...*fakeEngine) {
+	for _, e := range engines {
+		c.cut[string(n.id)+"/"+string(e.id)] = cut
+	}
+}
+
+func (c *fakeCell) takenOver(a *testNode) *testNode {
+	c.t.Helper()
+	c.until(time.Second, "takeover", func() bool { h := c.holder(); return h != nil && h != a })
+	return c.holder()
+}
+
+// The new holder has loaded at one engine. The old one, which last read that
+// engine before it was raised, meets fresh boots of all others.
+func TestOldHolderMeetsFreshBoots(t *testing.T) {
+	c, a := twoWriters(t, 4)
+	b := c.takenOver(a)
+	c.run(200 * time.Millisecond)
+	c.unasked = a
+	c.ask("m0")
+	c.until(time.Second, "a load", func() bool { return c.count("m0") == 1 })
+	loaded := c.holding("m0")
+	for _, e := range c.engines {
+		if e != loaded {
+			e.restart()
+			e.attract("m0")
+			c.cutEngines(a, false, e)
+			c.cutEngines(b, true, e)
+		}
+	}
+	c.run(700 * time.Millisecond)
+	c.unasked = nil
+	c.run(2 * time.Second)
+	assert.Equal(t, c.loads("m0"), 1)
+	raised := 0
+	for _, e := range c.engines {
+		if e != loaded && e.epoch == a.auth.Epoch {
+			raised++
+		}
+	}
+	assert.Equal(t, raised, 3, "the old holder did not act at all: the test shows nothing")
+}
+
+// The new holder has read one engine, which then restarts and is loaded by the
+// old holder. Only afterwards does the new holder reach the other engine.
+func TestNewHolderCountedAnOldBoot(t *testing.T) {
+	c, a := twoWriters(t, 2)
+	first, second := c.engines[0], c.engines[1]
+	for _, n := range c.nodes {
+		if n != a {
+			c.cutEngines(n, true, second)
+		}
+	}
+	b := c.takenOver(a)
+	c.until(time.Second, "raise", func() bool { return first.epoch == b.auth.Epoch })
+	c.run(50 * time.Millisecond)
+	first.restart()
+	c.cutEngines(b, true, first)
+	c.cutEngines(a, false, first, second)
+	first.attract("m0")
+	c.run(200 * time.Millisecond)
+	c.ask("m0")
+	c.until(2*time.Second, "the old holder's load", func() bool { return first.replicas["m0"] != nil })
+	second.attract("m0")
+	c.cutEngines(b, false, second)
+	c.run(2 * time.Second)
+	assert.Equal(t, c.loads("m0"), 1)
+	assert.Equal(t, second.epoch, b.auth.Epoch)
+}
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -98,6 +98,7 @@
 		}
 		for j := range rapid.IntRange(0, 4).Draw(t, "residents") {
 			r := idle(fmt.Sprint(j), rapid.Int64Range(1, 8).Draw(t, "memory"), rapid.Bool().Draw(t, "kept"))
+			r.ReloadTime = time.Duration(rapid.IntRange(1, 60).Draw(t, "reload")) * time.Second
 			r.Evictable = rapid.Bool().Draw(t, "evictable")
 			s.Residents = append(s.Residents, r)
 		}
