--- /dev/null
+++ b/internal/node/node_test.go
@@ -0,0 +1,386 @@
+package node_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+	"gotest.tools/v3/assert"
+
+	"github.com/redwingnotch/redwingnotch/internal/node"
+	"github.com/redwingnotch/redwingnotch/internal/operators"
+	"github.com/redwingnotch/redwingnotch/peer"
+	"github.com/redwingnotch/redwingnotch/standin/engine"
+)
+
+func TestOneNodeControlsTheCell(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDeployment(t)
+		defer d.close()
+		for _, name := range []string{"n1", "n2", "n3"} {
+			d.start(name)
+		}
+		time.Sleep(settleTime)
+		_, count := d.holder()
+		assert.Equal(t, count, 1)
+		body := d.send("n1", "GET", "/v1/entry", "").body
+		assert.Equal(t, strings.Count(body, `"address"`), 3, body)
+	})
+}
+
+func TestSecondNodeOfANameRefusesToStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDeployment(t)
+		defer d.close()
+		d.start("n1")
+		time.Sleep(settleTime)
+		second := d.startAt("n1", "other")
+		err := <-second.err
+		assert.Assert(t, errors.Is(err, node.ErrNameInUse), "%v", err)
+		assert.ErrorContains(t, err, "n1 runs at n1:81")
+		delete(d.nodes, "other")
+	})
+}
+
+func TestHandoverOnAPlannedStop(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDeployment(t)
+		defer d.close()
+		for _, name := range []string{"n1", "n2", "n3"} {
+			d.start(name)
+		}
+		time.Sleep(settleTime)
+		first, _ := d.holder()
+		leaving := d.nodes[first]
+		leaving.stop()
+		time.Sleep(3 * time.Second)
+		next, count := d.holder()
+		assert.Equal(t, count, 1)
+		assert.Assert(t, next != first)
+		body := d.send(next, "GET", "/v1/entry", "").body
+		assert.Equal(t, strings.Count(body, `"address"`), 2, body)
+		assert.NilError(t, <-leaving.err)
+		delete(d.nodes, first)
+	})
+}
+
+var latheRequest = chat("lathe", "The collar of lathe 7 chatters.")
+
+func TestColdBurstIsOneLoad(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDeployment(t)
+		defer d.close()
+		d.addEngine("e1")
+		d.addEngine("e2")
+		for _, name := range []string{"n1", "n2", "n3"} {
+			d.start(name)
+		}
+		time.Sleep(settleTime)
+		replies := make(chan reply, 9)
+		for i := range 9 {
+			go func() {
+				replies <- d.send([]string{"n1", "n2", "n3"}[i%3], "POST", "/v1/chat/completions", latheRequest)
+			}()
+		}
+		for range 9 {
+			got := <-replies
+			assert.NilError(t, checkAnswer(got, "lathe", latheRequest))
+		}
+		assert.Equal(t, d.ledger.Loads("lathe"), 1)
+	})
+}
+
+func TestPartsOrderRunsOnceThroughTwoNodes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDeployment(t)
+		defer d.close()
+		ordering := d.addService("s1", "ordering")
+		d.start("n1")
+		d.start("n2")
+		time.Sleep(settleTime)
+		var issued struct{ Key string }
+		got := d.send("n1", "POST", "/v1/keys", "")
+		assert.NilError(t, json.Unmarshal([]byte(got.body), &issued))
+		replies := make(chan reply, 8)
+		for i := range cap(replies) {
+			key := []string{"order-7", issued.Key}[i/2%2]
+			go func() {
+				replies <- d.send([]string{"n1", "n2"}[i%2], "POST", "/v1/services/ordering/orders", "spindle", "Idempotency-Key", key)
+			}()
+		}
+		for range cap(replies) {
+			got := <-replies
+			assert.Equal(t, got.status, 200, got.body)
+			assert.Assert(t, strings.Contains(got.body, `"run":1`), got.body)
+		}
+		assert.Equal(t, ordering.Total(), 2)
+		got = d.send("n2", "POST", "/v1/services/ordering/orders", "two spindles", "Idempotency-Key", "order-7")
+		assert.Equal(t, got.status, 422, got.body)
+	})
+}
+
+// TestPlannedStopCutsNothing sends streams through all nodes, by the addresses
+// that callers are told, while each node in turn stops and is replaced.
+func TestPlannedStopCutsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDeployment(t)
+		defer d.close()
+		d.addEngine("e1")
+		d.addEngine("e2")
+		for _, name := range []string{"n1", "n2", "n3"} {
+			d.start(name)
+		}
+		time.Sleep(settleTime)
+		ctx, cancel := context.WithCancel(t.Context())
+		var callers errgroup.Group
+		for i := range 6 {
+			callers.Go(func() error { return d.callUntil(ctx, fmt.Sprint("caller", i), []string{"n1", "n2", "n3"}[i%3]) })
+		}
+		for _, name := range []string{"n1", "n2"} {
+			time.Sleep(3 * time.Second)
+			n := d.nodes[name]
+			n.stop()
+			assert.NilError(t, <-n.err)
+			delete(d.nodes, name)
+			d.start(name + "b")
+		}
+		time.Sleep(3 * time.Second)
+		cancel()
+		assert.NilError(t, callers.Wait())
+	})
+}
+
+// callUntil sends one stream after another as a caller who keeps to the answers
+// of /v1/entry, and fails at the first answer that is not whole.
+func (d *deployment) callUntil(ctx context.Context, caller, first string) error {
+	host, until := first, time.Time{}
+	for ctx.Err() == nil {
+		if time.Now().After(until) {
+			var list struct {
+				Addresses  []struct{ Address string }
+				ValidForMS int64 `json:"valid_for_ms"`
+			}
+			got := d.send(host, "GET", "/v1/entry", "", "Redwingnotch-Caller", caller)
+			if err := json.Unmarshal([]byte(got.body), &list); err != nil {
+				return fmt.Errorf("%s: %q: %w", host, got.body, errors.Join(err, got.err))
+			}
+			host = strings.TrimSuffix(list.Addresses[0].Address, ":80")
+			until = time.Now().Add(time.Duration(list.ValidForMS) * time.Millisecond)
+		}
+		got := d.send(host, "POST", "/v1/chat/completions", latheRequest)
+		if err := checkAnswer(got, "lathe", latheRequest); err != nil {
+			return fmt.Errorf("%s through %s: %w", caller, host, err)
+		}
+	}
+	return nil
+}
+
+func TestControllerCrashLosesNoWaitingRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDeployment(t)
+		defer d.close()
+		d.addEngine("e1")
+		d.addEngine("e2")
+		for _, name := range []string{"n1", "n2", "n3"} {
+			d.start(name)
+		}
+		time.Sleep(settleTime)
+		holder, _ := d.holder()
+		replies := make(chan reply, 6)
+		for name := range d.nodes {
+			if name == holder {
+				continue
+			}
+			for range 3 {
+				go func() { replies <- d.send(name, "POST", "/v1/chat/completions", latheRequest) }()
+			}
+		}
+		time.Sleep(loadTime / 2)
+		d.nodes[holder].Kill()
+		assert.NilError(t, <-d.nodes[holder].err)
+		delete(d.nodes, holder)
+		for range cap(replies) {
+			got := <-replies
+			assert.NilError(t, checkAnswer(got, "lathe", latheRequest))
+		}
+		assert.Equal(t, d.ledger.Loads("lathe"), 1)
+	})
+}
+
+func TestWarmModelIsServedWhileTheControllerIsSilent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDeployment(t)
+		defer d.close()
+		d.addEngine("e1")
+		for _, name := range []string{"n1", "n2"} {
+			d.start(name)
+		}
+		time.Sleep(settleTime)
+		holder, _ := d.holder()
+		other := map[string]string{"n1": "n2", "n2": "n1"}[holder]
+		assert.NilError(t, checkAnswer(d.send(other, "POST", "/v1/chat/completions", latheRequest), "lathe", latheRequest))
+		time.Sleep(5 * time.Second)
+		d.api.Faults.SetOutage(true)
+		d.nodes[holder].Kill()
+		assert.NilError(t, <-d.nodes[holder].err)
+		delete(d.nodes, holder)
+		assert.NilError(t, checkAnswer(d.send(other, "POST", "/v1/chat/completions", latheRequest), "lathe", latheRequest))
+		d.api.Faults.SetOutage(false)
+	})
+}
+
+func TestPoisonCostsTwoServersThroughAnyNodes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDeployment(t)
+		defer d.close()
+		var engines []*engine.Engine
+		for _, name := range []string{"e1", "e2", "e3", "e4"} {
+			engines = append(engines, d.addEngine(name))
+		}
+		nodes := []string{"n1", "n2", "n3"}
+		for _, name := range nodes {
+			d.start(name)
+		}
+		time.Sleep(settleTime)
+		var callers errgroup.Group
+		for i := range 6 {
+			callers.Go(func() error {
+				for range 10 {
+					got := d.send(nodes[i%3], "POST", "/v1/chat/completions", chat("deck", poison), "Redwingnotch-Deadline", "20s")
+					if strings.Contains(got.body, "[DONE]") {
+						return errors.New("the poison was answered")
+					}
+					time.Sleep(time.Second)
+				}
+				return nil
+			})
+			callers.Go(func() error {
+				for n := range 5 {
+					body := chat("deck", fmt.Sprintf("innocent %d of %d", n, i))
+					got := d.send(nodes[i%3], "POST", "/v1/chat/completions", body)
+					if err := checkAnswer(got, "deck", body); err != nil {
+						return fmt.Errorf("innocent: %w", err)
+					}
+				}
+				return nil
+			})
+		}
+		assert.NilError(t, callers.Wait())
+		crashes := 0
+		for _, e := range engines {
+			crashes += e.Counts().Crashes
+		}
+		assert.Assert(t, crashes <= 2, "%d crashes", crashes)
+		assert.Assert(t, crashes > 0)
+	})
+}
+
+func TestReleaseNoteIsInForceEverywhereAndStaysSo(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDeployment(t)
+		defer d.close()
+		d.addEngine("e1")
+		for _, name := range []string{"n1", "n2", "n3"} {
+			d.start(name)
+		}
+		time.Sleep(settleTime)
+		collar := chat("collar", "Pitch?")
+		assert.Equal(t, d.send("n1", "POST", "/v1/chat/completions", collar).status, 404)
+		d.publish("title: add\nmodels:\n  - {id: collar, version: v1, replicas: {c: 1}, memory: 1GiB, load_time: 2s, slots: 4}\n" +
+			"withdraw: {models: [deck]}\n")
+		time.Sleep(inForceWithin)
+		for name := range d.nodes {
+			assert.NilError(t, checkAnswer(d.send(name, "POST", "/v1/chat/completions", collar), "collar", collar))
+			assert.Equal(t, d.send(name, "POST", "/v1/chat/completions", chat("deck", "Order?")).status, 410)
+		}
+		// A node that starts while the store is down learns the version from its
+		// peers, and serves no older one.
+		d.api.Faults.SetOutage(true)
+		n := d.startWith("n4", []string{"n1:81"})
+		time.Sleep(settleTime)
+		assert.Equal(t, n.NotReady(), "")
+		assert.NilError(t, checkAnswer(d.send("n4", "POST", "/v1/chat/completions", collar), "collar", collar))
+		d.api.Faults.SetOutage(false)
+	})
+}
+
+// inForceWithin is the time in which an accepted release is in force at today's
+// size.
+const inForceWithin = 3 * time.Second
+
+func TestOperatorsSeeStatusAndExplanations(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDeployment(t)
+		defer d.close()
+		d.addEngine("e1")
+		d.start("n1")
+		d.start("n2")
+		time.Sleep(settleTime)
+		assert.NilError(t, checkAnswer(d.send("n1", "POST", "/v1/chat/completions", latheRequest), "lathe", latheRequest))
+		assert.Equal(t, d.send("n1", "POST", "/v1/chat/completions", chat("nope", "?"), "Redwingnotch-Request-Id", "r-1").status, 404)
+
+		nodes, err := operators.Nodes(t.Context(), d.api)
+		assert.NilError(t, err)
+		assert.Equal(t, len(nodes), 2)
+		holder, _ := d.holder()
+		client := operators.Client{HTTP: d.client, Secret: secret}
+		status, err := client.Status(t.Context(), holder+":81")
+		assert.NilError(t, err)
+		assert.Equal(t, status.NotReady, "")
+		assert.Equal(t, status.Release.Version, uint64(1))
+		assert.Equal(t, status.Release.Standing, "current")
+		assert.Equal(t, string(status.Cell.Controller), holder)
+		assert.Equal(t, len(status.Cell.Replicas), 1)
+		assert.Equal(t, len(status.Members), 2)
+
+		explanation, err := client.Explain(t.Context(), "n1:81", "r-1")
+		assert.NilError(t, err)
+		assert.Equal(t, explanation.Code+" "+explanation.Outcome, "unknown_model not_run")
+		_, err = client.Explain(t.Context(), "n2:81", "r-1")
+		assert.ErrorIs(t, err, operators.ErrNotKnown)
+		client.Secret = "wrong"
+		_, err = client.Status(t.Context(), "n1:81")
+		assert.ErrorIs(t, err, operators.ErrSecret)
+	})
+}
+
+// secretClient bears the deployment's secret.
+type secretClient struct{ *http.Client }
+
+func (c secretClient) Do(req *http.Request) (*http.Response, error) {
+	req.Header.Set(operators.HeaderSecret, secret)
+	return c.Client.Do(req)
+}
+
+func TestControllerBehindTheReleaseRefusesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDeployment(t)
+		defer d.close()
+		d.addEngine("e1")
+		d.start("n1")
+		time.Sleep(settleTime)
+		controller := peer.NewCellProtobufClient("http://n1:81", secretClient{d.client})
+		acquire := func() *peer.AcquireResponse {
+			now := time.Now()
+			resp, err := controller.Acquire(t.Context(), &peer.AcquireRequest{
+				RequestId: "r", EntryNode: "n2", EntryIncarnation: 1, Model: "collar", Rank: 1, MaxTokens: 1, Cell: "c", ReleaseVersion: 2,
+				ArrivalMs: now.UnixMilli(), DeadlineMs: now.Add(time.Minute).UnixMilli(), WaitMs: 1000,
+			})
+			assert.NilError(t, err)
+			return resp
+		}
+		assert.Equal(t, acquire().GetWaiting().GetReason(), "release", "a model of a release that the controller does not know")
+		d.publish("title: add\nmodels:\n  - {id: collar, version: v1, replicas: {c: 1}, memory: 1GiB, load_time: 2s, slots: 4}\n")
+		time.Sleep(inForceWithin)
+		for acquire().GetGrant() == nil {
+			assert.Assert(t, acquire().GetRefusal() == nil)
+		}
+	})
+}
