--- a/admission/backend.go
+++ b/admission/backend.go
@@ -84,7 +84,7 @@
 		reserved += b.reserve(r, cost, limits.window)
 	}
 	most := min(limits.ceilings[rank], capacityUnits-reserved)
-	return lower <= max(most, limits.floors[rank])
+	return lower <= max(most, limits.floorUnits(rank, cost))
 }
 
 // reserveDeviations is the number of standard deviations above its recent mean
@@ -102,17 +102,15 @@
 // server, in capacity units.
 type rankLimits struct {
 	ceilings [fleet.RankCount]int
-	floors   [fleet.RankCount]int // of the rank and those below
-	window   time.Duration        // of slot accounts
+	floors   [fleet.RankCount]int
+	window   time.Duration // of slot accounts
 }
 
 // newRankLimits derives the limits from the settings.
 func newRankLimits(s *Settings) rankLimits {
 	limits := rankLimits{window: s.FloorWindow}
-	sum := 0.0
-	for r := fleet.RankCount - 1; r >= 0; r-- {
-		sum += s.Ranks[r].Floor
-		limits.floors[r] = int(sum * capacityUnits)
+	for r := range s.Ranks {
+		limits.floors[r] = int(s.Ranks[r].Floor * capacityUnits)
 		limits.ceilings[r] = int(s.Ranks[r].Ceiling * capacityUnits)
 		if s.FIFO {
 			limits.floors[r] = capacityUnits
@@ -121,6 +119,18 @@
 	return limits
 }
 
+// floorUnits returns what a rank and those below may fill whatever is expected
+// of higher ranks: their floors, and one slot of each that has a floor.
+func (l *rankLimits) floorUnits(rank fleet.Rank, cost int) int {
+	sum := 0
+	for _, floor := range l.floors[rank:] {
+		if floor > 0 {
+			sum += max(floor, cost)
+		}
+	}
+	return sum
+}
+
 // setForeign derives from a lagging report how many requests run that this
 // queue did not grant: those of a predecessor or dispatched directly.
 func (b *backendState) setForeign(now time.Time, loads []ReplicaLoad, grants func(fleet.ReplicaKey, time.Time) int) {
--- a/admission/decide.go
+++ b/admission/decide.go
@@ -142,6 +142,7 @@
 func (q *Queue) Tick(now time.Time) []Decision {
 	if now.Sub(q.scanned) >= scanInterval {
 		q.scanned = now
+		q.markOverdue(now)
 		q.refuseUseless(now)
 	}
 	q.serveAll(now)
@@ -180,7 +181,7 @@
 	if refusal, refused := q.tooLateNow(now, m, w); refused {
 		return refusal, true
 	}
-	if q.settings.FIFO || m.serving {
+	if q.settings.FIFO || (m.serving && !w.overdue) {
 		return Refusal{}, false
 	}
 	return q.tooLate(now, m, w)
@@ -191,8 +192,8 @@
 	queued := len(q.held)
 	for id := range q.demanded {
 		for _, t := range q.models[id].targets {
-			for r := range t.byRank {
-				queued += t.byRank[r].len()
+			for r := range fleet.Rank(fleet.RankCount) {
+				queued += t.len(r)
 			}
 		}
 	}
@@ -215,14 +216,15 @@
 	for id := range q.demanded {
 		for _, t := range q.models[id].targets {
 			d := demandOf(byTarget, fleet.Target{Model: id, Adapter: t.adapter})
-			for r := range t.byRank {
-				t.byRank[r].addTo(d, fleet.Rank(r))
+			for r := range fleet.Rank(fleet.RankCount) {
+				t.onTime[r].addTo(d, r)
+				t.overdue[r].addTo(d, r)
 			}
 		}
 	}
 	for _, w := range q.held {
 		d := demandOf(byTarget, w.Target)
-		addDemand(d, w.Rank, 1, w.Deadline, w.Arrival)
+		addDemand(d, w.Rank, 1, w.due(), w.Arrival)
 	}
 	out := make([]fleet.Demand, 0, len(byTarget))
 	for _, d := range byTarget {
@@ -254,7 +256,7 @@
 			oldest = head.Arrival
 		}
 	}
-	addDemand(d, rank, q.len(), time.Unix(0, q.deadlines[0]), oldest)
+	addDemand(d, rank, q.len(), time.Unix(0, q.dues[0]), oldest)
 }
 
 // addDemand adds waiters to a row.
--- a/admission/estimate.go
+++ b/admission/estimate.go
@@ -128,6 +128,9 @@
 	if floor := q.settings.Ranks[w.Rank].Floor; floor > 0 {
 		drained = min(drained, time.Duration(float64(drainTime(now, floorWork, s))/floor))
 	}
+	if w.overdue {
+		drained = max(drained, m.lateness[w.Rank].wait(now, m.ahead(w)))
+	}
 	return drained + m.learnt.firstTokenTime(now), true
 }
 
@@ -144,12 +147,19 @@
 }
 
 // workAhead returns the slot time that goes before the waiter: of all ranks in
-// order of urgency, and of its own rank only.
+// order of urgency, and of its own rank only. Those overdue go after those on
+// time.
 func (q *Queue) workAhead(m *modelState, w *waiter) (all, own time.Duration) {
 	for r := fleet.Rank(0); r < w.Rank; r++ {
 		all += time.Duration(m.waiting(r)) * m.learnt.service[r]
 	}
-	own = time.Duration(m.ahead(w)) * m.learnt.service[w.Rank]
+	n := m.ahead(w)
+	if w.overdue {
+		for _, t := range m.targets {
+			n += t.onTime[w.Rank].len()
+		}
+	}
+	own = time.Duration(n) * m.learnt.service[w.Rank]
 	return all + own, own
 }
 
--- a/admission/model.go
+++ b/admission/model.go
@@ -15,6 +15,7 @@
 	replicas []*replicaState // all, ordered by key
 	cold     time.Duration   // estimate of a cold load, zero if unknown
 	learnt   learntTimes
+	lateness [fleet.RankCount]overdueRate
 	info     fleet.Model
 	known    bool // in the release
 	serving  bool // has a replica that takes work
@@ -45,14 +46,14 @@
 	if !found {
 		m.targets = slices.Insert(m.targets, at, &targetQueues{adapter: w.Target.Adapter})
 	}
-	m.targets[at].byRank[w.Rank].add(w, fifo)
+	m.targets[at].queueOf(w).add(w, fifo)
 }
 
 // remove takes a waiter out.
 func (m *modelState) remove(w *waiter) {
 	at, _ := m.find(w.Target.Adapter)
 	t := m.targets[at]
-	t.byRank[w.Rank].remove(w)
+	t.queueOf(w).remove(w)
 	if t.empty() {
 		m.targets = slices.Delete(m.targets, at, at+1)
 	}
@@ -62,16 +63,17 @@
 func (m *modelState) waiting(rank fleet.Rank) int {
 	n := 0
 	for _, t := range m.targets {
-		n += t.byRank[rank].len()
+		n += t.len(rank)
 	}
 	return n
 }
 
-// ahead returns the number of waiters of the same rank that go before w.
+// ahead returns the number of waiters of the same rank and class that go before
+// w: of those on time or of those overdue.
 func (m *modelState) ahead(w *waiter) int {
 	n := 0
 	for _, t := range m.targets {
-		n += t.byRank[w.Rank].ahead(w.Deadline)
+		n += t.queueOf(w).ahead(w.due())
 	}
 	if w.place != nil {
 		n-- // itself
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -85,6 +85,8 @@
 	}
 	q.seq++
 	w := &waiter{Request: r, offered: now, seq: q.seq}
+	w.target = r.Arrival.Add(q.settings.Ranks[r.Rank].FirstTokenTarget)
+	w.overdue = q.missesTarget(now, m, w)
 	if refusal, refused := q.tooLate(now, m, w); refused {
 		return refuseDecision(&r, refusal)
 	}
@@ -172,8 +174,10 @@
 	var longest *rankQueue
 	for _, id := range sortedKeys(q.models) {
 		for _, t := range q.models[id].targets {
-			if longest == nil || t.byRank[rank].len() > longest.len() {
-				longest = &t.byRank[rank]
+			for _, queue := range []*rankQueue{&t.overdue[rank], &t.onTime[rank]} {
+				if longest == nil || queue.len() > longest.len() {
+					longest = queue
+				}
 			}
 		}
 	}
--- a/admission/serve.go
+++ b/admission/serve.go
@@ -38,6 +38,10 @@
 			q.refuse(w, refusal)
 			continue
 		}
+		if q.missesTarget(now, m, w) {
+			q.makeOverdue(now, m, w)
+			continue
+		}
 		if table := q.settings.Quarantine; table != nil {
 			key := keyOf(&w.Request)
 			if table.Verdict(now, key) != quarantine.Free || !table.MayStart(now, key, b.key.boot) {
@@ -75,12 +79,11 @@
 
 // pickRanks improves the best waiter of each rank by those of one target.
 func (q *Queue) pickRanks(t *targetQueues, r *replicaState, best *[fleet.RankCount]*waiter, on *[fleet.RankCount]*replicaState) {
-	for rank := range t.byRank {
-		queue := &t.byRank[rank]
-		if queue.len() == 0 || !r.backend.admits(fleet.Rank(rank), r.cost(), &q.limits) {
+	for rank := range fleet.Rank(fleet.RankCount) {
+		if t.len(rank) == 0 || !r.backend.admits(rank, r.cost(), &q.limits) {
 			continue
 		}
-		w := queue.first(q.callers[rank].overShare)
+		w := t.first(rank, q.callers[rank].overShare)
 		if best[rank] == nil || earlier(q.settings.FIFO, w, best[rank]) {
 			best[rank] = w
 			on[rank] = r
@@ -228,6 +231,9 @@
 		table.Start(key, r.Boot)
 	}
 	m := q.models[w.Target.Model]
+	if w.overdue {
+		m.lateness[w.Rank].granted(now)
+	}
 	g := &grantState{
 		request:   w.Request,
 		terms:     GrantTerms{ID: q.nextGrantID(), Replica: r.ReplicaKey, Address: r.Address, Isolated: isolated},
--- a/admission/waiting.go
+++ b/admission/waiting.go
@@ -16,12 +16,27 @@
 	seq     uint64    // order of first offer
 	place   *callerQueue
 	index   int  // in the caller's heap
+	overdue bool // can no longer get its first token within its rank's target
+	target  time.Time
 	held    bool // kept apart by the quarantine
 }
 
-// before orders waiters by deadline, then arrival, then first offer.
+// due returns when the first token is due: within the rank's target while that
+// can be met, then by the deadline.
+func (w *waiter) due() time.Time {
+	if w.overdue || w.target.After(w.Deadline) {
+		return w.Deadline
+	}
+	return w.target
+}
+
+// before orders waiters: those that can still meet their target first, then by
+// when they are due, by deadline, by arrival and by first offer.
 func (w *waiter) before(o *waiter) bool {
-	return cmp.Or(w.Deadline.Compare(o.Deadline), w.Arrival.Compare(o.Arrival), cmp.Compare(w.seq, o.seq)) < 0
+	if w.overdue != o.overdue {
+		return o.overdue
+	}
+	return cmp.Or(w.due().Compare(o.due()), w.Deadline.Compare(o.Deadline), w.Arrival.Compare(o.Arrival), cmp.Compare(w.seq, o.seq)) < 0
 }
 
 // callerQueue holds the waiters of one caller for one model and rank.
@@ -67,8 +82,8 @@
 
 // rankQueue holds the waiters of one model and rank.
 type rankQueue struct {
-	callers   []*callerQueue // with waiters, ordered by caller
-	deadlines []int64        // of all waiters, sorted, Unix nanoseconds
+	callers []*callerQueue // with waiters, ordered by caller
+	dues    []int64        // of all waiters, sorted, Unix nanoseconds
 }
 
 // add queues a waiter.
@@ -81,9 +96,9 @@
 	}
 	w.place = q.callers[at]
 	heap.Push(w.place, w)
-	deadline := w.Deadline.UnixNano()
-	at, _ = slices.BinarySearch(q.deadlines, deadline)
-	q.deadlines = slices.Insert(q.deadlines, at, deadline)
+	due := w.due().UnixNano()
+	at, _ = slices.BinarySearch(q.dues, due)
+	q.dues = slices.Insert(q.dues, at, due)
 }
 
 // remove takes a waiter out.
@@ -96,16 +111,16 @@
 		q.callers = slices.Delete(q.callers, at, at+1)
 	}
 	w.place = nil
-	at, _ := slices.BinarySearch(q.deadlines, w.Deadline.UnixNano())
-	q.deadlines = slices.Delete(q.deadlines, at, at+1)
+	at, _ := slices.BinarySearch(q.dues, w.due().UnixNano())
+	q.dues = slices.Delete(q.dues, at, at+1)
 }
 
 // len returns the number of waiters.
-func (q *rankQueue) len() int { return len(q.deadlines) }
+func (q *rankQueue) len() int { return len(q.dues) }
 
-// ahead returns the number of waiters with a deadline no later than t.
+// ahead returns the number of waiters due no later than t.
 func (q *rankQueue) ahead(t time.Time) int {
-	at, _ := slices.BinarySearch(q.deadlines, t.UnixNano()+1)
+	at, _ := slices.BinarySearch(q.dues, t.UnixNano()+1)
 	return at
 }
 
@@ -142,13 +157,35 @@
 // targetQueues hold the waiters of one target.
 type targetQueues struct {
 	adapter fleet.AdapterID
-	byRank  [fleet.RankCount]rankQueue
+	onTime  [fleet.RankCount]rankQueue // can still meet the rank's target
+	overdue [fleet.RankCount]rankQueue
+}
+
+// queueOf returns the queue that a waiter belongs to.
+func (t *targetQueues) queueOf(w *waiter) *rankQueue {
+	if w.overdue {
+		return &t.overdue[w.Rank]
+	}
+	return &t.onTime[w.Rank]
+}
+
+// len returns the number of waiters of a rank.
+func (t *targetQueues) len(rank fleet.Rank) int {
+	return t.onTime[rank].len() + t.overdue[rank].len()
+}
+
+// first returns the waiter of a rank to serve next, or nil.
+func (t *targetQueues) first(rank fleet.Rank, overShare func(caller string) bool) *waiter {
+	if t.onTime[rank].len() > 0 {
+		return t.onTime[rank].first(overShare)
+	}
+	return t.overdue[rank].first(overShare)
 }
 
 // empty reports whether nothing waits.
 func (t *targetQueues) empty() bool {
-	for r := range t.byRank {
-		if t.byRank[r].len() > 0 {
+	for r := range fleet.Rank(fleet.RankCount) {
+		if t.len(r) > 0 {
 			return false
 		}
 	}
