--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -23,8 +23,11 @@
 
 // Node is one entry node. Use New.
 type Node struct {
-	cfg   Config
-	run   fleet.Incarnation // of this run
+	cfg Config
+	run fleet.Incarnation // of this run
+
+	startedAt time.Time
+
 	entry *entry.Handler
 	keys  *idempotency.Service
 	// claims are the durable part of keys. swept is the next prefix to sweep.
@@ -36,6 +39,7 @@
 	cell     *cell
 	backends *backends
 	catalog  *catalog
+	releases *releases
 	peers    *peerClients
 
 	callerServer *http.Server
@@ -56,7 +60,7 @@
 	}
 	now := time.Now()
 	cfg.Callers = limitConnections(cfg.Callers, cfg.MaxConnections)
-	n := &Node{cfg: cfg, run: membership.NewIncarnation(now), done: make(chan struct{}), nameTaken: make(chan struct{})}
+	n := &Node{cfg: cfg, startedAt: now.UTC(), run: membership.NewIncarnation(now), done: make(chan struct{}), nameTaken: make(chan struct{})}
 	n.halted, n.halt = context.WithCancel(context.Background())
 	n.claims = idempotency.NewClaims(cfg.Store)
 	n.catalog = newCatalog()
@@ -67,6 +71,9 @@
 	if n.members, err = newMembers(n, now); err != nil {
 		return nil, err
 	}
+	if n.releases, err = newReleases(n, now); err != nil {
+		return nil, err
+	}
 	if n.keys, err = newKeys(n); err != nil {
 		return nil, err
 	}
@@ -115,7 +122,7 @@
 	group.Go(func() error { return everyNow(groupCtx, snapshotInterval, n.refreshSnapshot) })
 	group.Go(func() error { return every(groupCtx, sweepInterval, n.sweep) })
 	group.Go(func() error { return every(groupCtx, rejoinInterval, n.rejoin) })
-	group.Go(func() error { return n.runRelease(groupCtx) })
+	group.Go(func() error { return every(groupCtx, releaseTick, n.releases.tick) })
 	group.Go(func() error { return serve(n.callerServer, n.cfg.Callers) })
 	group.Go(func() error { return serve(n.peerServer, n.cfg.Peers) })
 	level.Info(n.cfg.Log).Log("event", "started", "incarnation", n.run, "callers", n.cfg.CallerAddress, "peers", n.cfg.PeerAddress)
@@ -206,6 +213,10 @@
 // ID returns the node's name.
 func (n *Node) ID() fleet.NodeID { return n.cfg.ID }
 
+// ReleaseVersion returns the release version in force at this node; zero if it
+// may not serve by what it knows.
+func (n *Node) ReleaseVersion() uint64 { return n.catalog.Version() }
+
 // CallerAddress returns the address told to callers.
 func (n *Node) CallerAddress() string { return n.cfg.CallerAddress }
 
