--- a/internal/dev/caller.go
+++ b/internal/dev/caller.go
@@ -25,9 +25,10 @@
 const (
 	Answered Result = iota // whole and right
 	Refused                // a typed refusal that says not run
-	Failed                 // a typed failure, or the answer broke off on each try
+	Expired                // told in time that it was begun and could not be answered by its deadline
+	Failed                 // another typed failure, or the answer broke off on each try
 	Wrong                  // whole, but not the answer to this request
-	Lost                   // neither answered nor refused by its deadline
+	Lost                   // no end within the time that an answer may take
 )
 
 // Ask is one inference request.
@@ -66,6 +67,10 @@
 // maxTries bounds how often a caller sends one request.
 const maxTries = 4
 
+// answerTime is the longest time from the deadline, which bounds the first
+// token, to the end of an answer.
+const answerTime = 20 * time.Second
+
 // retryPause is a caller's wait before it sends a request again.
 const retryPause = 100 * time.Millisecond
 
@@ -162,7 +167,7 @@
 // Chat sends the request until it has an answer, a refusal, or no time left.
 func (c *Caller) Chat(ctx context.Context, ask Ask) Reply {
 	began := time.Now()
-	ctx, cancel := context.WithTimeout(ctx, ask.Deadline+time.Second)
+	ctx, cancel := context.WithTimeout(ctx, ask.Deadline+answerTime)
 	defer cancel()
 	reply := Reply{Ask: ask, Result: Lost}
 	for try := range maxTries {
@@ -232,8 +237,11 @@
 	reply.Code = typed.Error.Code
 	reply.RetryAfter = time.Duration(typed.Error.RetryAfterMS) * time.Millisecond
 	reply.Result = Failed
-	if typed.Error.Outcome == fleet.OutcomeNotRun.String() {
+	switch {
+	case typed.Error.Outcome == fleet.OutcomeNotRun.String():
 		reply.Result = Refused
+	case typed.Error.Code == string(entry.CodeDeadlineExceeded):
+		reply.Result = Expired
 	}
 	return nil
 }
--- a/internal/dev/day.go
+++ b/internal/dev/day.go
@@ -8,8 +8,6 @@
 	"sync"
 	"time"
 
-	"golang.org/x/sync/errgroup"
-
 	"github.com/redwingnotch/redwingnotch/fleet"
 	"github.com/redwingnotch/redwingnotch/internal/node"
 )
@@ -326,7 +324,7 @@
 	after := y.measures.Rank(fleet.RankUrgent)
 	standardAfter := y.measures.Rank(fleet.RankStandard)
 	bulkAfter := y.measures.Rank(fleet.RankBulk)
-	late := after.Late + after.Refused + after.Failed - before.Late - before.Refused - before.Failed
+	late := after.Late + after.Refused + after.Expired + after.Failed - before.Late - before.Refused - before.Expired - before.Failed
 	y.say("a flood of bulk requests on the urgent model: urgent %d answered within %s, %d not; standard %d within %s; bulk %d answered, %d refused",
 		after.Within-before.Within, Targets[fleet.RankUrgent], late,
 		standardAfter.Within-standard.Within, Targets[fleet.RankStandard],
@@ -397,15 +395,16 @@
 	controller.cancel()
 	ask := Ask{Model: ModelCollar, Rank: fleet.RankUrgent, MaxTokens: 8, Deadline: 20 * time.Second}
 	answered := y.together(ctx, "takeover", takeoverAskers, ask)
-	var group errgroup.Group
-	group.Go(func() error { return y.d.WaitReady(ctx) })
-	err := group.Wait()
+	if err := y.d.WaitReady(ctx); err != nil {
+		return err
+	}
 	y.say("%s crashed: %d of %d urgent requests answered, successor after at most %s",
 		controller.ID(), answered, takeoverAskers, time.Since(before).Round(time.Millisecond))
-	y.check("a controller crash loses no request", err, fmt.Sprintf("%d of %d answered", answered, takeoverAskers))
-	if answered != takeoverAskers {
-		y.check("requests after a controller crash are answered", ErrBroken, fmt.Sprintf("%d of %d", answered, takeoverAskers))
-	}
+	y.add(Promise{
+		Name:   "a controller crash loses no request",
+		Held:   answered == takeoverAskers,
+		Detail: fmt.Sprintf("%d of %d answered", answered, takeoverAskers),
+	})
 	time.Sleep(quietTime)
 	return nil
 }
--- a/internal/dev/measures.go
+++ b/internal/dev/measures.go
@@ -27,6 +27,7 @@
 	Within   int // answered with the first token within the rank's target
 	Late     int // answered later
 	Refused  int
+	Expired  int
 	Failed   int
 	Wrong    int
 	Lost     int
@@ -66,6 +67,8 @@
 	switch r.Result {
 	case Refused:
 		row.Refused++
+	case Expired:
+		row.Expired++
 	case Failed:
 		row.Failed++
 		row.Failures[r.Code]++
@@ -121,10 +124,10 @@
 	fmt.Fprintf(w, "duplicate orders\t%d\n", duplicates)
 	w.Flush()
 	fmt.Fprintln(out)
-	fmt.Fprintln(w, "rank\tsent\twithin target\tlate\trefused, not run\tfailed\twrong\tlost\tretried\tfirst token p50\tp99\ttarget")
+	fmt.Fprintln(w, "rank\tsent\twithin target\tlate\trefused, not run\texpired\tfailed\twrong\tlost\tretried\tfirst token p50\tp99\ttarget")
 	for rank, row := range m.ranks {
-		fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%s\t%s\t%s\n", fleet.Rank(rank), row.Sent, row.Within, row.Late,
-			row.Refused, row.Failed, row.Wrong, row.Lost, row.Retried,
+		fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%s\t%s\t%s\n", fleet.Rank(rank), row.Sent, row.Within, row.Late,
+			row.Refused, row.Expired, row.Failed, row.Wrong, row.Lost, row.Retried,
 			quantile(m.first[rank], 50), quantile(m.first[rank], 99), Targets[rank])
 	}
 	w.Flush()
--- a/internal/dev/promises.go
+++ b/internal/dev/promises.go
@@ -83,14 +83,14 @@
 		promises = append(promises, Promise{
 			Name:   fmt.Sprintf("each %s request answered or refused", rank),
 			Held:   row.Sent > 0 && row.Lost == 0 && row.Wrong == 0 && row.Failed == 0,
-			Detail: fmt.Sprintf("%d sent, %d failed, %d wrong, %d lost", row.Sent, row.Failed, row.Wrong, row.Lost),
+			Detail: fmt.Sprintf("%d sent, %d told of their expiry, %d failed, %d wrong, %d lost", row.Sent, row.Expired, row.Failed, row.Wrong, row.Lost),
 		})
 	}
 	urgent := m.Rank(fleet.RankUrgent)
 	return append(promises, Promise{
 		Name:   "urgent requests answered, none refused",
-		Held:   urgent.Refused == 0,
-		Detail: fmt.Sprintf("%d refused, %d late", urgent.Refused, urgent.Late),
+		Held:   urgent.Refused == 0 && urgent.Expired == 0,
+		Detail: fmt.Sprintf("%d refused, %d expired, %d late", urgent.Refused, urgent.Expired, urgent.Late),
 	})
 }
 
