node: operators' interface of package admin, also for requests that wait

Cause: rwnctl asks nodes by package admin; the types made here stood twice. Change: nodes serve status and explanations on the admin address by admin's messages; a request that waits can be explained by why its load is blocked.

--- a/internal/entry/acquire.go
+++ b/internal/entry/acquire.go
@@ -63,6 +63,7 @@
 			return grant{}, refusalOf(resp.GetRefusal())
 		default:
 			heard = time.Now()
+			h.noteWait(req, resp.GetWaiting().GetReason())
 		}
 	}
 }
--- a/internal/entry/chat.go
+++ b/internal/entry/chat.go
@@ -12,8 +12,8 @@
 
 	"github.com/go-kit/log/level"
 
+	"github.com/redwingnotch/redwingnotch/admin"
 	"github.com/redwingnotch/redwingnotch/fleet"
-	"github.com/redwingnotch/redwingnotch/internal/operators"
 )
 
 // bytesPerToken estimates the length of prompts.
@@ -41,8 +41,9 @@
 	hash       fleet.ContentHash
 	prompt     int // estimated tokens
 	maxTokens  int
-	version    uint64 // release version by which it was validated
-	attempts   []operators.Attempt
+	version    uint64       // release version by which it was validated
+	steps      []admin.Step // for operators
+	waitReason string       // last one told by the controller
 }
 
 func (h *Handler) serveChat(w http.ResponseWriter, r *http.Request) {
@@ -64,7 +65,10 @@
 		outcome, code, detail = failed.Outcome, failed.Code, failed.Message
 	}
 	now := time.Now()
-	h.remember(req, operators.Explanation{Code: string(code), Outcome: outcome.String(), Detail: detail, Duration: now.Sub(req.arrival)})
+	if failed != nil || len(req.steps) > 0 {
+		req.note("ended: %s after %s", code, now.Sub(req.arrival))
+		h.remember(req, outcome.String(), code, detail)
+	}
 	h.cfg.Metrics.RequestEnded("chat", req.rank.String(), outcome.String(), string(code), now.Sub(req.arrival))
 	logger := level.Debug(h.cfg.Log)
 	if failed != nil {
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -14,7 +14,6 @@
 	"github.com/redwingnotch/redwingnotch/dispatch"
 	"github.com/redwingnotch/redwingnotch/engine"
 	"github.com/redwingnotch/redwingnotch/fleet"
-	"github.com/redwingnotch/redwingnotch/internal/operators"
 	"github.com/redwingnotch/redwingnotch/peer"
 )
 
@@ -40,14 +39,6 @@
 	duration   time.Duration
 }
 
-func (e *attemptEnd) explain(g grant) operators.Attempt {
-	a := operators.Attempt{Backend: g.backend, End: string(e.kind), Tokens: e.tokens, Duration: e.duration}
-	if e.err != nil {
-		a.Error = e.err.Error()
-	}
-	return a
-}
-
 // attempts is the history of one request.
 type attempts struct {
 	count    int           // attempts made
@@ -78,7 +69,9 @@
 			return history.amend(refuse(http.StatusBadGateway, CodeBackendFailed, "the answer broke off and can't be resumed: %v", history.last))
 		}
 		end := h.attempt(ctx, req, g, &history, answer)
-		req.attempts = append(req.attempts, end.explain(g))
+		if end.kind != endOK {
+			req.note("attempt at %s: %s after %s, %d tokens: %v", g.backend, end.kind, end.duration, end.tokens, end.err)
+		}
 		if end.kind == endOK || end.kind == endCancelled {
 			h.finishGrant(req, g, end)
 		} else {
--- a/internal/entry/recent.go
+++ b/internal/entry/recent.go
@@ -1,28 +1,32 @@
 package entry
 
 import (
+	"fmt"
+	"slices"
 	"sync"
+	"time"
 
-	"github.com/redwingnotch/redwingnotch/internal/operators"
+	"github.com/redwingnotch/redwingnotch/admin"
 )
 
 // maxRecent is the number of requests that a node remembers for operators.
 const maxRecent = 1024
 
-// recentRequests remembers the last requests that were refused, failed or were
-// tried more than once, by the caller's request id. Safe for concurrent use.
+// recentRequests remembers the last requests that waited, were refused, failed
+// or were tried more than once, by the caller's request id. Safe for concurrent
+// use.
 type recentRequests struct {
 	mu   sync.Mutex
-	byID map[string]operators.Explanation
+	byID map[string]admin.Explanation
 	ids  []string // ring
 	next int
 }
 
 func newRecent() *recentRequests {
-	return &recentRequests{byID: make(map[string]operators.Explanation)}
+	return &recentRequests{byID: make(map[string]admin.Explanation)}
 }
 
-func (r *recentRequests) add(e operators.Explanation) {
+func (r *recentRequests) put(e admin.Explanation) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if _, known := r.byID[e.RequestID]; !known {
@@ -38,24 +42,38 @@
 }
 
 // Explain returns what is remembered of a request.
-func (h *Handler) Explain(requestID string) (operators.Explanation, bool) {
+func (h *Handler) Explain(requestID string) (admin.Explanation, bool) {
 	h.recent.mu.Lock()
 	defer h.recent.mu.Unlock()
 	e, ok := h.recent.byID[requestID]
 	return e, ok
 }
 
-// remember keeps a request for operators, unless its first try was answered.
-func (h *Handler) remember(req *chatRequest, e operators.Explanation) {
-	if e.Code == string(codeOK) && len(req.attempts) <= 1 {
+// note adds a step to the request's story.
+func (r *chatRequest) note(format string, args ...any) {
+	r.steps = append(r.steps, admin.Step{At: time.Now().UTC(), What: fmt.Sprintf(format, args...)})
+}
+
+// noteWait remembers why the request waits, if that is news.
+func (h *Handler) noteWait(req *chatRequest, reason string) {
+	if reason == "" || reason == req.waitReason {
 		return
 	}
-	e.RequestID = req.id
-	e.Node = h.cfg.Node
-	e.Caller = req.caller
-	e.Target = req.target.String()
-	e.Rank = req.rank.String()
-	e.Arrival = req.arrival
-	e.Attempts = req.attempts
-	h.recent.add(e)
+	req.waitReason = reason
+	req.note("waits: %s", reason)
+	h.remember(req, "", "", reason)
+}
+
+// remember keeps the request's story for operators.
+func (h *Handler) remember(req *chatRequest, outcome string, code Code, reason string) {
+	h.recent.put(admin.Explanation{
+		RequestID: req.id,
+		Node:      h.cfg.Node,
+		Target:    req.target.String(),
+		Rank:      req.rank.String(),
+		Outcome:   outcome,
+		Code:      string(code),
+		Reason:    reason,
+		Steps:     slices.Clone(req.steps),
+	})
 }
--- a/internal/node/acquire.go
+++ b/internal/node/acquire.go
@@ -100,6 +100,9 @@
 		}
 		return responseOf(decision), nil
 	default:
+		if reason := c.blockedReason(requestOfMessage(req).Target); reason != "" {
+			last.Reason = reason
+		}
 		return responseOf(last), nil
 	}
 }
--- /dev/null
+++ b/internal/node/admin.go
@@ -0,0 +1,94 @@
+package node
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/redwingnotch/redwingnotch/admin"
+	"github.com/redwingnotch/redwingnotch/fleet"
+)
+
+// AdminHandler serves the operators' interface.
+func (n *Node) AdminHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+admin.PathStatus, func(w http.ResponseWriter, _ *http.Request) {
+		writeAdmin(w, http.StatusOK, n.Status())
+	})
+	mux.HandleFunc("GET "+admin.PathExplain+"{id}", n.serveExplain)
+	return mux
+}
+
+func (n *Node) serveExplain(w http.ResponseWriter, r *http.Request) {
+	explanation, ok := n.entry.Explain(r.PathValue("id"))
+	if !ok {
+		writeAdmin(w, http.StatusNotFound, admin.Fault{Code: "not_known", Detail: "this node does not remember the request"})
+		return
+	}
+	writeAdmin(w, http.StatusOK, explanation)
+}
+
+func writeAdmin(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	// A tool that went away learns nothing.
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+// Status returns what the node knows, for operators.
+func (n *Node) Status() admin.Status {
+	now := time.Now()
+	s := admin.Status{
+		Node:    n.cfg.ID,
+		Region:  n.cfg.Region,
+		Zone:    n.cfg.Zone,
+		Release: n.releases.status(now),
+		Cells:   []admin.Cell{n.cell.status()},
+	}
+	for _, m := range n.members.all() {
+		s.Members = append(s.Members, admin.Member{
+			Node: m.ID, Zone: m.Zone, State: m.State.String(), Incarnation: m.Incarnation,
+			ReleaseVersion: m.ReleaseVersion, HeardAt: m.HeardAt.UTC(),
+		})
+	}
+	return s
+}
+
+func (r *releases) status(now time.Time) admin.Release {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	state := r.core.State()
+	return admin.Release{
+		Version:    r.core.Version(),
+		Since:      r.core.Since().UTC(),
+		AcceptedAt: state.AcceptedAt.UTC(),
+		Operator:   state.Operator,
+		Heard:      r.core.Heard(),
+		Standing:   r.core.Standing(now).String(),
+		Age:        r.core.Age(now),
+	}
+}
+
+func (c *cell) status() admin.Cell {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := admin.Cell{Cell: c.node.cfg.Cell, Controller: c.authority.Holder.Node, Epoch: c.authority.Epoch}
+	if !c.authority.InOffice {
+		return s
+	}
+	for _, r := range c.controller.Replicas() {
+		s.Replicas = append(s.Replicas, admin.Replica{Model: r.Model, Version: r.Version, Backend: r.Backend, State: r.State.String()})
+	}
+	return s
+}
+
+// blockedReason says why a target that is asked for is not being loaded; empty
+// if it is.
+func (c *cell) blockedReason(t fleet.Target) string {
+	for _, b := range c.blocked {
+		if b.Target == t {
+			return string(b.Reason)
+		}
+	}
+	return ""
+}
--- a/internal/node/cell.go
+++ b/internal/node/cell.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -38,8 +37,8 @@
 	waiting    map[string]struct{}                // ids of requests that wait
 	told       map[string]uint64                  // versions of quarantine items told to the members
 
-	blocked       atomic.Pointer[[]controller.Blocked] // at the last tick
-	blockedLogged time.Time                            // used by tick only
+	blocked       []controller.Blocked // at the last tick
+	blockedLogged time.Time            // used by tick only
 }
 
 func newCell(n *Node) *cell {
--- a/internal/node/grants.go
+++ b/internal/node/grants.go
@@ -13,7 +13,6 @@
 
 	"github.com/redwingnotch/redwingnotch/fleet"
 	"github.com/redwingnotch/redwingnotch/internal/httpsend"
-	"github.com/redwingnotch/redwingnotch/internal/operators"
 	"github.com/redwingnotch/redwingnotch/peer"
 )
 
@@ -47,7 +46,7 @@
 
 // Do implements the client of twirp.
 func (a *authClient) Do(req *http.Request) (*http.Response, error) {
-	req.Header.Set(operators.HeaderSecret, a.secret)
+	req.Header.Set(HeaderSecret, a.secret)
 	resp, err := a.client.Do(req)
 	if err != nil && errors.Is(req.Context().Err(), context.DeadlineExceeded) {
 		a.client.CloseIdleConnections()
--- a/internal/node/orders.go
+++ b/internal/node/orders.go
@@ -37,7 +37,9 @@
 
 // noteBlocked logs why targets that are asked for are not being loaded.
 func (c *cell) noteBlocked(now time.Time, blocked []controller.Blocked) {
-	c.blocked.Store(&blocked)
+	c.mu.Lock()
+	c.blocked = blocked
+	c.mu.Unlock()
 	if len(blocked) == 0 || now.Sub(c.blockedLogged) < blockedLogInterval {
 		return
 	}
--- a/internal/node/register.go
+++ b/internal/node/register.go
@@ -13,10 +13,22 @@
 	"github.com/go-kit/log/level"
 	"github.com/google/uuid"
 
-	"github.com/redwingnotch/redwingnotch/internal/operators"
+	"github.com/redwingnotch/redwingnotch/fleet"
 	"github.com/redwingnotch/redwingnotch/platform"
 )
 
+// record is a node's object in the platform's store. Others join by it.
+type record struct {
+	Node        fleet.NodeID           `json:"node"`
+	Incarnation fleet.Incarnation      `json:"incarnation"`
+	Region      fleet.Region           `json:"region"`
+	Zone        fleet.AvailabilityZone `json:"availability_zone"`
+	Gossip      string                 `json:"gossip_address"`
+	Peer        string                 `json:"peer_address"`
+	Entry       string                 `json:"entry_address"`
+	StartedAt   time.Time              `json:"started_at"`
+}
+
 // Times of registration.
 const (
 	registerTimeout = 5 * time.Second
@@ -61,7 +73,7 @@
 	if err != nil {
 		return 0, err
 	}
-	var r operators.Node
+	var r record
 	if err := json.Unmarshal(object.Value, &r); err != nil {
 		return object.Version, nil // a damaged record is replaced
 	}
@@ -72,7 +84,7 @@
 }
 
 // bears reports whether the run of the record answers at its address.
-func (n *Node) bears(ctx context.Context, r operators.Node) bool {
+func (n *Node) bears(ctx context.Context, r record) bool {
 	ctx, cancel := context.WithTimeout(ctx, identityTimeout)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+r.Peer+identityPath, nil)
@@ -84,12 +96,12 @@
 		return false
 	}
 	defer resp.Body.Close()
-	var found operators.Node
+	var found record
 	return json.NewDecoder(http.MaxBytesReader(nil, resp.Body, 4096)).Decode(&found) == nil && found.Node == n.cfg.ID
 }
 
-func (n *Node) record() operators.Node {
-	return operators.Node{
+func (n *Node) record() record {
+	return record{
 		Node:        n.cfg.ID,
 		Incarnation: n.run,
 		Region:      n.cfg.Region,
@@ -122,7 +134,7 @@
 	}
 	var seeds []string
 	for _, object := range objects {
-		var r operators.Node
+		var r record
 		if json.Unmarshal(object.Value, &r) == nil && r.Gossip != "" {
 			seeds = append(seeds, r.Gossip)
 		}
@@ -149,7 +161,7 @@
 	ctx, cancel := context.WithTimeout(ctx, registerTimeout)
 	defer cancel()
 	object, err := n.cfg.Store.Get(ctx, platform.KindNode, string(n.cfg.ID))
-	var r operators.Node
+	var r record
 	if err != nil || json.Unmarshal(object.Value, &r) != nil || r.Incarnation != n.run {
 		return
 	}
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -11,10 +11,12 @@
 	"github.com/redwingnotch/redwingnotch/engine"
 	"github.com/redwingnotch/redwingnotch/fleet"
 	"github.com/redwingnotch/redwingnotch/internal/entry"
-	"github.com/redwingnotch/redwingnotch/internal/operators"
 	"github.com/redwingnotch/redwingnotch/peer"
 )
 
+// HeaderSecret carries the secret that all nodes of a deployment share.
+const HeaderSecret = "Redwingnotch-Secret"
+
 // peerHeaderTimeout is the time for another node to send a request header.
 const peerHeaderTimeout = 2 * time.Second
 
@@ -67,8 +69,6 @@
 	mux.Handle(peer.KeysPathPrefix, peer.NewKeysServer(keyServer{n}))
 	mux.Handle(peer.ReleasePathPrefix, peer.NewReleaseServer(n.releases))
 	mux.HandleFunc("GET "+identityPath, n.serveIdentity)
-	mux.HandleFunc("GET "+operators.PathStatus, n.serveStatus)
-	mux.HandleFunc("GET "+operators.PathExplain+"{id}", n.serveExplain)
 	return &http.Server{
 		Handler:           n.requireSecret(mux),
 		ReadHeaderTimeout: peerHeaderTimeout,
@@ -79,7 +79,7 @@
 // requireSecret refuses calls that don't bear the deployment's secret.
 func (n *Node) requireSecret(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		given := r.Header.Get(operators.HeaderSecret)
+		given := r.Header.Get(HeaderSecret)
 		if subtle.ConstantTimeCompare([]byte(given), n.cfg.Secret) != 1 {
 			http.Error(w, "peers must bear the deployment's secret", http.StatusUnauthorized)
 			return
--- a/internal/telemetry/admin.go
+++ b/internal/telemetry/admin.go
@@ -8,9 +8,11 @@
 
 // Admin returns the handler of the admin address: /metrics, /healthz, which
 // answers while the process runs, /readyz, which answers 200 only while ready
-// returns an empty text and else 503 with that text, and profiles if asked for.
-func Admin(m *Metrics, ready func() string, profiles bool) http.Handler {
+// returns an empty text and else 503 with that text, profiles if asked for, and
+// the operators' interface for all other paths.
+func Admin(m *Metrics, ready func() string, profiles bool, operators http.Handler) http.Handler {
 	mux := http.NewServeMux()
+	mux.Handle("/", operators)
 	mux.Handle("GET /metrics", m.handler)
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) {
 		io.WriteString(w, "ok\n")
