node: silent peers, slow and malformed callers, ranks by release, fewer VM list reads

Cause: these failures had no test; a release's terms of ranks were not taken; and the reads of the VM list grew with the number of nodes. Change: tests; Queue.SetRanks; above 100 members, nodes not in office read the list less often, so that all together read it at most about 100 times a second.

--- a/internal/node/backends.go
+++ b/internal/node/backends.go
@@ -26,6 +26,7 @@
 	mu       sync.Mutex
 	records  []platform.VMRecord
 	asOf     time.Time
+	readAt   time.Time // by this node's clock
 	known    map[fleet.ServiceID]bool
 	next     int // rotates the replicas of plain services
 	engines  map[string]*engine.Client
@@ -45,8 +46,28 @@
 // vmListTimeout bounds one read of the VM list.
 const vmListTimeout = 2 * time.Second
 
-// refresh reads the VM list. The last list stays in use while it can't be read.
-func (b *backends) refresh(ctx context.Context, _ time.Time) error {
+// membersPerRead is the number of members up to which each node reads the VM
+// list at every interval. With more, nodes not in office read it less often, so
+// that the platform's calls grow no further.
+const membersPerRead = 100
+
+// due reports whether this node should read the list now.
+func (b *backends) due(now time.Time) bool {
+	if _, in := b.node.InOffice(); in {
+		return true
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	members := b.node.members.count()
+	return now.Sub(b.readAt) >= b.node.cfg.VMListInterval*time.Duration(members)/membersPerRead
+}
+
+// refresh reads the VM list if it is due. The last list stays in use while it
+// can't be read.
+func (b *backends) refresh(ctx context.Context, now time.Time) error {
+	if !b.due(now) {
+		return nil
+	}
 	ctx, cancel := context.WithTimeout(ctx, vmListTimeout)
 	defer cancel()
 	records, asOf, err := b.node.cfg.VMs.VMs(ctx)
@@ -56,6 +77,7 @@
 	}
 	b.node.office.storeContact(time.Now())
 	b.mu.Lock()
+	b.readAt = now
 	if asOf.Before(b.asOf) {
 		b.mu.Unlock()
 		return nil
--- a/internal/node/catalog.go
+++ b/internal/node/catalog.go
@@ -15,6 +15,7 @@
 	version  uint64
 	models   []fleet.Model
 	adapters []fleet.Adapter
+	ranks    []release.RankSettings // that override the node's own settings
 	byTarget map[fleet.Target]standing
 	names    []string
 }
@@ -37,10 +38,10 @@
 }
 
 // set puts a version in force. Versions must rise.
-func (c *catalog) set(version uint64, models []fleet.Model, adapters []fleet.Adapter) {
+func (c *catalog) set(version uint64, models []fleet.Model, adapters []fleet.Adapter, ranks []release.RankSettings) {
 	before := c.current.Load().version
 	invariant.Check(version > before, invariant.VersionMonotonic, "release %d after %d", version, before)
-	f := &inForce{version: version, models: models, adapters: adapters, byTarget: make(map[fleet.Target]standing)}
+	f := &inForce{version: version, models: models, adapters: adapters, ranks: ranks, byTarget: make(map[fleet.Target]standing)}
 	byID := make(map[fleet.ModelID]fleet.Model, len(models))
 	for _, m := range models {
 		byID[m.ID] = m
--- a/internal/node/cell.go
+++ b/internal/node/cell.go
@@ -123,6 +123,24 @@
 	c.release = current.version
 	c.controller.SetRelease(now, current.version, current.models, current.adapters)
 	c.queue.SetModels(now, current.models, current.adapters)
+	settings := rankTerms(c.node.cfg.Admission, current.ranks)
+	if err := settings.Validate(); err != nil {
+		level.Error(c.node.cfg.Log).Log("event", "rank_terms_ignored", "version", current.version, "err", err)
+		return
+	}
+	c.queue.SetRanks(settings.Ranks)
+}
+
+// rankTerms returns the node's own settings with what the release overrides.
+func rankTerms(s admission.Settings, overrides []release.RankSettings) admission.Settings {
+	for _, o := range overrides {
+		terms := &s.Ranks[o.Rank]
+		if o.Target > 0 {
+			terms.FirstTokenTarget = o.Target
+		}
+		terms.Floor, terms.Worth = o.Floor, o.Worth
+	}
+	return s
 }
 
 func (c *cell) setBackends(records []platform.VMRecord, asOf time.Time) {
--- /dev/null
+++ b/internal/node/faults_test.go
@@ -0,0 +1,84 @@
+package node_test
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// silenceFoundWithin bounds the time in which a silent connection to a peer is
+// found: one poll with its slack, and the repeat on a new connection.
+const silenceFoundWithin = 3 * time.Second
+
+func TestSilentPeerConnectionsAreFound(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDeployment(t)
+		defer d.close()
+		d.addEngine("e1")
+		d.start("n1")
+		d.start("n2")
+		time.Sleep(settleTime)
+		holder, _ := d.holder()
+		other := map[string]string{"n1": "n2", "n2": "n1"}[holder]
+		assert.NilError(t, checkAnswer(d.send(other, "POST", "/v1/chat/completions", latheRequest), "lathe", latheRequest))
+		d.peerFaults.SilenceOpen()
+		before := time.Now()
+		assert.NilError(t, checkAnswer(d.send(other, "POST", "/v1/chat/completions", latheRequest), "lathe", latheRequest))
+		answerTime := 16 * tokenTime
+		assert.Assert(t, time.Since(before) <= silenceFoundWithin+answerTime, "took %s", time.Since(before))
+	})
+}
+
+func TestSlowCallersHarmNoOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDeployment(t)
+		defer d.close()
+		d.maxConnections = 4
+		d.addEngine("e1")
+		d.start("n1")
+		time.Sleep(settleTime)
+		for range d.maxConnections {
+			conn, err := d.network.Dial(t.Context(), "tcp", "n1:80")
+			assert.NilError(t, err)
+			defer conn.Close()
+			go fmt.Fprint(conn, "POST /v1/chat/completions HTTP/1.1\r\nHost: n1\r\nX-Slow: ")
+		}
+		time.Sleep(time.Second)
+		assert.NilError(t, checkAnswer(d.send("n1", "POST", "/v1/chat/completions", latheRequest), "lathe", latheRequest))
+	})
+}
+
+func TestMalformedCallersHarmNoOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDeployment(t)
+		defer d.close()
+		d.addEngine("e1")
+		d.start("n1")
+		time.Sleep(settleTime)
+		for _, bytes := range []string{"\x00\x01\x02\r\n\r\n", "GET / HTTP/9.9\r\n\r\n", "POST /v1/chat/completions HTTP/1.1\r\nHost: n1\r\nContent-Length: 99\r\n\r\n{"} {
+			conn, err := d.network.Dial(t.Context(), "tcp", "n1:80")
+			assert.NilError(t, err)
+			go func() {
+				fmt.Fprint(conn, bytes)
+				conn.Close()
+			}()
+		}
+		assert.NilError(t, checkAnswer(d.send("n1", "POST", "/v1/chat/completions", latheRequest), "lathe", latheRequest))
+	})
+}
+
+func TestRankTermsOfTheReleaseAreTaken(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDeployment(t)
+		defer d.close()
+		d.addEngine("e1")
+		d.start("n1")
+		time.Sleep(settleTime)
+		d.publish("title: ranks\nranks:\n  urgent: {target: 1s, floor: 0.6, worth: 50}\n")
+		time.Sleep(inForceWithin)
+		assert.Equal(t, d.nodes["n1"].RankFloor(0), 0.6)
+	})
+}
--- a/internal/node/invariant_test.go
+++ b/internal/node/invariant_test.go
@@ -24,7 +24,7 @@
 	fires(t, invariant.GracefulStop, func() { checkNothingRuns(1) })
 	fires(t, invariant.VersionMonotonic, func() {
 		c := newCatalog()
-		c.set(2, nil, nil)
-		c.set(1, nil, nil)
+		c.set(2, nil, nil, nil)
+		c.set(1, nil, nil, nil)
 	})
 }
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -152,6 +152,9 @@
 	return m.core.Members()
 }
 
+// count returns the number of members, gone ones included.
+func (m *members) count() int { return len(m.all()) }
+
 // leave announces a planned stop, and left its end.
 func (m *members) leave() { m.do((*membership.Core).Leave) }
 func (m *members) left()  { m.do((*membership.Core).Left) }
--- a/internal/node/release.go
+++ b/internal/node/release.go
@@ -114,7 +114,7 @@
 	version := r.core.Version()
 	if raised {
 		state := r.core.State()
-		r.node.catalog.set(version, state.Models(r.node.cfg.Cell), state.Adapters(r.node.cfg.Cell))
+		r.node.catalog.set(version, state.Models(r.node.cfg.Cell), state.Adapters(r.node.cfg.Cell), state.Ranks())
 	}
 	r.mu.Unlock()
 	if raised {
