--- a/release/random_test.go
+++ b/release/random_test.go
@@ -4,8 +4,10 @@
 	"bytes"
 	"context"
 	"errors"
+	"flag"
 	"fmt"
 	"math/rand/v2"
+	"os"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -221,3 +223,17 @@
 		})
 	}
 }
+
+// TestMain makes random tests draw the same on each run unless flags say
+// otherwise.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.nofailfile": "true"} {
+		if f := flag.Lookup(name); f.Value.String() == f.DefValue {
+			if err := f.Value.Set(value); err != nil {
+				panic(err)
+			}
+		}
+	}
+	os.Exit(m.Run())
+}
