--- a/internal/node/harness_test.go
+++ b/internal/node/harness_test.go
@@ -17,15 +17,25 @@
 	"github.com/redwingnotch/redwingnotch/internal/node"
 	"github.com/redwingnotch/redwingnotch/internal/telemetry"
 	"github.com/redwingnotch/redwingnotch/membership"
+	"github.com/redwingnotch/redwingnotch/release"
 	"github.com/redwingnotch/redwingnotch/standin/engine"
 	"github.com/redwingnotch/redwingnotch/standin/objectapi"
 	"github.com/redwingnotch/redwingnotch/standin/pipenet"
+	"github.com/redwingnotch/redwingnotch/standin/weightstore"
 )
 
 // gossipNet passes datagrams between the nodes of one process.
 type gossipNet struct {
 	mu    sync.Mutex
 	ports map[string]chan []byte
+	cut   map[string]bool // addresses that neither send nor receive
+}
+
+// setCut replaces the set of addresses that are cut off.
+func (g *gossipNet) setCut(addresses map[string]bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.cut = addresses
 }
 
 type gossipPort struct {
@@ -47,6 +57,9 @@
 	p.net.mu.Lock()
 	defer p.net.mu.Unlock()
 	for _, packet := range packets {
+		if p.net.cut[p.address] != p.net.cut[packet.Addr] {
+			continue
+		}
 		select {
 		case p.net.ports[packet.Addr] <- packet.Data:
 		default:
@@ -83,7 +96,8 @@
 	client  *http.Client
 	stops   []func() // of stand-ins
 	ledger  *engine.Ledger
-	models  []fleet.Model
+	weights *weightstore.Store
+	slots   int
 
 	tokenTime time.Duration
 
@@ -104,27 +118,55 @@
 		network:   n,
 		logLevel:  "debug",
 		ledger:    engine.NewLedger(),
+		weights:   weightstore.New(weightstore.Options{}),
 		tokenTime: tokenTime,
+		slots:     4,
 		gossip:    &gossipNet{ports: make(map[string]chan []byte)},
 		api:       objectapi.New(),
 		nodes:     make(map[string]*runningNode),
-		models: []fleet.Model{
-			{ID: "lathe", Version: "v1", MaxReplicas: 1, MemoryBytes: modelMemory, LoadTime: loadTime, Slots: 4},
-			{ID: "deck", Version: "v1", MaxReplicas: 2, MemoryBytes: modelMemory, LoadTime: loadTime, Slots: 4},
-		},
 	}
+	d.publish(releaseNote)
 	d.client = &http.Client{Transport: &http.Transport{DialContext: d.network.Dial}}
 	return d
 }
 
+// releaseNote puts two models in force.
+const releaseNote = `title: test
+models:
+  - {id: lathe, version: v1, replicas: {c: 1}, memory: 2GiB, load_time: 2s, slots: 4}
+  - {id: deck, version: v1, replicas: {c: 4}, memory: 2GiB, load_time: 2s, slots: 4}
+`
+
+// publish publishes a release note.
+func (d *deployment) publish(text string) release.Accepted {
+	d.t.Helper()
+	note, findings := release.ParseNote([]byte(text))
+	assert.Equal(d.t, len(findings), 0, "%v", findings)
+	publisher := release.Publisher{Store: d.api, Operator: "test"}
+	accepted, err := publisher.Publish(context.Background(), note)
+	assert.NilError(d.t, err)
+	return accepted
+}
+
 // start runs a node. Its zone is that of its name's last digit, modulo three.
 func (d *deployment) start(name string) *runningNode {
 	d.t.Helper()
 	return d.startAt(name, name)
 }
 
+// startWith runs a node that joins by the seeds.
+func (d *deployment) startWith(name string, seeds []string) *runningNode {
+	d.t.Helper()
+	return d.run(name, name, seeds)
+}
+
 // startAt runs a node at addresses that begin with the host.
 func (d *deployment) startAt(name, host string) *runningNode {
+	d.t.Helper()
+	return d.run(name, host, nil)
+}
+
+func (d *deployment) run(name, host string, seeds []string) *runningNode {
 	d.t.Helper()
 	metrics, err := telemetry.NewMetrics()
 	assert.NilError(d.t, err)
@@ -134,15 +176,14 @@
 	assert.NilError(d.t, err)
 	n, err := node.New(node.Config{
 		ID: fleet.NodeID(name), Region: "r", Zone: fleet.AvailabilityZone(fmt.Sprint("z", name[len(name)-1]%3)), Cell: "c",
-		Callers: callers, Peers: peers, Gossip: d.gossip.port(host + ":81"), GossipAddress: host + ":81",
-		Secret: []byte("a secret of some length"), Store: d.api, VMs: d.api, Dial: d.network.Dial, Metrics: metrics,
+		Callers: callers, Peers: peers, Gossip: d.gossip.port(host + ":81"), GossipAddress: host + ":81", Seeds: seeds,
+		Secret: []byte(secret), Store: d.api, VMs: d.api, Dial: d.network.Dial, Metrics: metrics,
 		Log: telemetry.NewLogger(testLog{d.t}, name, d.logLevel),
 	})
 	assert.NilError(d.t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	r := &runningNode{Node: n, stop: cancel, err: make(chan error, 1)}
 	go func() { r.err <- n.Run(ctx) }()
-	n.SetInForce(1, d.models, nil)
 	d.nodes[host] = r
 	return r
 }
@@ -206,5 +247,7 @@
 	return reply{status: resp.StatusCode, header: resp.Header, body: string(data), err: err}
 }
 
+const secret = "a secret of some length"
+
 // settleTime is long enough for membership and lease to settle.
 const settleTime = 10 * time.Second
