node: a relay takes the head from the list before its watch

Cause: a note accepted while no relay had a watch open, such as at the end of an outage, was not in the watch and waited for a direct read, 15 to 45 s later. Change: the list that gives the watch its position also brings the head. Conclusion: a broken watch loses no change.

--- a/internal/node/release.go
+++ b/internal/node/release.go
@@ -126,8 +126,10 @@
 // watch follows the head object until ctx ends.
 func (r *releases) watch(ctx context.Context) {
 	for ctx.Err() == nil {
-		_, position, err := r.node.cfg.Store.List(ctx, platform.KindRelease, release.HeadName)
+		objects, position, err := r.node.cfg.Store.List(ctx, platform.KindRelease, release.HeadName)
 		if err == nil {
+			// What changed before the watch is in the list.
+			r.heard(ctx, objects)
 			err = r.follow(ctx, position)
 		}
 		if err != nil && ctx.Err() == nil {
@@ -148,18 +150,29 @@
 			return err
 		}
 		position = reached
-		r.heard(ctx, events)
+		r.heard(ctx, livingObjects(events))
 	}
 }
 
-// heard takes what a watch brought.
-func (r *releases) heard(ctx context.Context, events []platform.Event) {
-	newest := release.Head{}
+// livingObjects returns the objects of the events that are no deletions.
+func livingObjects(events []platform.Event) []platform.Object {
+	var objects []platform.Object
 	for _, event := range events {
-		if event.Object.Name != release.HeadName || event.Deleted {
+		if !event.Deleted {
+			objects = append(objects, event.Object)
+		}
+	}
+	return objects
+}
+
+// heard takes what a list or watch brought.
+func (r *releases) heard(ctx context.Context, objects []platform.Object) {
+	newest := release.Head{}
+	for _, object := range objects {
+		if object.Name != release.HeadName {
 			continue
 		}
-		head, err := release.DecodeHead(event.Object)
+		head, err := release.DecodeHead(object)
 		if err != nil {
 			level.Error(r.node.cfg.Log).Log("event", "release_head_damaged", "err", err)
 			continue
--- /dev/null
+++ b/internal/node/release_test.go
@@ -0,0 +1,30 @@
+package node_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// A note that is accepted while no relay has a watch open is in force as soon
+// as one that is accepted under a watch.
+func TestNoteAcceptedWhileWatchesAreBroken(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDeployment(t)
+		defer d.close()
+		for _, name := range []string{"n1", "n2", "n3"} {
+			d.start(name)
+		}
+		time.Sleep(settleTime)
+		d.api.Faults.SetOutage(true)
+		time.Sleep(5 * time.Second)
+		d.api.Faults.SetOutage(false)
+		d.publish("withdraw: {models: [deck]}\n")
+		time.Sleep(inForceWithin)
+		for name := range d.nodes {
+			assert.Equal(t, d.send(name, "POST", "/v1/chat/completions", chat("deck", "Order?")).status, 410, name)
+		}
+	})
+}
