Only answers to orders confirm an engine; memory with or without adapters

Cause: engines report with a lag. A sender's own expiry also settled an order that might have arrived, and engines that report a replica's memory with its adapters had the adapters counted twice. Change: raises are repeated as fresh reads, at engines that do not fence too; reports only fill in content. Each sending renews the expiry. A write whose outcome is joined with unknown is unknown. A raise needs no boot, so a takeover costs two orders an engine. Conclusion: the proof needs no bound on the lag.

--- a/controller/adapters.go
+++ b/controller/adapters.go
@@ -92,7 +92,7 @@
 }
 
 func (c *Core) reserveAdapter(t *tick, b *backend, r *replica, want fleet.Adapter, rank fleet.Rank) BlockReason {
-	o := c.newOrder(t.now, b, engine.OrderLoadAdapter)
+	o := c.newOrder(b, engine.OrderLoadAdapter)
 	if !c.budget.StartAdapter(o.order.ID) {
 		delete(c.open, o.order.ID)
 		return BlockedBudget
@@ -177,7 +177,7 @@
 
 func (c *Core) unloadAdapter(t *tick, b *backend, r *replica, id fleet.AdapterID) {
 	a := r.adapters[id]
-	o := c.newOrder(t.now, b, engine.OrderUnloadAdapter)
+	o := c.newOrder(b, engine.OrderUnloadAdapter)
 	o.order.Model, o.order.Version, o.order.Adapter = r.key.Model, r.key.Version, id
 	o.replica, o.adapter = r, a
 	a.leaving = true
--- a/controller/backends.go
+++ b/controller/backends.go
@@ -32,8 +32,11 @@
 	retired    []retiredBoot
 	raised     bool      // takes orders of this office only, at this boot
 	raisedAt   time.Time // reports requested since then were made after the raise
-	readAt     time.Time // when the newest report that counts was requested
+	readAt     time.Time // when the newest answered raise was sent
+	recheckAt  time.Time // a raise sent since then must be answered
+	raiseSent  time.Time // last raise
 	requestAt  time.Time // when the last report was requested
+	answeredAt time.Time // when the last report came
 	measuredAt time.Time // of the newest report
 	memory     int64     // as reported, bytes
 	leaving    bool      // as reported
@@ -47,7 +50,8 @@
 type replica struct {
 	key       fleet.ReplicaKey
 	state     fleet.ReplicaState
-	memory    int64
+	memory    int64 // of the model
+	reported  int64 // as the engine reports it, with or without its adapters
 	slots     int
 	seen      bool // in a report of this boot
 	orderID   string
@@ -91,13 +95,17 @@
 	}
 }
 
-// committed returns the memory of the replica and its adapters, in bytes.
+// committed returns the memory of the replica and its adapters, in bytes: the
+// larger of what the tables and the engine say.
 func (r *replica) committed() int64 {
-	sum := r.memory
+	known, reported := r.memory, r.reported
 	for _, a := range r.adapters {
-		sum += a.memory
+		known += a.memory
+		if !a.resident {
+			reported += a.memory
+		}
 	}
-	return sum
+	return max(known, reported)
 }
 
 func (b *backend) isEngine() bool { return b.row.Service == "" }
@@ -106,6 +114,8 @@
 func (b *backend) forget() {
 	b.retired = nil
 	b.requestAt = time.Time{}
+	b.raiseSent = time.Time{}
+	b.answeredAt = time.Time{}
 	b.restart("")
 }
 
@@ -115,6 +125,7 @@
 	b.raised = false
 	b.raisedAt = time.Time{}
 	b.readAt = time.Time{}
+	b.recheckAt = time.Time{}
 	b.measuredAt = time.Time{}
 	b.memory = 0
 	b.leaving = false
--- a/controller/cell_test.go
+++ b/controller/cell_test.go
@@ -24,6 +24,7 @@
 	netDelay                  = time.Millisecond
 	deadAfter                 = 5 * time.Second // until membership calls a silent node dead
 	storeTimeout              = time.Second
+	reportLag                 = 700 * time.Millisecond
 	listLag                   = 2 * time.Second
 	gib                       = int64(1) << 30
 )
@@ -297,7 +298,7 @@
 		if !e.up() || c.cutOff(n, e) || c.lost() {
 			return
 		}
-		report := e.report()
+		report := e.laggingReport()
 		c.toNode(n, inc, c.delay(), func() { n.ctrl.HandleReport(c.now, sent, report) })
 	})
 }
@@ -320,7 +321,7 @@
 		return
 	}
 	c.after(c.delay()+extra, func() {
-		silent := !e.up() || c.cutOff(n, e) || c.lost()
+		silent := !e.up() || c.cutOff(n, e) || c.lost() || e.deafTo == n
 		if silent || (o.VerifyBoot && e.boot != boot) { // the connection ended with the boot
 			answer(nil, engine.ErrUnknown)
 			return
--- a/controller/core.go
+++ b/controller/core.go
@@ -225,7 +225,7 @@
 		ReplicaKey:  r.key,
 		Address:     b.row.Address,
 		State:       r.state,
-		MemoryBytes: r.memory,
+		MemoryBytes: r.committed(),
 		Slots:       r.slots,
 		Adapters:    r.residentAdapters(),
 		ReadyAt:     r.readyAt,
--- a/controller/engine_test.go
+++ b/controller/engine_test.go
@@ -22,6 +22,9 @@
 	boot        fleet.BootID
 	boots       int
 	epoch       fleet.Epoch
+	snapshot    engine.Report // what reports show
+	frozen      bool          // reports lag without end
+	deafTo      *testNode     // whose orders are lost, though it reads reports
 	replicas    map[fleet.ModelID]*engine.LoadedReplica
 	applied     []string
 	cached      []engine.CachedWeights
@@ -47,11 +50,20 @@
 	e.boot = fleet.BootID(fmt.Sprintf("%s-boot%d", e.id, e.boots))
 	e.epoch = 0
 	e.applied = nil
+	e.snapshot, e.frozen = engine.Report{}, false
 	e.replicas = map[fleet.ModelID]*engine.LoadedReplica{}
 }
 
 func (e *fakeEngine) up() bool { return !e.silent && e.goneAt.IsZero() }
 
+// laggingReport returns a report of at most reportLag of age.
+func (e *fakeEngine) laggingReport() engine.Report {
+	if !e.frozen && e.c.now.Sub(e.snapshot.MeasuredAt) >= reportLag {
+		e.snapshot = e.report()
+	}
+	return e.snapshot
+}
+
 func (e *fakeEngine) report() engine.Report {
 	r := engine.Report{
 		Backend: e.id, Boot: e.boot, Epoch: e.epoch, Memory: e.memory, Draining: e.draining,
@@ -72,7 +84,7 @@
 		if o.Epoch < e.epoch {
 			return nil, engine.ErrFenced
 		}
-		if o.Boot != e.boot {
+		if o.Boot != "" && o.Boot != e.boot {
 			return nil, engine.ErrWrongBoot
 		}
 		e.epoch = o.Epoch
--- a/controller/intents.go
+++ b/controller/intents.go
@@ -105,7 +105,7 @@
 	if !c.startInherited(t, i) {
 		return
 	}
-	o := c.newOrder(t.now, b, kind)
+	o := c.newOrder(b, kind)
 	delete(c.open, o.order.ID)
 	o.order.ID = i.OrderID
 	o.order.Model, o.order.Version, o.order.Adapter = i.Model, i.Version, i.Adapter
--- a/controller/loads.go
+++ b/controller/loads.go
@@ -88,7 +88,7 @@
 	return o == nil || o.attempts < 2
 }
 
-func (b *backend) silent(now time.Time) bool { return now.Sub(b.readAt) > silentAfter }
+func (b *backend) silent(now time.Time) bool { return now.Sub(b.answeredAt) > silentAfter }
 
 // serving counts the replicas of the version in force that take requests now
 // and soon.
@@ -328,7 +328,7 @@
 // reserve commits memory and a replica before the order leaves.
 func (c *Core) reserve(t *tick, n need, choice placement.Choice, needsIntent bool) {
 	b := c.backends[choice.Backend]
-	o := c.newOrder(t.now, b, engine.OrderLoad)
+	o := c.newOrder(b, engine.OrderLoad)
 	o.order.Model, o.order.Version = n.model.ID, n.model.Version
 	o.order.Memory = n.model.MemoryBytes
 	o.order.LoadClass = n.rank
--- a/controller/orders.go
+++ b/controller/orders.go
@@ -30,17 +30,16 @@
 }
 
 // newOrder returns an open order to a backend server's present boot.
-func (c *Core) newOrder(now time.Time, b *backend, kind engine.OrderKind) *openOrder {
+func (c *Core) newOrder(b *backend, kind engine.OrderKind) *openOrder {
 	c.orderSeq++
 	o := &openOrder{
 		backend: b.row.ID,
 		order: engine.Order{
-			ID:        fmt.Sprintf("%s-%d-%08d", c.cell, c.epoch, c.orderSeq),
-			Kind:      kind,
-			Cell:      c.cell,
-			Epoch:     c.epoch,
-			Boot:      b.boot,
-			ExpiresAt: now.Add(c.cfg.OrderLifetime),
+			ID:    fmt.Sprintf("%s-%d-%08d", c.cell, c.epoch, c.orderSeq),
+			Kind:  kind,
+			Cell:  c.cell,
+			Epoch: c.epoch,
+			Boot:  b.boot,
 		},
 	}
 	c.open[o.order.ID] = o
@@ -63,7 +62,7 @@
 }
 
 func (c *Core) sendIfDue(t *tick, o *openOrder) {
-	if o.attempts > 0 && t.now.Sub(o.sentAt) < c.cfg.AnswerTimeout {
+	if o.attempts > 0 && t.now.Sub(o.sentAt) < c.answerTimeout(o) {
 		return
 	}
 	if o.inFlight {
@@ -71,7 +70,7 @@
 		o.uncertain = true
 	}
 	b := c.backends[o.backend]
-	if !b.row.Fencing && !c.canWriteIntents() {
+	if !b.row.Fencing && o.order.Kind != engine.OrderRaiseEpoch && !c.canWriteIntents() {
 		c.cancelUnsent(o) // a newer controller could not be told from none
 		return
 	}
@@ -81,6 +80,10 @@
 	if o.isLoad() && o.attempts == 0 && !o.inherited {
 		c.assertLoad(b, o)
 	}
+	if o.order.Kind == engine.OrderRaiseEpoch {
+		b.raiseSent = t.now
+	}
+	o.order.ExpiresAt = t.now.Add(c.cfg.OrderLifetime)
 	o.sentAt = t.now
 	o.attempts++
 	o.inFlight = true
@@ -88,10 +91,19 @@
 		Backend:    o.backend,
 		Address:    b.row.Address,
 		Order:      o.order,
-		VerifyBoot: !b.row.Fencing,
+		VerifyBoot: !b.row.Fencing && o.order.Kind != engine.OrderRaiseEpoch,
 	})
 }
 
+// answerTimeout returns when an order is sent again. A raise changes nothing, so
+// that it is repeated as often as reports are requested.
+func (c *Core) answerTimeout(o *openOrder) time.Duration {
+	if o.order.Kind == engine.OrderRaiseEpoch {
+		return c.cfg.ReportInterval
+	}
+	return c.cfg.AnswerTimeout
+}
+
 // mayLoad reports whether a load order may leave now. One that has never left
 // and may not leave any more is cancelled.
 func (c *Core) mayLoad(t *tick, b *backend, o *openOrder) bool {
@@ -102,7 +114,7 @@
 	if o.attempts > 0 || o.inherited {
 		return true
 	}
-	if !t.now.Before(o.order.ExpiresAt) || !c.stillAllowed(b, o) {
+	if !c.stillAllowed(b, o) {
 		c.cancelUnsent(o)
 		return false
 	}
@@ -174,7 +186,7 @@
 		return
 	}
 	if res.Report != nil {
-		c.HandleReport(now, res.SentAt, *res.Report)
+		c.handleReport(now, res.SentAt, *res.Report, true)
 	}
 	o := c.open[res.OrderID]
 	if o == nil || o.backend != res.Backend {
@@ -206,8 +218,8 @@
 	case errors.Is(err, engine.ErrWrongBoot):
 		c.void(o)
 		b.requestAt = time.Time{} // asks at once for the new boot
-	case errors.Is(err, engine.ErrExpired):
-		c.void(o)
+	case errors.Is(err, engine.ErrExpired) && !errors.Is(err, engine.ErrNotSent):
+		c.void(o) // earlier sendings expired before this one
 	case isRefusal(err) && !(o.uncertain && o.isLoad()):
 		if o.order.Kind == engine.OrderLoad {
 			b.avoid[o.order.Model] = now.Add(c.cfg.RetryDelay)
@@ -222,7 +234,8 @@
 // may have.
 func isRefusal(err error) bool {
 	for _, refusal := range []error{
-		engine.ErrNoMemory, engine.ErrDraining, engine.ErrNotLoaded, engine.ErrNotSent, engine.ErrUnreachable,
+		engine.ErrNoMemory, engine.ErrDraining, engine.ErrNotLoaded, engine.ErrRejected,
+		engine.ErrNotSent, engine.ErrUnreachable,
 	} {
 		if errors.Is(err, refusal) {
 			return true
--- a/controller/reports.go
+++ b/controller/reports.go
@@ -20,6 +20,12 @@
 // HandleReport takes in a report and the time of the Tick that requested it. A
 // report is one snapshot of boot, epoch and replicas; it may lag.
 func (c *Core) HandleReport(now time.Time, requestedAt time.Time, r engine.Report) {
+	c.handleReport(now, requestedAt, r, false)
+}
+
+// handleReport takes in a report. A fresh one was made when an order was
+// accepted and does not lag.
+func (c *Core) handleReport(now time.Time, requestedAt time.Time, r engine.Report, fresh bool) {
 	if !c.inOffice {
 		return
 	}
@@ -31,11 +37,11 @@
 	if b == nil || requestedAt.Before(c.officeAt) || !c.acceptBoot(now, b, requestedAt, r.Boot) {
 		return
 	}
-	fenced := !b.row.Fencing || r.Epoch == c.epoch
-	if b.raised && !fenced {
+	b.answeredAt = now
+	if b.raised && b.row.Fencing && r.Epoch != c.epoch {
 		return // made before the raise
 	}
-	if fenced {
+	if fresh && (!b.row.Fencing || r.Epoch == c.epoch) {
 		c.confirm(now, b, requestedAt)
 	}
 	if r.MeasuredAt.Before(b.measuredAt) {
@@ -46,7 +52,8 @@
 }
 
 // confirm notes that the engine takes no orders of an earlier office at this
-// boot, and when that was read.
+// boot, and when that was asked. Only an answer to an order tells: a report that
+// lags may be older than the orders of another controller.
 func (c *Core) confirm(now time.Time, b *backend, requestedAt time.Time) {
 	if !b.raised {
 		b.raised = true
@@ -135,7 +142,7 @@
 		row.seen = true
 		delete(c.open, row.orderID) // carried out
 	}
-	row.memory = max(row.memory, lr.Memory)
+	row.reported = lr.Memory
 	row.running, row.waiting = lr.Running, lr.Waiting
 	if !row.idle() {
 		row.lastUsed = now
@@ -173,7 +180,7 @@
 	row := &replica{
 		key:      fleet.ReplicaKey{Backend: b.row.ID, Boot: b.boot, Model: lr.Model, Version: lr.Version},
 		state:    max(lr.State, fleet.ReplicaLoading),
-		memory:   max(lr.Memory, m.MemoryBytes),
+		memory:   m.MemoryBytes,
 		slots:    max(1, m.Slots),
 		lastUsed: now,
 		readyAt:  now,
--- a/controller/takeover.go
+++ b/controller/takeover.go
@@ -7,8 +7,7 @@
 )
 
 const (
-	// confirmInterval is the least time between two report requests to one
-	// engine while a raise elsewhere must be confirmed.
+	// confirmInterval is the least time between two raises sent to one engine.
 	confirmInterval = 50 * time.Millisecond
 	// silentAfter is the time without an answer after which an engine takes no
 	// new loads and its replicas count for limits only.
@@ -24,15 +23,15 @@
 		if !b.isEngine() {
 			continue
 		}
-		if c.reportDue(t.now, b, lastRaise) {
+		if c.reportDue(t.now, b) {
 			b.requestAt = t.now
 			t.effects.Reports = append(t.effects.Reports, ReportRequest{Backend: id, Address: b.row.Address})
 		}
-		if b.row.Fencing && b.boot != "" && !b.raised && !c.hasOpen(b, engine.OrderRaiseEpoch) {
-			c.newOrder(t.now, b, engine.OrderRaiseEpoch)
+		if c.raiseDue(t.now, b, lastRaise) {
+			c.newOrder(b, engine.OrderRaiseEpoch).order.Boot = "" // whichever boot it meets
 		}
 		if c.stopping[id] && b.raised && !b.leaving && !c.hasOpen(b, engine.OrderDrain) {
-			c.newOrder(t.now, b, engine.OrderDrain)
+			c.newOrder(b, engine.OrderDrain)
 		}
 	}
 }
@@ -57,10 +56,14 @@
 	return last
 }
 
-func (c *Core) reportDue(now time.Time, b *backend, lastRaise time.Time) bool {
-	since := now.Sub(b.requestAt)
-	if since >= c.cfg.ReportInterval {
-		return true
-	}
-	return b.requestAt.Before(lastRaise) && since >= confirmInterval
+func (c *Core) reportDue(now time.Time, b *backend) bool {
+	return now.Sub(b.requestAt) >= c.cfg.ReportInterval
+}
+
+// raiseDue reports whether the engine must be raised, or asked again because
+// another was raised after it was last asked. Engines that do not fence are
+// asked in the same way, as only the answer to an order does not lag.
+func (c *Core) raiseDue(now time.Time, b *backend, lastRaise time.Time) bool {
+	stale := !b.raised || b.readAt.Before(lastRaise) || b.readAt.Before(b.recheckAt)
+	return stale && now.Sub(b.raiseSent) >= confirmInterval && !c.hasOpen(b, engine.OrderRaiseEpoch)
 }
--- a/controller/unloads.go
+++ b/controller/unloads.go
@@ -9,8 +9,8 @@
 )
 
 const (
-	// grantFlight bounds the time from a grant to its request showing in a
-	// report that is requested afterwards.
+	// grantFlight bounds the time from a grant to the arrival of its request at
+	// the engine.
 	grantFlight = time.Second
 	// keepForever stands for no end when no retention policy is given.
 	keepForever = 365 * 24 * time.Hour
@@ -150,11 +150,16 @@
 	if !r.draining {
 		since = b.drainSince
 	}
-	used := c.lastUse(r)
-	if t.demand[r.key.Model] == nil && since.Sub(used) >= grantFlight {
-		return true
+	if t.demand[r.key.Model] != nil || since.Sub(c.lastUse(r)) < grantFlight {
+		since = since.Add(grantFlight)
 	}
-	return !b.readAt.Before(since.Add(grantFlight))
+	if t.now.Before(since) {
+		return false
+	}
+	if since.After(b.recheckAt) {
+		b.recheckAt = since
+	}
+	return !b.readAt.Before(since)
 }
 
 // lastUse returns when the replica's model or any of its adapters was last
@@ -172,7 +177,7 @@
 func (c *Core) unload(t *tick, b *backend, r *replica) {
 	invariant.Check(r.idle(), invariant.GracefulStop,
 		"unload of %s at %s with %d requests", r.key.Model, b.row.ID, r.running+r.waiting)
-	o := c.newOrder(t.now, b, engine.OrderUnload)
+	o := c.newOrder(b, engine.OrderUnload)
 	o.order.Model, o.order.Version = r.key.Model, r.key.Version
 	o.replica = r
 	r.state = fleet.ReplicaUnloading
--- a/controller/writers_test.go
+++ b/controller/writers_test.go
@@ -40,7 +40,18 @@
 // The new holder has loaded at one engine. The old one, which last read that
 // engine before it was raised, meets fresh boots of all others.
 func TestOldHolderMeetsFreshBoots(t *testing.T) {
+	for name, lagging := range map[string]bool{"cut off": false, "reads reports that lag": true} {
+		t.Run(name, func(t *testing.T) { oldHolderMeetsFreshBoots(t, lagging) })
+	}
+}
+
+func oldHolderMeetsFreshBoots(t *testing.T, lagging bool) {
 	c, a := twoWriters(t, 4)
+	for _, e := range c.engines {
+		e.slow = 10
+		e.frozen = lagging
+		e.snapshot = e.report()
+	}
 	b := c.takenOver(a)
 	c.run(200 * time.Millisecond)
 	c.unasked = a
@@ -55,7 +66,11 @@
 			c.cutEngines(b, true, e)
 		}
 	}
-	c.run(700 * time.Millisecond)
+	c.run(4 * time.Second) // the old holder takes the loaded engine for silent
+	if lagging {
+		c.cutEngines(a, false, loaded)
+		loaded.deafTo = a
+	}
 	c.unasked = nil
 	c.run(2 * time.Second)
 	assert.Equal(t, c.loads("m0"), 1)
@@ -81,13 +96,15 @@
 	b := c.takenOver(a)
 	c.until(time.Second, "raise", func() bool { return first.epoch == b.auth.Epoch })
 	c.run(50 * time.Millisecond)
+	first.attract("m0")
 	first.restart()
 	c.cutEngines(b, true, first)
 	c.cutEngines(a, false, first, second)
-	first.attract("m0")
-	c.run(200 * time.Millisecond)
+	c.run(700 * time.Millisecond)
+	c.unasked = b
 	c.ask("m0")
 	c.until(2*time.Second, "the old holder's load", func() bool { return first.replicas["m0"] != nil })
+	c.unasked = nil
 	second.attract("m0")
 	c.cutEngines(b, false, second)
 	c.run(2 * time.Second)
--- a/lease/core.go
+++ b/lease/core.go
@@ -247,6 +247,8 @@
 		c.contact(now)
 		c.pending = nil
 		c.take(now, p.record, version)
+	case errors.Is(err, platform.ErrUnknown):
+		c.unknownWrite(now, p)
 	case errors.Is(err, platform.ErrConflict):
 		c.contact(now)
 		// Settled by the next read: an earlier sending of the same write may
@@ -258,12 +260,16 @@
 		c.silent(now)
 		c.dropUnsent(p)
 	default:
-		c.silent(now)
-		p.unknown = true
-		c.readWanted = true
+		c.unknownWrite(now, p)
 	}
 }
 
+func (c *Core) unknownWrite(now time.Time, p *pendingWrite) {
+	c.silent(now)
+	p.unknown = true
+	c.readWanted = true
+}
+
 // dropUnsent forgets a write that is known not to have taken effect. A write
 // of which an earlier sending may have taken effect is kept.
 func (c *Core) dropUnsent(p *pendingWrite) {
