--- a/controller/adapters.go
+++ b/controller/adapters.go
@@ -117,7 +117,7 @@
 		used time.Time
 	}
 	var victims []victim
-	for _, r := range sortedReplicas(b) {
+	for _, r := range b.rows {
 		for id, a := range r.adapters {
 			if a.leaving {
 				missing -= a.memory
@@ -148,9 +148,8 @@
 		return
 	}
 	done := true
-	for _, id := range c.order {
-		b := c.backends[id]
-		for _, r := range sortedReplicas(b) {
+	for _, b := range c.rows {
+		for _, r := range b.rows {
 			for adapterID, a := range r.adapters {
 				done = c.retireAdapter(t, b, r, adapterID, a) && done
 			}
--- a/controller/backends.go
+++ b/controller/backends.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -43,6 +44,7 @@
 	drainSince time.Time // when it was first seen to leave
 	near       map[modelVersion]fleet.Nearness
 	replicas   map[modelVersion]*replica
+	rows       []*replica                  // of replicas, sorted
 	avoid      map[fleet.ModelID]time.Time // no load of the model until then
 }
 
@@ -131,6 +133,7 @@
 	b.leaving = false
 	b.near = map[modelVersion]fleet.Nearness{}
 	b.replicas = map[modelVersion]*replica{}
+	b.rows = nil
 	b.avoid = map[fleet.ModelID]time.Time{}
 }
 
@@ -189,9 +192,9 @@
 		listed[r.Backend.ID] = true
 		c.listBackend(r)
 	}
-	for _, id := range c.order {
-		if !listed[id] {
-			c.dropBackend(id)
+	for _, b := range c.rows {
+		if !listed[b.row.ID] {
+			c.dropBackend(b.row.ID)
 		}
 	}
 	c.sortBackends()
@@ -213,7 +216,7 @@
 
 func (c *Core) dropBackend(id fleet.BackendID) {
 	b := c.backends[id]
-	for _, r := range sortedReplicas(b) {
+	for _, r := range slices.Clone(b.rows) {
 		c.removeReplica(b, r)
 	}
 	c.closeOrdersOf(id)
@@ -222,11 +225,11 @@
 }
 
 func (c *Core) sortBackends() {
-	c.order = c.order[:0]
-	for id := range c.backends {
-		c.order = append(c.order, id)
+	c.rows = c.rows[:0]
+	for _, b := range c.backends {
+		c.rows = append(c.rows, b)
 	}
-	slices.Sort(c.order)
+	slices.SortFunc(c.rows, func(a, b *backend) int { return cmp.Compare(a.row.ID, b.row.ID) })
 }
 
 // SetStopping names the backend servers that an operator stops as planned.
@@ -237,18 +240,11 @@
 	}
 }
 
-func sortedReplicas(b *backend) []*replica {
-	rs := make([]*replica, 0, len(b.replicas))
-	for _, r := range b.replicas {
-		rs = append(rs, r)
-	}
-	slices.SortFunc(rs, compareReplicas)
-	return rs
-}
-
 // addReplica enters a replica into the tables.
 func (c *Core) addReplica(b *backend, r *replica) {
 	b.replicas[modelVersion{r.key.Model, r.key.Version}] = r
+	i, _ := slices.BinarySearchFunc(b.rows, r, compareReplicas)
+	b.rows = slices.Insert(b.rows, i, r)
 	at := c.placed[r.key.Model]
 	if at == nil {
 		at = map[fleet.BackendID]struct{}{}
@@ -260,6 +256,7 @@
 // removeReplica takes a replica that is known to be gone out of the tables.
 func (c *Core) removeReplica(b *backend, r *replica) {
 	delete(b.replicas, modelVersion{r.key.Model, r.key.Version})
+	b.rows = slices.DeleteFunc(b.rows, func(other *replica) bool { return other == r })
 	c.endLoad(b, r)
 	for id, o := range c.open {
 		if o.replica == r {
--- a/controller/core.go
+++ b/controller/core.go
@@ -1,8 +1,6 @@
 package controller
 
 import (
-	"cmp"
-	"slices"
 	"time"
 
 	"github.com/redwingnotch/redwingnotch/fleet"
@@ -33,7 +31,7 @@
 
 	listAsOf time.Time // of the newest VM list
 	backends map[fleet.BackendID]*backend
-	order    []fleet.BackendID // of backends, sorted
+	rows     []*backend // of backends, sorted by id
 	stopping map[fleet.BackendID]bool
 
 	open            map[string]*openOrder
@@ -195,7 +193,7 @@
 
 // allRaised reports whether no engine takes orders of an earlier controller.
 func (c *Core) allRaised() bool {
-	for _, b := range c.backends {
+	for _, b := range c.rows {
 		if b.isEngine() && !b.raised {
 			return false
 		}
@@ -207,15 +205,10 @@
 // rows are the caller's.
 func (c *Core) Replicas() []fleet.Replica {
 	var rows []fleet.Replica
-	for _, id := range c.order {
-		b := c.backends[id]
-		start := len(rows)
-		for _, r := range b.replicas {
+	for _, b := range c.rows {
+		for _, r := range b.rows {
 			rows = append(rows, c.row(b, r))
 		}
-		slices.SortFunc(rows[start:], func(x, y fleet.Replica) int {
-			return cmp.Or(cmp.Compare(x.Model, y.Model), cmp.Compare(x.Version, y.Version))
-		})
 	}
 	return rows
 }
--- a/controller/export_test.go
+++ b/controller/export_test.go
@@ -29,7 +29,7 @@
 // ForceUnload unloads a replica whatever runs there.
 func (c *Core) ForceUnload(now time.Time, id fleet.BackendID, m fleet.ModelID) {
 	b := c.backends[id]
-	for _, r := range sortedReplicas(b) {
+	for _, r := range b.rows {
 		if r.key.Model == m {
 			c.unload(c.newTick(now, nil, nil), b, r)
 		}
--- a/controller/loads.go
+++ b/controller/loads.go
@@ -126,8 +126,11 @@
 // needsReplacement reports whether a model that nobody waits for right now
 // stands only where it cannot stay, or in an old version, and is worth keeping.
 func (c *Core) needsReplacement(t *tick, m fleet.Model) bool {
-	if ready, coming := c.serving(m); ready+coming > 0 {
-		return false
+	for id := range c.placed[m.ID] {
+		b := c.backends[id]
+		if r := b.replicas[modelVersion{m.ID, m.Version}]; r != nil && c.serves(b, r) {
+			return false
+		}
 	}
 	for id := range c.placed[m.ID] {
 		b := c.backends[id]
@@ -252,7 +255,7 @@
 		Near:      b.nearness(m.ID, m.Version),
 		FreeBytes: c.free(b, m.ID),
 	}
-	for _, r := range sortedReplicas(b) {
+	for _, r := range b.rows {
 		if r.state == fleet.ReplicaReserved || r.state == fleet.ReplicaLoading {
 			s.Loads++
 		}
--- a/controller/reports.go
+++ b/controller/reports.go
@@ -93,7 +93,7 @@
 		b.retired = append(b.retired, retiredBoot{boot: b.boot, at: c.afterTick(now)})
 		b.retired = b.retired[max(0, len(b.retired)-maxRetiredBoots):]
 	}
-	for _, r := range sortedReplicas(b) {
+	for _, r := range slices.Clone(b.rows) {
 		c.removeReplica(b, r)
 	}
 	c.closeOrdersOf(b.row.ID)
@@ -112,7 +112,7 @@
 		shown[modelVersion{lr.Model, lr.Version}] = true
 		c.takeReplica(now, b, lr)
 	}
-	for _, row := range sortedReplicas(b) {
+	for _, row := range slices.Clone(b.rows) {
 		if !shown[modelVersion{row.key.Model, row.key.Version}] {
 			c.takeAbsence(now, b, row, r)
 		}
--- a/controller/rosters.go
+++ b/controller/rosters.go
@@ -120,9 +120,9 @@
 
 func (c *Core) desiredRoster() lease.Roster {
 	next := lease.Roster{Candidates: placement.MinCandidates, AsOf: c.listAsOf}
-	for _, id := range c.order {
-		if b := c.backends[id]; b.isEngine() && !b.draining(c.stopping) {
-			next.Backends = append(next.Backends, id)
+	for _, b := range c.rows {
+		if b.isEngine() && !b.draining(c.stopping) {
+			next.Backends = append(next.Backends, b.row.ID)
 		}
 	}
 	for _, m := range c.models {
--- a/controller/takeover.go
+++ b/controller/takeover.go
@@ -18,19 +18,18 @@
 // been raised at their present boot.
 func (c *Core) contactEngines(t *tick) {
 	lastRaise := c.lastRaise()
-	for _, id := range c.order {
-		b := c.backends[id]
+	for _, b := range c.rows {
 		if !b.isEngine() {
 			continue
 		}
 		if c.reportDue(t.now, b) {
 			b.requestAt = t.now
-			t.effects.Reports = append(t.effects.Reports, ReportRequest{Backend: id, Address: b.row.Address})
+			t.effects.Reports = append(t.effects.Reports, ReportRequest{Backend: b.row.ID, Address: b.row.Address})
 		}
 		if c.raiseDue(t.now, b, lastRaise) {
 			c.newOrder(b, engine.OrderRaiseEpoch).order.Boot = "" // whichever boot it meets
 		}
-		if c.stopping[id] && b.raised && !b.leaving && !c.hasOpen(b, engine.OrderDrain) {
+		if c.stopping[b.row.ID] && b.raised && !b.leaving && !c.hasOpen(b, engine.OrderDrain) {
 			c.newOrder(b, engine.OrderDrain)
 		}
 	}
@@ -48,7 +47,7 @@
 // lastRaise returns when an engine was last raised.
 func (c *Core) lastRaise() time.Time {
 	var last time.Time
-	for _, b := range c.backends {
+	for _, b := range c.rows {
 		if b.raisedAt.After(last) {
 			last = b.raisedAt
 		}
--- a/controller/unloads.go
+++ b/controller/unloads.go
@@ -20,9 +20,8 @@
 // versions no longer in force, those above the limit, and those past their
 // retention.
 func (c *Core) markDraining(t *tick) {
-	for _, id := range c.order {
-		b := c.backends[id]
-		for _, r := range sortedReplicas(b) {
+	for _, b := range c.rows {
+		for _, r := range b.rows {
 			c.markReplica(t, b, r)
 		}
 	}
@@ -92,6 +91,9 @@
 // drainSurplus drains the least recently used replicas above the limit, after
 // the limit was lowered.
 func (c *Core) drainSurplus(t *tick, m fleet.Model) {
+	if len(c.placed[m.ID]) <= m.MaxReplicas {
+		return
+	}
 	var kept []*replica
 	for id := range c.placed[m.ID] {
 		for key, r := range c.backends[id].replicas {
@@ -121,8 +123,7 @@
 
 // unloadDraining unloads what drains and runs nothing.
 func (c *Core) unloadDraining(t *tick) {
-	for _, id := range c.order {
-		b := c.backends[id]
+	for _, b := range c.rows {
 		leaving := b.draining(c.stopping)
 		if !leaving {
 			b.drainSince = time.Time{}
@@ -132,7 +133,7 @@
 		if !b.raised {
 			continue
 		}
-		for _, r := range sortedReplicas(b) {
+		for _, r := range b.rows {
 			if (r.draining || leaving) && c.drained(t, b, r) {
 				c.unload(t, b, r)
 			}
--- a/lease/claim.go
+++ b/lease/claim.go
@@ -28,7 +28,7 @@
 	if c.pending == nil && c.known && !c.stale && !c.readWanted {
 		c.pending = c.nextWrite(now)
 	}
-	return Effects{Write: c.send()}
+	return Effects{Write: c.send(now)}
 }
 
 // mustRead reports whether a read is due. The holder reads only if nothing
@@ -43,11 +43,12 @@
 	return c.ownsRecord() && now.Sub(c.lastContact) >= c.cfg.StoreSilence/2
 }
 
-func (c *Core) send() *Write {
+func (c *Core) send(now time.Time) *Write {
 	if c.pending == nil || c.pending.unknown {
 		return nil
 	}
 	c.pending.sent = true
+	c.pending.sentAt = now
 	c.pending.attempts++
 	w := c.pending.Write
 	return &w
--- a/lease/core.go
+++ b/lease/core.go
@@ -78,7 +78,8 @@
 type pendingWrite struct {
 	Write
 	record   Record
-	attempts int  // times sent
+	attempts int // times sent
+	sentAt   time.Time
 	sent     bool // an answer is outstanding
 	unknown  bool // the answer was lost; a read settles it
 }
@@ -172,7 +173,7 @@
 	c.reading = false
 	absent := errors.Is(err, platform.ErrNotFound)
 	if err != nil && !absent {
-		c.silent(now)
+		c.silent(c.lastRead)
 		return
 	}
 	if absent {
@@ -248,7 +249,7 @@
 		c.pending = nil
 		c.take(now, p.record, version)
 	case errors.Is(err, platform.ErrUnknown):
-		c.unknownWrite(now, p)
+		c.unknownWrite(p)
 	case errors.Is(err, platform.ErrConflict):
 		c.contact(now)
 		// Settled by the next read: an earlier sending of the same write may
@@ -257,15 +258,15 @@
 		c.stale = true
 		c.readWanted = true
 	case errors.Is(err, platform.ErrUnavailable), errors.Is(err, platform.ErrBudget):
-		c.silent(now)
+		c.silent(p.sentAt)
 		c.dropUnsent(p)
 	default:
-		c.unknownWrite(now, p)
+		c.unknownWrite(p)
 	}
 }
 
-func (c *Core) unknownWrite(now time.Time, p *pendingWrite) {
-	c.silent(now)
+func (c *Core) unknownWrite(p *pendingWrite) {
+	c.silent(p.sentAt)
 	p.unknown = true
 	c.readWanted = true
 }
@@ -288,9 +289,10 @@
 	c.silentSince = time.Time{}
 }
 
-func (c *Core) silent(now time.Time) {
-	if c.silentSince.IsZero() {
-		c.silentSince = now
+// silent notes that a call made at that time was not answered.
+func (c *Core) silent(madeAt time.Time) {
+	if c.silentSince.IsZero() && madeAt.After(c.lastContact) {
+		c.silentSince = madeAt
 	}
 }
 
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -124,8 +124,10 @@
 		}
 	}
 	slices.SortFunc(offered, func(a, b Resident) int {
-		return cmp.Or(cmp.Compare(costPerByte(now, a), costPerByte(now, b)),
-			cmp.Compare(a.Model, b.Model), cmp.Compare(a.Version, b.Version))
+		if byCost := cmp.Compare(costPerByte(now, a), costPerByte(now, b)); byCost != 0 {
+			return byCost
+		}
+		return cmp.Or(cmp.Compare(a.Model, b.Model), cmp.Compare(a.Version, b.Version))
 	})
 	choose := cheapestSet
 	if len(offered) > exactEvictions {
@@ -137,21 +139,32 @@
 
 // cheapestSet compares all sets of residents that free the missing bytes.
 func cheapestSet(now time.Time, offered []Resident, missing int64) []Resident {
-	var best []Resident
+	var costs [exactEvictions]time.Duration
+	for i, r := range offered {
+		costs[i] = evictionCost(now, r)
+	}
+	best := 0
+	var bestCost time.Duration
 	for mask := 1; mask < 1<<len(offered); mask++ {
 		var freed int64
-		var set []Resident
-		for i, r := range offered {
+		var cost time.Duration
+		for i := range offered {
 			if mask&(1<<i) != 0 {
-				freed += r.MemoryBytes
-				set = append(set, r)
+				freed += offered[i].MemoryBytes
+				cost += costs[i]
 			}
 		}
-		if freed >= missing && (best == nil || totalCost(now, set) < totalCost(now, best)) {
-			best = set
+		if freed >= missing && (best == 0 || cost < bestCost) {
+			best, bestCost = mask, cost
 		}
 	}
-	return best
+	var chosen []Resident
+	for i, r := range offered {
+		if best&(1<<i) != 0 {
+			chosen = append(chosen, r)
+		}
+	}
+	return chosen
 }
 
 // cheapestFirst takes the cheapest per byte first and gives back what is not
