admission: refusals count as demand; overdue waiters refused once starved for half their time

Refusing early hid from the controller that capacity was missing; Demand now names recent refusals, and the controller counts them. A cold model whose load takes longer than the deadline is loaded all the same. Overdue waiters are refused early only after such waiters got nothing for half of the allowance.

--- a/admission/decide.go
+++ b/admission/decide.go
@@ -168,7 +168,7 @@
 		}
 	}
 	for _, id := range sortedKeys(useless) {
-		q.refuse(q.waiters[id], useless[id])
+		q.refuse(now, q.waiters[id], useless[id])
 	}
 }
 
@@ -213,6 +213,9 @@
 			byTarget[target] = &fleet.Demand{Target: target, LastArrival: last}
 		}
 	}
+	for id, m := range q.models {
+		m.addPressure(now, id, byTarget)
+	}
 	for id := range q.demanded {
 		for _, t := range q.models[id].targets {
 			d := demandOf(byTarget, fleet.Target{Model: id, Adapter: t.adapter})
--- a/admission/estimate.go
+++ b/admission/estimate.go
@@ -128,10 +128,12 @@
 	if floor := q.settings.Ranks[w.Rank].Floor; floor > 0 {
 		drained = min(drained, time.Duration(float64(drainTime(now, floorWork, s))/floor))
 	}
-	if w.overdue {
-		drained = max(drained, m.lateness[w.Rank].wait(now, m.ahead(w)))
+	drained += m.learnt.firstTokenTime(now)
+	if w.overdue || now.Add(drained).After(w.target) {
+		n := 1 + m.overdue(w.Rank)
+		drained = max(drained, m.lateness[w.Rank].wait(now, n, w.Deadline.Sub(w.Arrival)))
 	}
-	return drained + m.learnt.firstTokenTime(now), true
+	return drained, true
 }
 
 // coldEstimate estimates a model that has no ready replica.
--- a/admission/model.go
+++ b/admission/model.go
@@ -16,6 +16,7 @@
 	cold     time.Duration   // estimate of a cold load, zero if unknown
 	learnt   learntTimes
 	lateness [fleet.RankCount]overdueRate
+	pressure map[fleet.AdapterID]*pressure // by adapter, "" for the base model
 	info     fleet.Model
 	known    bool // in the release
 	serving  bool // has a replica that takes work
@@ -111,7 +112,7 @@
 	for _, id := range sortedKeys(q.waiters) {
 		w := q.waiters[id]
 		if refusal, refused := q.screen(now, q.models[w.Target.Model], &w.Request); refused {
-			q.refuse(w, refusal)
+			q.refuse(now, w, refusal)
 		}
 	}
 }
--- a/admission/overdue.go
+++ b/admission/overdue.go
@@ -1,26 +1,28 @@
 package admission
 
-import "time"
+import (
+	"time"
 
-// overdueRate is how fast waiters that missed their target get slots.
+	"github.com/redwingnotch/redwingnotch/fleet"
+)
+
+// overdueRate tells whether waiters that missed their target get slots.
 type overdueRate struct {
-	gap   time.Duration // average between grants while some waited
-	since time.Time     // of the latest grant, or when the first waiter became overdue
+	since time.Time // of the latest grant, or when the first waiter became overdue
 }
 
-// granted learns from a grant to an overdue waiter.
-func (o *overdueRate) granted(now time.Time) {
-	learnDuration(&o.gap, now.Sub(o.since))
-	o.since = now
-}
+// starvedShare is the share of a request's allowance for which overdue waiters
+// must have got nothing before that is taken to go on.
+const starvedShare = 0.5
 
-// wait estimates the time until the waiter behind so many others gets a slot.
-// It is zero until the rate is known to be lower than the time that passed.
-func (o *overdueRate) wait(now time.Time, ahead int) time.Duration {
-	if o.since.IsZero() {
+// wait estimates the time until an overdue waiter behind so many others gets a
+// slot. It is zero, for unknown, as long as others got slots lately.
+func (o *overdueRate) wait(now time.Time, ahead int, allowance time.Duration) time.Duration {
+	starved := now.Sub(o.since)
+	if o.since.IsZero() || starved < time.Duration(starvedShare*float64(allowance)) {
 		return 0
 	}
-	return time.Duration(ahead) * max(o.gap, now.Sub(o.since))
+	return time.Duration(ahead) * starved
 }
 
 // missesTarget reports whether a waiter can no longer get its first token
@@ -36,22 +38,20 @@
 func (q *Queue) makeOverdue(now time.Time, m *modelState, w *waiter) {
 	m.remove(w)
 	late := &m.lateness[w.Rank]
-	if !m.anyOverdue(w) {
+	if m.overdue(w.Rank) == 0 {
 		late.since = now
-		late.gap = 0
 	}
 	w.overdue = true
 	m.add(w, q.settings.FIFO)
 }
 
-// anyOverdue reports whether a waiter of the same rank is overdue.
-func (m *modelState) anyOverdue(w *waiter) bool {
+// overdue returns the number of overdue waiters of the rank.
+func (m *modelState) overdue(rank fleet.Rank) int {
+	n := 0
 	for _, t := range m.targets {
-		if t.overdue[w.Rank].len() > 0 {
-			return true
-		}
+		n += t.overdue[rank].len()
 	}
-	return false
+	return n
 }
 
 // markOverdue moves all waiters that missed their target.
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -88,9 +88,11 @@
 	w.target = r.Arrival.Add(q.settings.Ranks[r.Rank].FirstTokenTarget)
 	w.overdue = q.missesTarget(now, m, w)
 	if refusal, refused := q.tooLate(now, m, w); refused {
+		q.noteRefused(now, &r, refusal.Code)
 		return refuseDecision(&r, refusal)
 	}
-	if len(q.waiters) >= q.settings.MaxWaiting && !q.makeRoom(r.Rank) {
+	if len(q.waiters) >= q.settings.MaxWaiting && !q.makeRoom(now, r.Rank) {
+		q.noteRefused(now, &r, CodeOverloaded)
 		return refuseDecision(&r, Refusal{Code: CodeOverloaded, Detail: "the queue is full", RetryAfter: overloadRetry})
 	}
 	q.enqueue(m, w)
@@ -156,13 +158,13 @@
 
 // makeRoom refuses a waiter of the lowest rank below the given one, from the
 // longest queue, and reports whether there was one.
-func (q *Queue) makeRoom(rank fleet.Rank) bool {
+func (q *Queue) makeRoom(now time.Time, rank fleet.Rank) bool {
 	for lowest := fleet.Rank(fleet.RankCount - 1); lowest > rank; lowest-- {
 		if q.waiting[lowest] == 0 {
 			continue
 		}
 		if w := q.lastOf(lowest); w != nil {
-			q.refuse(w, Refusal{Code: CodeOverloaded, Detail: "displaced by more urgent work", RetryAfter: overloadRetry})
+			q.refuse(now, w, Refusal{Code: CodeOverloaded, Detail: "displaced by more urgent work", RetryAfter: overloadRetry})
 			return true
 		}
 	}
@@ -194,8 +196,9 @@
 }
 
 // refuse ends a wait with a refusal, returned by the next Tick.
-func (q *Queue) refuse(w *waiter, refusal Refusal) {
+func (q *Queue) refuse(now time.Time, w *waiter, refusal Refusal) {
 	q.drop(w)
+	q.noteRefused(now, &w.Request, refusal.Code)
 	q.ready = append(q.ready, refuseDecision(&w.Request, refusal))
 }
 
@@ -206,9 +209,9 @@
 
 // Cancel ends a request that nobody waits for any more. A grant of it stays
 // until Finish.
-func (q *Queue) Cancel(_ time.Time, id string) {
+func (q *Queue) Cancel(now time.Time, id string) {
 	if w := q.waiters[id]; w != nil {
-		q.refuse(w, Refusal{Code: CodeCancelled, Detail: "cancelled by the entry node"})
+		q.refuse(now, w, Refusal{Code: CodeCancelled, Detail: "cancelled by the entry node"})
 	}
 }
 
@@ -287,7 +290,7 @@
 func (q *Queue) EntryLost(now time.Time, node fleet.NodeID, inc fleet.Incarnation) {
 	for _, id := range sortedKeys(q.waiters) {
 		if w := q.waiters[id]; w != nil && w.Entry == node && w.Incarnation <= inc {
-			q.refuse(w, Refusal{Code: CodeCancelled, Detail: "entry node lost"})
+			q.refuse(now, w, Refusal{Code: CodeCancelled, Detail: "entry node lost"})
 		}
 	}
 	for _, id := range sortedKeys(q.grants) {
--- a/admission/queue_test.go
+++ b/admission/queue_test.go
@@ -203,3 +203,16 @@
 	last.Hash = "poison"
 	assert.Equal(t, q.Offer(now, last).Refusal.Code, admission.CodePoison)
 }
+
+// A cold model whose load takes longer than the deadline must still be loaded,
+// or its callers are refused for ever.
+func TestRefusedColdModelStaysInDemand(t *testing.T) {
+	q := newQueue()
+	q.SetColdEstimates([]admission.ColdEstimate{{Model: "m", ReadyIn: time.Hour}})
+	assert.Equal(t, q.Offer(start, request("a", fleet.RankUrgent)).Refusal.Code, admission.CodeDeadline)
+	demands := q.Demands(start)
+	assert.Equal(t, len(demands), 1)
+	assert.Equal(t, demands[0].Total(), 0)
+	assert.Equal(t, demands[0].Pressure(), 1)
+	assert.Equal(t, len(q.Demands(start.Add(time.Hour))), 0)
+}
--- a/admission/serve.go
+++ b/admission/serve.go
@@ -35,7 +35,7 @@
 		}
 		m := q.models[w.Target.Model]
 		if refusal, refused := q.tooLateNow(now, m, w); refused {
-			q.refuse(w, refusal)
+			q.refuse(now, w, refusal)
 			continue
 		}
 		if q.missesTarget(now, m, w) {
@@ -205,12 +205,12 @@
 	for _, w := range append([]*waiter(nil), q.held...) {
 		key := keyOf(&w.Request)
 		if table.Verdict(now, key) == quarantine.Refuse {
-			q.refuse(w, q.poisonRefusal(now, key))
+			q.refuse(now, w, q.poisonRefusal(now, key))
 			continue
 		}
 		m := q.models[w.Target.Model]
 		if refusal, refused := q.tooLateNow(now, m, w); refused {
-			q.refuse(w, refusal)
+			q.refuse(now, w, refusal)
 			continue
 		}
 		if r := q.place(now, m, w, nil); r != nil {
@@ -232,7 +232,7 @@
 	}
 	m := q.models[w.Target.Model]
 	if w.overdue {
-		m.lateness[w.Rank].granted(now)
+		m.lateness[w.Rank].since = now
 	}
 	g := &grantState{
 		request:   w.Request,
--- a/controller/tick.go
+++ b/controller/tick.go
@@ -21,7 +21,7 @@
 	now           time.Time
 	keep          Retention
 	demands       []fleet.Demand
-	demand        map[fleet.ModelID]*modelDemand // only models that somebody waits for
+	demand        map[fleet.ModelID]*modelDemand // only models that capacity is missing for
 	ahead         map[fleet.ModelID]bool         // models to be loaded ahead of requests
 	aheadTargets  []fleet.Target
 	remoteBlocked bool // a load waits for the weight store; later ones must not pass it
@@ -38,7 +38,7 @@
 	}
 	for _, d := range demands {
 		c.noteUse(t, d)
-		if d.Total() > 0 {
+		if d.Pressure() > 0 {
 			t.addDemand(d)
 		}
 	}
@@ -58,7 +58,7 @@
 
 func (c *Core) noteUse(t *tick, d fleet.Demand) {
 	last := d.LastArrival
-	if d.Total() > 0 {
+	if d.Pressure() > 0 {
 		last = t.now
 	}
 	if last.After(c.used[d.Target]) {
@@ -73,7 +73,7 @@
 		m = &modelDemand{rank: rank, deadline: deadline, oldest: d.OldestArrival}
 		t.demand[d.Target.Model] = m
 	}
-	m.waiting += d.Total()
+	m.waiting += d.Pressure()
 	if d.OldestArrival.Before(m.oldest) {
 		m.oldest = d.OldestArrival
 	}
@@ -84,7 +84,7 @@
 
 func mostUrgent(d fleet.Demand) (fleet.Rank, time.Time) {
 	for rank, n := range d.Waiting {
-		if n > 0 {
+		if n+d.Refused[rank] > 0 {
 			return fleet.Rank(rank), d.EarliestDeadline[rank]
 		}
 	}
@@ -106,11 +106,11 @@
 	t.effects.Blocked = append(t.effects.Blocked, Blocked{Target: target, Reason: reason})
 }
 
-// sortedDemands returns the demands somebody waits for, most urgent first.
+// sortedDemands returns the demands that capacity is missing for, most urgent first.
 func (t *tick) sortedDemands() []fleet.Demand {
 	var waiting []fleet.Demand
 	for _, d := range t.demands {
-		if d.Total() > 0 {
+		if d.Pressure() > 0 {
 			waiting = append(waiting, d)
 		}
 	}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -210,6 +210,7 @@
 type Demand struct {
 	Target           Target
 	Waiting          [RankCount]int
+	Refused          [RankCount]int       // refused lately for lack of time or capacity and told to come back
 	EarliestDeadline [RankCount]time.Time // zero when none waits
 	OldestArrival    time.Time
 	LastArrival      time.Time // zero if never asked for
@@ -224,6 +225,16 @@
 	return total
 }
 
+// Pressure returns the number of requests, of all ranks, that capacity is
+// missing for: those that wait and those refused lately.
+func (d Demand) Pressure() int {
+	total := d.Total()
+	for _, n := range d.Refused {
+		total += n
+	}
+	return total
+}
+
 // Outcome is the one end that each request comes to.
 type Outcome uint8
 
