--- a/internal/node/faults_test.go
+++ b/internal/node/faults_test.go
@@ -14,15 +14,8 @@
 const silenceFoundWithin = 3 * time.Second
 
 func TestSilentPeerConnectionsAreFound(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		d := newDeployment(t)
-		defer d.close()
-		d.addEngine("e1")
-		d.start("n1")
-		d.start("n2")
-		time.Sleep(settleTime)
-		holder, _ := d.holder()
-		other := map[string]string{"n1": "n2", "n2": "n1"}[holder]
+	inDeployment(t, 1, 2, func(t *testing.T, d *deployment) {
+		_, other := d.pair()
 		assert.NilError(t, checkAnswer(d.send(other, "POST", "/v1/chat/completions", latheRequest), "lathe", latheRequest))
 		d.peerFaults.SilenceOpen()
 		before := time.Now()
@@ -52,12 +45,7 @@
 }
 
 func TestMalformedCallersHarmNoOthers(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		d := newDeployment(t)
-		defer d.close()
-		d.addEngine("e1")
-		d.start("n1")
-		time.Sleep(settleTime)
+	inDeployment(t, 1, 1, func(t *testing.T, d *deployment) {
 		for _, bytes := range []string{"\x00\x01\x02\r\n\r\n", "GET / HTTP/9.9\r\n\r\n", "POST /v1/chat/completions HTTP/1.1\r\nHost: n1\r\nContent-Length: 99\r\n\r\n{"} {
 			conn, err := d.network.Dial(t.Context(), "tcp", "n1:80")
 			assert.NilError(t, err)
@@ -71,12 +59,7 @@
 }
 
 func TestRankTermsOfTheReleaseAreTaken(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		d := newDeployment(t)
-		defer d.close()
-		d.addEngine("e1")
-		d.start("n1")
-		time.Sleep(settleTime)
+	inDeployment(t, 1, 1, func(t *testing.T, d *deployment) {
 		d.publish("title: ranks\nranks:\n  urgent: {target: 1s, floor: 0.6, worth: 50}\n")
 		time.Sleep(inForceWithin)
 		assert.Equal(t, d.nodes["n1"].RankFloor(0), 0.6)
--- a/internal/node/harness_test.go
+++ b/internal/node/harness_test.go
@@ -9,6 +9,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -151,6 +152,30 @@
 	return accepted
 }
 
+// inDeployment runs f in virtual time with the engines e1, e2, … and the nodes
+// n1, n2, …, once these have settled.
+func inDeployment(t *testing.T, engines, nodes int, f func(t *testing.T, d *deployment)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		d := newDeployment(t)
+		defer d.close()
+		for i := range engines {
+			d.addEngine(fmt.Sprint("e", i+1))
+		}
+		for i := range nodes {
+			d.start(fmt.Sprint("n", i+1))
+		}
+		time.Sleep(settleTime)
+		f(t, d)
+	})
+}
+
+// pair returns the node in office and the other one of the two n1 and n2.
+func (d *deployment) pair() (holder, other string) {
+	holder, _ = d.holder()
+	return holder, map[string]string{"n1": "n2", "n2": "n1"}[holder]
+}
+
 // start runs a node. Its zone is that of its name's last digit, modulo three.
 func (d *deployment) start(name string) *runningNode {
 	d.t.Helper()
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -22,13 +22,7 @@
 )
 
 func TestOneNodeControlsTheCell(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		d := newDeployment(t)
-		defer d.close()
-		for _, name := range []string{"n1", "n2", "n3"} {
-			d.start(name)
-		}
-		time.Sleep(settleTime)
+	inDeployment(t, 0, 3, func(t *testing.T, d *deployment) {
 		_, count := d.holder()
 		assert.Equal(t, count, 1)
 		body := d.send("n1", "GET", "/v1/entry", "").body
@@ -37,11 +31,7 @@
 }
 
 func TestSecondNodeOfANameRefusesToStart(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		d := newDeployment(t)
-		defer d.close()
-		d.start("n1")
-		time.Sleep(settleTime)
+	inDeployment(t, 0, 1, func(t *testing.T, d *deployment) {
 		second := d.startAt("n1", "other")
 		err := <-second.err
 		assert.Assert(t, errors.Is(err, node.ErrNameInUse), "%v", err)
@@ -51,13 +41,7 @@
 }
 
 func TestHandoverOnAPlannedStop(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		d := newDeployment(t)
-		defer d.close()
-		for _, name := range []string{"n1", "n2", "n3"} {
-			d.start(name)
-		}
-		time.Sleep(settleTime)
+	inDeployment(t, 0, 3, func(t *testing.T, d *deployment) {
 		first, _ := d.holder()
 		leaving := d.nodes[first]
 		leaving.stop()
@@ -75,15 +59,7 @@
 var latheRequest = chat("lathe", "The collar of lathe 7 chatters.")
 
 func TestColdBurstIsOneLoad(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		d := newDeployment(t)
-		defer d.close()
-		d.addEngine("e1")
-		d.addEngine("e2")
-		for _, name := range []string{"n1", "n2", "n3"} {
-			d.start(name)
-		}
-		time.Sleep(settleTime)
+	inDeployment(t, 2, 3, func(t *testing.T, d *deployment) {
 		replies := make(chan reply, 9)
 		for i := range 9 {
 			go func() {
@@ -130,15 +106,7 @@
 // TestPlannedStopCutsNothing sends streams through all nodes, by the addresses
 // that callers are told, while each node in turn stops and is replaced.
 func TestPlannedStopCutsNothing(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		d := newDeployment(t)
-		defer d.close()
-		d.addEngine("e1")
-		d.addEngine("e2")
-		for _, name := range []string{"n1", "n2", "n3"} {
-			d.start(name)
-		}
-		time.Sleep(settleTime)
+	inDeployment(t, 2, 3, func(t *testing.T, d *deployment) {
 		ctx, cancel := context.WithCancel(t.Context())
 		var callers errgroup.Group
 		for i := range 6 {
@@ -184,15 +152,7 @@
 }
 
 func TestControllerCrashLosesNoWaitingRequest(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		d := newDeployment(t)
-		defer d.close()
-		d.addEngine("e1")
-		d.addEngine("e2")
-		for _, name := range []string{"n1", "n2", "n3"} {
-			d.start(name)
-		}
-		time.Sleep(settleTime)
+	inDeployment(t, 2, 3, func(t *testing.T, d *deployment) {
 		holder, _ := d.holder()
 		replies := make(chan reply, 6)
 		for name := range d.nodes {
@@ -216,16 +176,8 @@
 }
 
 func TestWarmModelIsServedWhileTheControllerIsSilent(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		d := newDeployment(t)
-		defer d.close()
-		d.addEngine("e1")
-		for _, name := range []string{"n1", "n2"} {
-			d.start(name)
-		}
-		time.Sleep(settleTime)
-		holder, _ := d.holder()
-		other := map[string]string{"n1": "n2", "n2": "n1"}[holder]
+	inDeployment(t, 1, 2, func(t *testing.T, d *deployment) {
+		holder, other := d.pair()
 		assert.NilError(t, checkAnswer(d.send(other, "POST", "/v1/chat/completions", latheRequest), "lathe", latheRequest))
 		time.Sleep(5 * time.Second)
 		d.api.Faults.SetOutage(true)
@@ -284,14 +236,7 @@
 }
 
 func TestReleaseNoteIsInForceEverywhereAndStaysSo(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		d := newDeployment(t)
-		defer d.close()
-		d.addEngine("e1")
-		for _, name := range []string{"n1", "n2", "n3"} {
-			d.start(name)
-		}
-		time.Sleep(settleTime)
+	inDeployment(t, 1, 3, func(t *testing.T, d *deployment) {
 		collar := chat("collar", "Pitch?")
 		assert.Equal(t, d.send("n1", "POST", "/v1/chat/completions", collar).status, 404)
 		d.publish("title: add\nmodels:\n  - {id: collar, version: v1, replicas: {c: 1}, memory: 1GiB, load_time: 2s, slots: 4}\n" +
@@ -317,13 +262,7 @@
 const inForceWithin = 3 * time.Second
 
 func TestOperatorsSeeStatusAndExplanations(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		d := newDeployment(t)
-		defer d.close()
-		d.addEngine("e1")
-		d.start("n1")
-		d.start("n2")
-		time.Sleep(settleTime)
+	inDeployment(t, 1, 2, func(t *testing.T, d *deployment) {
 		assert.NilError(t, checkAnswer(d.send("n1", "POST", "/v1/chat/completions", latheRequest), "lathe", latheRequest))
 		assert.Equal(t, d.send("n1", "POST", "/v1/chat/completions", chat("nope", "?"), "Redwingnotch-Request-Id", "r-1").status, 404)
 
@@ -351,11 +290,7 @@
 }
 
 func TestExplanationOfARequestThatWaits(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		d := newDeployment(t)
-		defer d.close()
-		d.start("n1")
-		time.Sleep(settleTime)
+	inDeployment(t, 0, 1, func(t *testing.T, d *deployment) {
 		done := make(chan reply, 1)
 		go func() {
 			done <- d.send("n1", "POST", "/v1/chat/completions", latheRequest, "Redwingnotch-Request-Id", "r-1", "Redwingnotch-Deadline", "20s")
@@ -377,12 +312,7 @@
 }
 
 func TestControllerBehindTheReleaseRefusesNothing(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		d := newDeployment(t)
-		defer d.close()
-		d.addEngine("e1")
-		d.start("n1")
-		time.Sleep(settleTime)
+	inDeployment(t, 1, 1, func(t *testing.T, d *deployment) {
 		controller := peer.NewCellProtobufClient("http://n1:81", secretClient{d.client})
 		acquire := func() *peer.AcquireResponse {
 			now := time.Now()
