quarantine: every entry node records the crashes it sees; fresh content runs on one server

A crash was told only by the report on a grant: a successor ignores grants of earlier offices, and a direct dispatch has none. While the controller was silent, suspects went out directly through each node. Change: the entry node that sees a crash records it by boot and tells all members, whoever granted. Suspects are not dispatched without a grant. Content that has never ended well runs on one server at a time, granted or direct, where it was two.

--- a/internal/entry/acquire.go
+++ b/internal/entry/acquire.go
@@ -23,6 +23,7 @@
 type grant struct {
 	id       string
 	backend  fleet.BackendID
+	boot     fleet.BootID
 	address  string
 	version  fleet.Version
 	attempt  int
@@ -130,6 +131,7 @@
 	return grant{
 		id:       g.GetGrantId(),
 		backend:  fleet.BackendID(g.GetBackend()),
+		boot:     fleet.BootID(g.GetBoot()),
 		address:  g.GetAddress(),
 		version:  fleet.Version(g.GetVersion()),
 		attempt:  attempt,
--- a/internal/entry/chat.go
+++ b/internal/entry/chat.go
@@ -132,7 +132,7 @@
 	case !rankAllowed(model, req.rank):
 		return refuse(http.StatusForbidden, CodeRankNotAllowed, "%s takes no %s requests", req.target, req.rank)
 	}
-	if d := h.cfg.Verdict.Refused(time.Now(), req.target.Model, req.hash); d > 0 {
+	if d := h.cfg.Quarantine.Refused(time.Now(), req.target.Model, req.hash); d > 0 {
 		return quarantined(d)
 	}
 	return nil
--- a/internal/entry/direct.go
+++ b/internal/entry/direct.go
@@ -2,12 +2,16 @@
 
 import (
 	"sync"
+	"time"
 
 	"github.com/redwingnotch/redwingnotch/dispatch"
 	"github.com/redwingnotch/redwingnotch/fleet"
-	"github.com/redwingnotch/redwingnotch/quarantine"
 )
 
+// directServers is the number of backend servers that may get one content
+// without a grant, through all nodes together.
+const directServers = 1
+
 // directLoad counts the requests that this node dispatched without a grant.
 type directLoad struct {
 	mu      sync.Mutex
@@ -18,9 +22,12 @@
 // controller is silent, if there is one. This node fills no more than the slots
 // of a replica.
 func (h *Handler) dispatchDirectly(req *chatRequest, history *attempts) (grant, bool) {
+	if h.cfg.Quarantine.Suspected(time.Now(), req.target.Model, req.hash) {
+		return grant{}, false
+	}
 	h.direct.mu.Lock()
 	defer h.direct.mu.Unlock()
-	usable := dispatch.Direct(h.cfg.Grants.Snapshot(), req.target.Model, req.target.Adapter, req.hash, quarantine.MaxCrashes)
+	usable := dispatch.Direct(h.cfg.Grants.Snapshot(), req.target.Model, req.target.Adapter, req.hash, directServers)
 	var best *fleet.Replica
 	for i := range usable {
 		r := &usable[i]
@@ -35,7 +42,7 @@
 		return grant{}, false
 	}
 	h.direct.running[best.Backend]++
-	return grant{backend: best.Backend, address: best.Address, version: best.Version, attempt: history.count}, true
+	return grant{backend: best.Backend, boot: best.Boot, address: best.Address, version: best.Version, attempt: history.count}, true
 }
 
 // endDirect gives back what dispatchDirectly took.
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -123,6 +123,9 @@
 	}
 	if end.kind == endCrashed {
 		history.crashes++
+		// The controller that made the grant may be gone, and a direct dispatch
+		// has none to tell.
+		h.cfg.Quarantine.Crashed(time.Now(), g.backend, g.boot, req.target.Model, req.hash)
 	}
 	if ctx.Err() != nil || end.kind == endCancelled {
 		return history.amend(stopped(ctx, end.err))
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -49,11 +49,18 @@
 	Version() uint64
 }
 
-// Verdict is what quarantine says of a request's content.
-type Verdict interface {
+// Quarantine knows the contents that were in flight when backend servers
+// crashed.
+type Quarantine interface {
 	// Refused returns how long the content stays refused for the model; zero
 	// if it is not.
 	Refused(now time.Time, model fleet.ModelID, hash fleet.ContentHash) time.Duration
+	// Suspected reports whether the content was in flight at a crash and has
+	// not ended well since. It runs by a controller's grant only.
+	Suspected(now time.Time, model fleet.ModelID, hash fleet.ContentHash) bool
+	// Crashed records that a boot was lost with the content in flight. It may be
+	// told more than once of one boot.
+	Crashed(now time.Time, backend fleet.BackendID, boot fleet.BootID, model fleet.ModelID, hash fleet.ContentHash)
 }
 
 // Address is one entry node that callers may use.
@@ -87,7 +94,7 @@
 	Zone        fleet.AvailabilityZone
 	Grants      Grants
 	Catalog     Catalog
-	Verdict     Verdict
+	Quarantine  Quarantine
 	Engine      func(address string) engine.Engine
 	Keys        Keys
 	Services    Services
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -170,6 +170,22 @@
 	})
 }
 
+// TestSuspectsAreNotDispatchedDirectly has a request that crashes its server
+// while no controller is there to be told.
+func TestSuspectsAreNotDispatchedDirectly(t *testing.T) {
+	inRig(t, func(t *testing.T, r *rig) {
+		r.grants.silent = true
+		r.engines["b9"] = &fakeEngine{failure: engine.ErrCrashed, failAfter: 1, tokens: 3}
+		r.grants.replicas = []fleet.Replica{{ReplicaKey: fleet.ReplicaKey{Backend: "b9", Model: "lathe"}, Address: "b9", State: fleet.ReplicaReady, Slots: 1}}
+		assert.Assert(t, r.chat(streamed).err != nil, "the broken stream looks whole")
+		assert.DeepEqual(t, r.verdict.crashed, []fleet.BackendID{"b9"})
+		r.verdict.suspected = true
+		code, outcome := r.chat(streamed).code(t)
+		assert.Equal(t, code+" "+outcome, "no_controller not_run")
+		assert.Equal(t, len(r.verdict.crashed), 1)
+	})
+}
+
 func TestDirectDispatchWhileTheControllerIsSilent(t *testing.T) {
 	inRig(t, func(t *testing.T, r *rig) {
 		r.grants.silent = true
--- a/internal/entry/fakes_test.go
+++ b/internal/entry/fakes_test.go
@@ -149,9 +149,21 @@
 func (fakeCatalog) Names() []string { return []string{"lathe", "urgent-only"} }
 func (fakeCatalog) Version() uint64 { return 3 }
 
-type fakeVerdict struct{ refused time.Duration }
+type fakeQuarantine struct {
+	refused   time.Duration
+	suspected bool
+	crashed   []fleet.BackendID
+}
+
+func (v *fakeQuarantine) Suspected(time.Time, fleet.ModelID, fleet.ContentHash) bool {
+	return v.suspected
+}
+
+func (v *fakeQuarantine) Crashed(_ time.Time, b fleet.BackendID, _ fleet.BootID, _ fleet.ModelID, _ fleet.ContentHash) {
+	v.crashed = append(v.crashed, b)
+}
 
-func (v *fakeVerdict) Refused(time.Time, fleet.ModelID, fleet.ContentHash) time.Duration {
+func (v *fakeQuarantine) Refused(time.Time, fleet.ModelID, fleet.ContentHash) time.Duration {
 	return v.refused
 }
 
@@ -178,7 +190,7 @@
 type rig struct {
 	grants   *fakeGrants
 	engines  map[string]*fakeEngine
-	verdict  *fakeVerdict
+	verdict  *fakeQuarantine
 	services *fakeServices
 	handler  *entry.Handler
 	client   *http.Client
@@ -190,14 +202,14 @@
 	r := &rig{
 		grants:   &fakeGrants{},
 		engines:  make(map[string]*fakeEngine),
-		verdict:  &fakeVerdict{},
+		verdict:  &fakeQuarantine{},
 		services: &fakeServices{result: idempotency.Result{Answer: idempotency.Answer{Status: 201, Body: []byte("ordered")}}},
 	}
 	metrics, err := telemetry.NewMetrics()
 	assert.NilError(t, err)
 	r.handler = entry.New(entry.Config{
 		Node: "n1", Incarnation: 1, Cell: "c", Zone: "z1",
-		Grants: r.grants, Catalog: fakeCatalog{}, Verdict: r.verdict,
+		Grants: r.grants, Catalog: fakeCatalog{}, Quarantine: r.verdict,
 		Engine: func(address string) engine.Engine { return r.engine(address) },
 		Keys:   r.services, Services: r.services,
 		Addresses: func() []entry.Address {
--- a/internal/node/cell.go
+++ b/internal/node/cell.go
@@ -191,14 +191,3 @@
 	}
 	return estimates
 }
-
-// refused returns how long quarantine refuses the content; zero if it does not.
-func (c *cell) refused(now time.Time, model fleet.ModelID, hash fleet.ContentHash) time.Duration {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	key := quarantine.Key{Model: model, Hash: hash}
-	if c.quarantine.Verdict(now, key) != quarantine.Refuse {
-		return 0
-	}
-	return c.quarantine.RetryAfter(now, key)
-}
--- a/internal/node/poison.go
+++ b/internal/node/poison.go
@@ -20,6 +20,34 @@
 // itemSeparator stands between model and boots in the value of an item.
 const itemSeparator = "\x00"
 
+// Refused implements entry.Quarantine.
+func (c *cell) Refused(now time.Time, model fleet.ModelID, hash fleet.ContentHash) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	key := quarantine.Key{Model: model, Hash: hash}
+	if c.quarantine.Verdict(now, key) != quarantine.Refuse {
+		return 0
+	}
+	return c.quarantine.RetryAfter(now, key)
+}
+
+// Suspected implements entry.Quarantine.
+func (c *cell) Suspected(now time.Time, model fleet.ModelID, hash fleet.ContentHash) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.quarantine.Verdict(now, quarantine.Key{Model: model, Hash: hash}) != quarantine.Free
+}
+
+// Crashed implements entry.Quarantine. All members are told.
+func (c *cell) Crashed(now time.Time, backend fleet.BackendID, boot fleet.BootID, model fleet.ModelID, hash fleet.ContentHash) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	report := quarantine.CrashReport{Backend: backend, Boot: boot, InFlight: []quarantine.Key{{Model: model, Hash: hash}}}
+	if len(c.quarantine.Crash(now, report)) > 0 {
+		c.tellQuarantine(now)
+	}
+}
+
 // tellQuarantine tells all members what changed in the quarantine table.
 func (c *cell) tellQuarantine(now time.Time) {
 	for _, item := range c.quarantine.Export(now) {
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"github.com/redwingnotch/redwingnotch/engine"
-	"github.com/redwingnotch/redwingnotch/fleet"
 	"github.com/redwingnotch/redwingnotch/internal/entry"
 	"github.com/redwingnotch/redwingnotch/internal/operators"
 	"github.com/redwingnotch/redwingnotch/peer"
@@ -26,7 +25,7 @@
 		Zone:         n.cfg.Zone,
 		Grants:       n.peers,
 		Catalog:      n.catalog,
-		Verdict:      verdict{n.cell},
+		Quarantine:   n.cell,
 		Engine:       func(address string) engine.Engine { return n.backends.engine(address) },
 		Keys:         n.keys,
 		Services:     n.backends,
@@ -43,14 +42,6 @@
 	}
 }
 
-// verdict implements entry.Verdict.
-type verdict struct{ cell *cell }
-
-// Refused implements entry.Verdict.
-func (v verdict) Refused(now time.Time, model fleet.ModelID, hash fleet.ContentHash) time.Duration {
-	return v.cell.refused(now, model, hash)
-}
-
 func (n *Node) newCallerServer() *http.Server {
 	return &http.Server{
 		Handler:           n.entry,
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -5,8 +5,9 @@
 // cleared. Table is not safe for concurrent use.
 //
 // No content hash costs more than MaxCrashes backend servers: until a hash has
-// ended well, its copies run on at most as many servers at a time as it may
-// still crash.
+// ended well, its copies run on one server at a time. That leaves one more for
+// a copy that a successor of the controller, or an entry node while there is no
+// controller, starts without knowing of the first.
 package quarantine
 
 import (
@@ -140,7 +141,7 @@
 	if t.cleared.has(k) || running[boot] > 0 {
 		return true
 	}
-	return len(running) < MaxCrashes
+	return len(running) == 0
 }
 
 // suspectsRunning counts the suspects with a copy in flight.
