--- /dev/null
+++ b/internal/node/soak_callers_test.go
@@ -0,0 +1,251 @@
+package node_test
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/redwingnotch/redwingnotch/fleet"
+)
+
+// Callers of one episode.
+const (
+	soakChatCallers  = 9
+	soakOrderCallers = 4
+	orderSends       = 4 // of one key, until it is answered
+)
+
+// soakCaller sends one request after another as a caller who keeps to the
+// answers of /v1/entry.
+type soakCaller struct {
+	s     *soak
+	name  string
+	rng   *rand.Rand
+	hosts []string
+	until time.Time
+}
+
+func (s *soak) startCallers() {
+	for i := range soakChatCallers {
+		c := s.newCaller(fmt.Sprint("caller-", i), uint64(i))
+		s.background.Go(func() { c.chatUntilOver(fleet.Rank(i % fleet.RankCount)) })
+	}
+	for i := range soakOrderCallers {
+		c := s.newCaller(fmt.Sprint("shop-", i), uint64(100+i))
+		s.background.Go(func() { c.orderUntilOver() })
+	}
+}
+
+func (s *soak) newCaller(name string, stream uint64) *soakCaller {
+	return &soakCaller{s: s, name: name, rng: rand.New(rand.NewPCG(s.seed+stream<<32, uint64(s.episode)))}
+}
+
+// isOver reports whether callers shall stop.
+func (s *soak) isOver() bool {
+	select {
+	case <-s.over:
+		return true
+	default:
+		return false
+	}
+}
+
+// host returns a node to use now. It asks again when the last answer has aged.
+func (c *soakCaller) host() string {
+	for time.Now().After(c.until) {
+		for _, host := range append(c.hosts, c.s.knownNames(c.rng)...) {
+			if c.ask(host) {
+				break
+			}
+		}
+		if time.Now().After(c.until) {
+			time.Sleep(500 * time.Millisecond)
+		}
+	}
+	return c.hosts[0]
+}
+
+func (c *soakCaller) ask(host string) bool {
+	var list struct {
+		Addresses  []struct{ Address string }
+		ValidForMS int64 `json:"valid_for_ms"`
+	}
+	asked := time.Now()
+	got := c.s.send(host, "GET", "/v1/entry", "", "Redwingnotch-Caller", c.name)
+	if got.err != nil || got.status != 200 || json.Unmarshal([]byte(got.body), &list) != nil || len(list.Addresses) == 0 {
+		return false
+	}
+	c.hosts = nil
+	for _, a := range list.Addresses {
+		c.hosts = append(c.hosts, strings.TrimSuffix(a.Address, ":80"))
+	}
+	c.until = asked.Add(time.Duration(list.ValidForMS) * time.Millisecond)
+	return true
+}
+
+// next gives up on the first address.
+func (c *soakCaller) next() {
+	c.hosts = c.hosts[1:]
+	if len(c.hosts) == 0 {
+		c.until = time.Time{}
+	}
+}
+
+func (s *soak) knownNames(rng *rand.Rand) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	names := make([]string, len(s.names))
+	for i, at := range rng.Perm(len(s.names)) {
+		names[i] = s.names[at]
+	}
+	return names
+}
+
+func (c *soakCaller) chatUntilOver(rank fleet.Rank) {
+	for !c.s.isOver() {
+		c.chatOnce(rank)
+		time.Sleep(time.Duration(c.rng.IntN(2000)) * time.Millisecond)
+	}
+}
+
+// chatOnce sends one request, of which the most popular model gets about half.
+func (c *soakCaller) chatOnce(rank fleet.Rank) {
+	model := fmt.Sprint("m", min(c.rng.IntN(8), c.rng.IntN(8)))
+	body := chat(model, fmt.Sprintf("question %d of %s", c.rng.Uint32(), c.name))
+	c.chat(model, body, "Redwingnotch-Rank", rank.String(), "Redwingnotch-Deadline", "30s")
+}
+
+// chat sends one request and checks what becomes of it.
+func (c *soakCaller) chat(model, body string, headers ...string) {
+	host := c.host()
+	began := time.Now()
+	got := c.s.send(host, "POST", "/v1/chat/completions", body, append(headers, "Redwingnotch-Caller", c.name)...)
+	switch {
+	case errors.Is(got.err, syscall.ECONNREFUSED):
+		c.refusedConnection(host)
+	case got.err != nil:
+		c.cut(host, began, got.err)
+	case got.status == 200:
+		c.answered(host, model, body, got)
+	default:
+		c.refused(got)
+	}
+}
+
+func (c *soakCaller) refusedConnection(host string) {
+	if c.s.planned {
+		c.s.violate("%s: %s refuses connections while its address is valid", c.name, host)
+	}
+	c.next()
+}
+
+func (c *soakCaller) cut(host string, began time.Time, err error) {
+	c.s.count(func(n *soakCounts) { n.Cut++ })
+	if c.s.planned {
+		c.s.violate("%s: request of %v ago cut by %s: %v", c.name, time.Since(began), host, err)
+	}
+	c.next()
+}
+
+func (c *soakCaller) answered(host, model, body string, got reply) {
+	c.s.count(func(n *soakCounts) { n.Answered++ })
+	if err := checkAnswer(got, model, body); err != nil {
+		c.s.violate("%s through %s: %v", c.name, host, err)
+	}
+}
+
+// refused checks that a refusal is typed and says what became of the request.
+func (c *soakCaller) refused(got reply) string {
+	c.s.count(func(n *soakCounts) { n.Refused++ })
+	var typed struct {
+		Error struct{ Code, Outcome string }
+	}
+	if err := json.Unmarshal([]byte(got.body), &typed); err != nil || typed.Error.Code == "" {
+		c.s.violate("%s: status %d without a typed error: %q", c.name, got.status, got.body)
+	}
+	switch typed.Error.Outcome {
+	case "not_run", "ran", "unknown":
+	default:
+		c.s.violate("%s: outcome %q in %q", c.name, typed.Error.Outcome, got.body)
+	}
+	return typed.Error.Outcome
+}
+
+// order is one parts order under one key.
+type order struct {
+	key  string
+	last string // outcome of the last reply: done, not_run, ran, unknown or cut
+}
+
+func (c *soakCaller) orderUntilOver() {
+	for n := 0; !c.s.isOver(); n++ {
+		o := &order{key: fmt.Sprintf("%s-order-%d", c.name, n)}
+		if c.rng.IntN(3) == 0 {
+			o.key = c.issuedKey()
+		}
+		for range orderSends {
+			if o.key == "" || c.send(o) == "done" {
+				break
+			}
+			time.Sleep(time.Duration(c.rng.IntN(4000)) * time.Millisecond)
+		}
+		c.s.count(func(n *soakCounts) { n.countOrder(o.last) })
+		time.Sleep(time.Duration(c.rng.IntN(3000)) * time.Millisecond)
+	}
+}
+
+func (c *soakCounts) countOrder(last string) {
+	switch last {
+	case "done":
+		c.Ordered++
+	case "not_run":
+		c.NotRun++
+	default:
+		c.Unknown++
+	}
+}
+
+func (c *soakCaller) issuedKey() string {
+	var issued struct{ Key string }
+	got := c.s.send(c.host(), "POST", "/v1/keys", "")
+	if got.err != nil || json.Unmarshal([]byte(got.body), &issued) != nil {
+		return ""
+	}
+	return issued.Key
+}
+
+// send sends the order, half the time through another node than before, and
+// checks the reply against what the service really did.
+func (c *soakCaller) send(o *order) string {
+	host := c.host()
+	if c.rng.IntN(2) == 0 && len(c.hosts) > 1 {
+		host = c.hosts[1]
+	}
+	got := c.s.send(host, "POST", "/v1/services/ordering/orders", "spindle "+o.key,
+		"Idempotency-Key", o.key, "Redwingnotch-Deadline", "20s")
+	switch {
+	case got.err != nil:
+		o.last = "cut"
+		c.next()
+	case got.status == 200:
+		o.last = "done"
+		c.checkRuns(o, 1, 1)
+	default:
+		o.last = c.refused(got)
+	}
+	if o.last == "not_run" {
+		c.checkRuns(o, 0, 0)
+	}
+	return o.last
+}
+
+func (c *soakCaller) checkRuns(o *order, least, most int) {
+	runs := c.s.runsOf(o.key)
+	if runs < least || runs > most {
+		c.s.violate("%s: key %s answered %s and ran %d times", c.name, o.key, o.last, runs)
+	}
+}
