--- a/controller/cell_test.go
+++ b/controller/cell_test.go
@@ -24,6 +24,7 @@
 	netDelay                  = time.Millisecond
 	deadAfter                 = 5 * time.Second // until membership calls a silent node dead
 	storeTimeout              = time.Second
+	reportLag                 = 700 * time.Millisecond
 	listLag                   = 2 * time.Second
 	gib                       = int64(1) << 30
 )
@@ -95,6 +96,7 @@
 	keep    time.Duration
 	loss    float64 // of each message or answer
 	cut     map[string]bool
+	unasked *testNode                                       // hears of no demand
 	dead    *testNode                                       // called dead by membership though it lives
 	order   func(n *testNode, o engine.Order) time.Duration // extra delay on the way to the engine
 	faults  []string
@@ -255,7 +257,11 @@
 	n.ctrl.SetAuthority(c.now, n.auth)
 	n.ctrl.SetRelease(c.now, c.release, c.models, c.adapter)
 	n.ctrl.SetBackends(c.now, c.vms(), c.now)
-	eff := n.ctrl.Tick(c.now, c.demands(), c)
+	demands := c.demands()
+	if n == c.unasked {
+		demands = nil
+	}
+	eff := n.ctrl.Tick(c.now, demands, c)
 	n.blocked = eff.Blocked
 	if eff.Wanted != nil {
 		n.lease.SetWanted(c.now, *eff.Wanted)
@@ -292,7 +298,7 @@
 		if !e.up() || c.cutOff(n, e) || c.lost() {
 			return
 		}
-		report := e.report()
+		report := e.laggingReport()
 		c.toNode(n, inc, c.delay(), func() { n.ctrl.HandleReport(c.now, sent, report) })
 	})
 }
@@ -315,7 +321,7 @@
 		return
 	}
 	c.after(c.delay()+extra, func() {
-		silent := !e.up() || c.cutOff(n, e) || c.lost()
+		silent := !e.up() || c.cutOff(n, e) || c.lost() || e.deafTo == n
 		if silent || (o.VerifyBoot && e.boot != boot) { // the connection ended with the boot
 			answer(nil, engine.ErrUnknown)
 			return
--- a/controller/unloads.go
+++ b/controller/unloads.go
@@ -9,8 +9,8 @@
 )
 
 const (
-	// grantFlight bounds the time from a grant to its request showing in a
-	// report that is requested afterwards.
+	// grantFlight bounds the time from a grant to the arrival of its request at
+	// the engine.
 	grantFlight = time.Second
 	// keepForever stands for no end when no retention policy is given.
 	keepForever = 365 * 24 * time.Hour
@@ -20,9 +20,8 @@
 // versions no longer in force, those above the limit, and those past their
 // retention.
 func (c *Core) markDraining(t *tick) {
-	for _, id := range c.order {
-		b := c.backends[id]
-		for _, r := range sortedReplicas(b) {
+	for _, b := range c.rows {
+		for _, r := range b.rows {
 			c.markReplica(t, b, r)
 		}
 	}
@@ -92,6 +91,9 @@
 // drainSurplus drains the least recently used replicas above the limit, after
 // the limit was lowered.
 func (c *Core) drainSurplus(t *tick, m fleet.Model) {
+	if len(c.placed[m.ID]) <= m.MaxReplicas {
+		return
+	}
 	var kept []*replica
 	for id := range c.placed[m.ID] {
 		for key, r := range c.backends[id].replicas {
@@ -121,8 +123,7 @@
 
 // unloadDraining unloads what drains and runs nothing.
 func (c *Core) unloadDraining(t *tick) {
-	for _, id := range c.order {
-		b := c.backends[id]
+	for _, b := range c.rows {
 		leaving := b.draining(c.stopping)
 		if !leaving {
 			b.drainSince = time.Time{}
@@ -132,7 +133,7 @@
 		if !b.raised {
 			continue
 		}
-		for _, r := range sortedReplicas(b) {
+		for _, r := range b.rows {
 			if (r.draining || leaving) && c.drained(t, b, r) {
 				c.unload(t, b, r)
 			}
@@ -150,11 +151,16 @@
 	if !r.draining {
 		since = b.drainSince
 	}
-	used := c.lastUse(r)
-	if t.demand[r.key.Model] == nil && since.Sub(used) >= grantFlight {
-		return true
+	if t.demand[r.key.Model] != nil || since.Sub(c.lastUse(r)) < grantFlight {
+		since = since.Add(grantFlight)
+	}
+	if t.now.Before(since) {
+		return false
+	}
+	if since.After(b.recheckAt) {
+		b.recheckAt = since
 	}
-	return !b.readAt.Before(since.Add(grantFlight))
+	return !b.readAt.Before(since)
 }
 
 // lastUse returns when the replica's model or any of its adapters was last
@@ -172,7 +178,7 @@
 func (c *Core) unload(t *tick, b *backend, r *replica) {
 	invariant.Check(r.idle(), invariant.GracefulStop,
 		"unload of %s at %s with %d requests", r.key.Model, b.row.ID, r.running+r.waiting)
-	o := c.newOrder(t.now, b, engine.OrderUnload)
+	o := c.newOrder(b, engine.OrderUnload)
 	o.order.Model, o.order.Version = r.key.Model, r.key.Version
 	o.replica = r
 	r.state = fleet.ReplicaUnloading
