admission: a rank below its floor takes one more slot

Cause: whole slots rounded the floors down, so that standard work that asked for its floor was refused in the urgent flood.

--- a/admission/backend.go
+++ b/admission/backend.go
@@ -66,7 +66,8 @@
 }
 
 // admits reports whether a request of the rank and cost fits. A backend server
-// that runs nothing takes any rank.
+// that runs nothing takes any rank, and one on which the rank and those below
+// have less than their floors takes one more.
 func (b *backendState) admits(rank fleet.Rank, cost int, limits *rankLimits) bool {
 	total := b.total()
 	if total == 0 {
@@ -84,7 +85,7 @@
 		reserved += b.reserve(r, cost, limits.window)
 	}
 	most := min(limits.ceilings[rank], capacityUnits-reserved)
-	return lower <= max(most, limits.floorUnits(rank, cost))
+	return lower <= most || lower-cost < limits.floors[rank]
 }
 
 // reserveDeviations is the number of standard deviations above its recent mean
@@ -102,15 +103,17 @@
 // server, in capacity units.
 type rankLimits struct {
 	ceilings [fleet.RankCount]int
-	floors   [fleet.RankCount]int
-	window   time.Duration // of slot accounts
+	floors   [fleet.RankCount]int // of the rank and those below
+	window   time.Duration        // of slot accounts
 }
 
 // newRankLimits derives the limits from the settings.
 func newRankLimits(s *Settings) rankLimits {
 	limits := rankLimits{window: s.FloorWindow}
-	for r := range s.Ranks {
-		limits.floors[r] = int(s.Ranks[r].Floor * capacityUnits)
+	sum := 0.0
+	for r := fleet.RankCount - 1; r >= 0; r-- {
+		sum += s.Ranks[r].Floor
+		limits.floors[r] = int(sum * capacityUnits)
 		limits.ceilings[r] = int(s.Ranks[r].Ceiling * capacityUnits)
 		if s.FIFO {
 			limits.floors[r] = capacityUnits
@@ -119,18 +122,6 @@
 	return limits
 }
 
-// floorUnits returns what a rank and those below may fill whatever is expected
-// of higher ranks: their floors, and one slot of each that has a floor.
-func (l *rankLimits) floorUnits(rank fleet.Rank, cost int) int {
-	sum := 0
-	for _, floor := range l.floors[rank:] {
-		if floor > 0 {
-			sum += max(floor, cost)
-		}
-	}
-	return sum
-}
-
 // setForeign derives from a lagging report how many requests run that this
 // queue did not grant: those of a predecessor or dispatched directly.
 func (b *backendState) setForeign(now time.Time, loads []ReplicaLoad, grants func(fleet.ReplicaKey, time.Time) int) {
