--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -124,6 +124,12 @@
 	if !history.excludes(g.backend) {
 		history.excluded = append(history.excluded, string(g.backend))
 	}
+	if end.kind == endCrashed {
+		history.crashes++
+		// The controller that made the grant may be gone, and a direct dispatch
+		// has none to tell.
+		h.cfg.Quarantine.Crashed(time.Now(), g.backend, g.boot, req.target.Model, req.hash)
+	}
 	if ctx.Err() != nil || end.kind == endCancelled {
 		return history.amend(stopped(ctx, end.err))
 	}
@@ -135,9 +141,6 @@
 		pause(ctx, unrunWait(history.count-history.ran))
 		return nil
 	}
-	if end.kind == endCrashed {
-		history.crashes++
-	}
 	// An answer to another request is no answer to this one.
 	safe := dispatch.MayRetry(end.err, true, false) || errors.Is(end.err, engine.ErrMismatch)
 	if !safe || history.ran >= maxRuns || history.crashes >= maxCrashes || !h.spent.retry() {
