redwingnotch-dev: admin addresses, and rwnctl lines to try

Cause: the operators' tool had no node to ask. Change: each node of the deployment serves its admin address.

--- a/internal/dev/deployment.go
+++ b/internal/dev/deployment.go
@@ -11,6 +11,7 @@
 	"fmt"
 	"maps"
 	"net"
+	"net/http"
 	"slices"
 	"sync"
 	"time"
@@ -89,6 +90,7 @@
 // Node is one running entry node.
 type Node struct {
 	*node.Node
+	Admin  string // admin address
 	cancel context.CancelFunc
 	done   chan struct{}
 	err    error // of Run; valid once done is closed
@@ -235,10 +237,18 @@
 		return err
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	n := &Node{Node: running, cancel: cancel, done: make(chan struct{})}
+	admin, err := net.Listen("tcp", loopback)
+	if err != nil {
+		cancel()
+		return err
+	}
+	server := &http.Server{Handler: telemetry.Admin(cfg.Metrics, running.NotReady, false, running.AdminHandler())}
+	go server.Serve(admin)
+	n := &Node{Node: running, Admin: admin.Addr().String(), cancel: cancel, done: make(chan struct{})}
 	go func() {
 		defer close(n.done)
 		n.err = running.Run(ctx)
+		server.Close()
 	}()
 	d.mu.Lock()
 	d.nodes = append(d.nodes, n)
--- a/internal/dev/print.go
+++ b/internal/dev/print.go
@@ -22,5 +22,8 @@
 	fmt.Fprintf(out, "  curl http://%s/v1/entry\n", address)
 	fmt.Fprintf(out, "  curl -N http://%s/v1/chat/completions -H '%s: %s' -d '%s'\n", address, entry.HeaderRank, fleet.RankUrgent,
 		`{"model":"`+string(ModelLathe)+`","stream":true,"max_tokens":8,"messages":[{"role":"user","content":"collar wobbles"}]}`)
-	fmt.Fprintf(out, "  curl http://%s/v1/services/%s/orders -H '%s: order-1' -d 'one spindle'\n\n", address, Ordering, entry.HeaderKey)
+	fmt.Fprintf(out, "  curl http://%s/v1/services/%s/orders -H '%s: order-1' -d 'one spindle'\n", address, Ordering, entry.HeaderKey)
+	tool := fmt.Sprintf("go run ./cmd/rwnctl --platform-url http://%s --nodes %s", d.apiAddress, d.Nodes()[0].Admin)
+	fmt.Fprintf(out, "  %s status\n", tool)
+	fmt.Fprintf(out, "  %s audit\n\n", tool)
 }
