node: background tasks may start while a stop waits; the member table is copied at changes

The lease and the release copied the member table 10 to 20 times a second, and each request worked out the authority anew. A claim whose write failed by an error that says nothing was taken for not made; and a claim refused by another's that could not be read was told as not run to callers who call their send the first. Change: tasks.Group; copies at changes and once a second; the holder is kept; such claims count as unknown (two tests).

--- a/idempotency/claims.go
+++ b/idempotency/claims.go
@@ -44,10 +44,10 @@
 		switch {
 		case err == nil:
 			return ClaimResult{Outcome: ClaimMade}, version, nil
-		case errors.Is(err, platform.ErrUnknown):
-			return ClaimResult{Outcome: ClaimUnknown}, 0, err
-		case !errors.Is(err, platform.ErrConflict):
+		case surelyNotWritten(err):
 			return ClaimResult{Outcome: ClaimNotMade}, 0, err
+		case !errors.Is(err, platform.ErrConflict):
+			return ClaimResult{Outcome: ClaimUnknown}, 0, err
 		}
 		taken, version, err := c.get(ctx, record.Key)
 		if errors.Is(err, platform.ErrNotFound) {
@@ -56,7 +56,7 @@
 		}
 		if err != nil {
 			// Whose claim stands is not known; this write did not take effect.
-			return ClaimResult{Outcome: ClaimNotMade}, 0, err
+			return ClaimResult{Outcome: ClaimNotMade, Contested: true}, 0, err
 		}
 		own := retake && taken.State == RecordClaimed && taken.Owner == record.Owner
 		free := taken.State == RecordReleased && taken.Fingerprint == record.Fingerprint
@@ -65,7 +65,16 @@
 		}
 		expect = version
 	}
-	return ClaimResult{Outcome: ClaimNotMade}, 0, fmt.Errorf("claim of key changed %d times", claimRounds)
+	return ClaimResult{Outcome: ClaimNotMade, Contested: true}, 0, fmt.Errorf("claim of key changed %d times", claimRounds)
+}
+
+// surelyNotWritten reports whether a write did not take effect. Errors that
+// don't say so count as unknown.
+func surelyNotWritten(err error) bool {
+	if errors.Is(err, platform.ErrUnknown) {
+		return false
+	}
+	return errors.Is(err, platform.ErrUnavailable) || errors.Is(err, platform.ErrBudget)
 }
 
 // Update writes the end of a claim over the version that Claim returned.
--- a/idempotency/core.go
+++ b/idempotency/core.go
@@ -168,8 +168,9 @@
 
 // ClaimResult is the end of writing a claim.
 type ClaimResult struct {
-	Outcome ClaimOutcome
-	Taken   Record // for ClaimTaken
+	Outcome   ClaimOutcome
+	Taken     Record // for ClaimTaken
+	Contested bool   // for ClaimNotMade: the store holds another claim, which could not be read
 }
 
 // HandleClaim decides after the claim of a call was written or not.
@@ -183,7 +184,7 @@
 		return c.handleTaken(call, e, res.Taken)
 	case ClaimNotMade:
 		delete(c.keys, call.Key)
-		return answer(claimRefused(call))
+		return answer(claimRefused(call, res.Contested))
 	}
 	e.state = keyAbandoned
 	return answer(unknown(CodeClaimUnknown, "the store may hold a claim of the key; send again with the same key", time.Second))
@@ -206,10 +207,11 @@
 	return Decision{Action: ActionForward, Owner: taken.Owner}
 }
 
-// claimRefused is the result while the store takes no claims. Without the
-// caller's word, an earlier send of the key may have run.
-func claimRefused(call *Call) Result {
-	if call.First {
+// claimRefused is the result while the store takes no claims. An earlier send of
+// the key may have run if the store knows the key, or unless the caller states
+// that there was none.
+func claimRefused(call *Call, contested bool) Result {
+	if call.First && !contested {
 		return notRun(CodeClaimUnavailable, "the store takes no claim of the key; nothing was sent", 2*time.Second)
 	}
 	return unknown(CodeClaimUnavailable,
@@ -217,7 +219,7 @@
 }
 
 func (c *Core) tooMany(call *Call) Result {
-	r := claimRefused(call)
+	r := claimRefused(call, false)
 	r.Code, r.Detail = CodeTooManyKeys, "this node remembers as many keys as it may"
 	return r
 }
--- a/idempotency/idempotency_test.go
+++ b/idempotency/idempotency_test.go
@@ -216,6 +216,33 @@
 	})
 }
 
+// A caller that calls a send the first is wrong if the store holds a claim.
+func TestContestedClaimIsNotCalledNotRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(2)
+		c.node(1).Call(t.Context(), order("k", "spindle"))
+		c.settle()
+		c.store.set(func(s *memoryStore) { s.blind = true })
+		call := order("k", "spindle")
+		call.First = true
+		assert.Equal(t, c.node(2).Call(t.Context(), call).Outcome, fleet.OutcomeUnknown)
+		assert.Equal(t, c.ordering.count("k"), 1)
+	})
+}
+
+func TestStrangeErrorOfAClaimCountsAsUnknown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(1)
+		c.store.set(func(s *memoryStore) { s.strange = context.Canceled })
+		call := order("k", "spindle")
+		call.First = true
+		assert.Equal(t, c.node(1).Call(t.Context(), call).Outcome, fleet.OutcomeUnknown)
+		assert.Equal(t, c.node(1).Call(t.Context(), call).Outcome, fleet.OutcomeAnswered)
+		assert.Equal(t, c.ordering.count("k"), 1)
+		c.settle()
+	})
+}
+
 func TestServiceCrashesAfterRunning(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := newCluster(2)
--- a/idempotency/service.go
+++ b/idempotency/service.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/redwingnotch/redwingnotch/fleet"
+	"github.com/redwingnotch/redwingnotch/internal/tasks"
 	"github.com/redwingnotch/redwingnotch/invariant"
 )
 
@@ -33,7 +34,7 @@
 	claims  *Claims
 	runner  Runner
 	peers   Peers
-	writes  sync.WaitGroup
+	writes  tasks.Group
 	log     func(event string, key Key, err error)
 }
 
--- a/idempotency/store_test.go
+++ b/idempotency/store_test.go
@@ -16,7 +16,9 @@
 	objects map[string]platform.Object
 	writes  int
 	down    bool
-	lose    int // answers of Puts to lose after they took effect
+	lose    int   // answers of Puts to lose after they took effect
+	blind   bool  // reads fail
+	strange error // of the next Put, which takes effect; nil for none
 }
 
 func newStore() *memoryStore { return &memoryStore{objects: make(map[string]platform.Object)} }
@@ -30,7 +32,7 @@
 func (s *memoryStore) Get(_ context.Context, _ platform.Kind, name string) (platform.Object, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.down {
+	if s.down || s.blind {
 		return platform.Object{}, platform.ErrUnavailable
 	}
 	if o, ok := s.objects[name]; ok {
@@ -63,6 +65,10 @@
 	s.version++
 	s.writes++
 	s.objects[name] = platform.Object{Kind: kind, Name: name, Version: s.version, Writer: writer, Value: value}
+	if err := s.strange; err != nil {
+		s.strange = nil
+		return 0, err
+	}
 	if s.lose > 0 {
 		s.lose--
 		return 0, platform.ErrUnknown
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -7,7 +7,6 @@
 import (
 	"context"
 	"net/http"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -16,6 +15,7 @@
 	"github.com/redwingnotch/redwingnotch/engine"
 	"github.com/redwingnotch/redwingnotch/fleet"
 	"github.com/redwingnotch/redwingnotch/idempotency"
+	"github.com/redwingnotch/redwingnotch/internal/tasks"
 	"github.com/redwingnotch/redwingnotch/internal/telemetry"
 	"github.com/redwingnotch/redwingnotch/peer"
 )
@@ -121,7 +121,7 @@
 	mux      *http.ServeMux
 	stopping atomic.Bool
 	sequence atomic.Uint64
-	running  sync.WaitGroup // requests, and what they leave behind
+	running  tasks.Group // requests, and what they leave behind
 	requests atomic.Int64
 	direct   directLoad
 	spent    *budget
@@ -142,7 +142,7 @@
 
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	h.running.Add(1)
+	h.running.Add()
 	h.requests.Add(1)
 	defer func() {
 		h.requests.Add(-1)
--- a/internal/node/cell.go
+++ b/internal/node/cell.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -31,7 +32,8 @@
 	queue      *admission.Queue
 	quarantine *quarantine.Table
 	authority  lease.Authority
-	release    uint64 // version that the cores have
+	holder     atomic.Pointer[lease.Holder] // of authority, for readers without the mutex
+	release    uint64                       // version that the cores have
 	loads      map[fleet.ReplicaKey]admission.ReplicaLoad
 	polls      map[string]chan admission.Decision // waiting Acquire calls by request id
 	waiting    map[string]struct{}                // ids of requests that wait
@@ -68,6 +70,7 @@
 // tick runs the cores and carries out what they ask for.
 func (c *cell) tick(ctx context.Context, now time.Time) error {
 	authority := c.node.office.authority(now)
+	c.holder.Store(&authority.Holder)
 	c.mu.Lock()
 	c.setAuthority(now, authority)
 	c.setRelease(now)
--- a/internal/node/grants.go
+++ b/internal/node/grants.go
@@ -75,7 +75,11 @@
 
 // controller returns the cell service of the node in office.
 func (p *peerClients) controller() (peer.Cell, error) {
-	return p.cellAt(p.node.office.authority(time.Now()).Holder.Node)
+	holder := p.node.cell.holder.Load()
+	if holder == nil {
+		return nil, errNoController
+	}
+	return p.cellAt(holder.Node)
 }
 
 // Acquire implements entry.Grants. If the node asked is not in office and names
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -22,6 +23,8 @@
 	node *Node
 	mu   sync.Mutex
 	core *membership.Core
+
+	changes atomic.Uint64 // of the member table, as told by events
 }
 
 func newMembers(n *Node, now time.Time) (*members, error) {
@@ -72,6 +75,9 @@
 
 func (m *members) handle(event membership.Event) {
 	n := m.node
+	if event.Kind != membership.EventItem {
+		m.changes.Add(1)
+	}
 	level.Debug(n.cfg.Log).Log("event", "membership", "kind", event.Kind, "member", event.Member.ID,
 		"incarnation", event.Member.Incarnation, "was", event.Was, "item", event.Item.Key)
 	switch event.Kind {
@@ -171,6 +177,26 @@
 	return addresses
 }
 
+// watcher tells when a copy of the member table is due: at each change, and
+// else at an interval, as versions and times change without an event. It is
+// used by one goroutine.
+type watcher struct {
+	changes uint64
+	at      time.Time
+}
+
+// tableInterval is the longest age of a copy of the member table.
+const tableInterval = time.Second
+
+func (w *watcher) due(m *members, now time.Time) bool {
+	changes := m.changes.Load()
+	if changes == w.changes && now.Sub(w.at) < tableInterval {
+		return false
+	}
+	w.changes, w.at = changes, now
+	return true
+}
+
 // releasePeers is the member table as the release needs it.
 func (m *members) releasePeers() []release.Peer {
 	var peers []release.Peer
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -8,7 +8,6 @@
 	"math/big"
 	mathrand "math/rand/v2"
 	"net/http"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -18,6 +17,7 @@
 	"github.com/redwingnotch/redwingnotch/fleet"
 	"github.com/redwingnotch/redwingnotch/idempotency"
 	"github.com/redwingnotch/redwingnotch/internal/entry"
+	"github.com/redwingnotch/redwingnotch/internal/tasks"
 	"github.com/redwingnotch/redwingnotch/membership"
 )
 
@@ -44,7 +44,7 @@
 
 	callerServer *http.Server
 	peerServer   *http.Server
-	background   sync.WaitGroup // short tasks that a stop waits for
+	background   tasks.Group // short tasks that a stop waits for
 	stopping     atomic.Bool
 	halt         context.CancelFunc // ends the loops
 	halted       context.Context
--- a/internal/node/office.go
+++ b/internal/node/office.go
@@ -25,6 +25,7 @@
 	mu        sync.Mutex
 	core      *lease.Core
 	announced fleet.Epoch // highest one told to the members; used by tick only
+	table     watcher     // used by tick only
 }
 
 func newOffice(n *Node) *office {
@@ -38,9 +39,10 @@
 	if !o.node.members.awake(now) {
 		return nil
 	}
-	rows := o.node.members.leaseMembers()
+	if o.table.due(o.node.members, now) {
+		o.setMembers(now, o.node.members.leaseMembers())
+	}
 	o.mu.Lock()
-	o.core.SetMembers(now, rows)
 	effects := o.core.Tick(now)
 	authority := o.core.Authority(now)
 	o.mu.Unlock()
@@ -58,6 +60,12 @@
 	return nil
 }
 
+func (o *office) setMembers(now time.Time, rows []lease.Member) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.core.SetMembers(now, rows)
+}
+
 func (o *office) read(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, leaseTimeout)
 	defer cancel()
--- a/internal/node/release.go
+++ b/internal/node/release.go
@@ -32,6 +32,7 @@
 	node     *Node
 	mu       sync.Mutex
 	core     *release.Replica
+	table    watcher            // used by tick only
 	watching context.CancelFunc // ends the watch; nil if there is none; used by tick only
 }
 
@@ -46,9 +47,11 @@
 
 // tick asks for what is missing and tells the members what is in force here.
 func (r *releases) tick(ctx context.Context, now time.Time) error {
-	peers := r.node.members.releasePeers()
+	settling := r.node.catalog.getStanding() != release.StandingCurrent
+	if r.table.due(r.node.members, now) || settling {
+		r.setPeers(now, r.node.members.releasePeers())
+	}
 	r.mu.Lock()
-	r.core.SetPeers(now, peers)
 	effects := r.core.Tick(now)
 	standing := r.core.Standing(now)
 	r.mu.Unlock()
@@ -64,6 +67,12 @@
 	return nil
 }
 
+func (r *releases) setPeers(now time.Time, peers []release.Peer) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.core.SetPeers(now, peers)
+}
+
 // setWatch opens or closes the watch on the store.
 func (r *releases) setWatch(ctx context.Context, wanted bool) {
 	switch {
