--- a/internal/node/harness_test.go
+++ b/internal/node/harness_test.go
@@ -9,6 +9,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -19,6 +20,7 @@
 	"github.com/redwingnotch/redwingnotch/membership"
 	"github.com/redwingnotch/redwingnotch/release"
 	"github.com/redwingnotch/redwingnotch/standin/engine"
+	"github.com/redwingnotch/redwingnotch/standin/fault"
 	"github.com/redwingnotch/redwingnotch/standin/objectapi"
 	"github.com/redwingnotch/redwingnotch/standin/pipenet"
 	"github.com/redwingnotch/redwingnotch/standin/weightstore"
@@ -99,7 +101,9 @@
 	weights *weightstore.Store
 	slots   int
 
-	tokenTime time.Duration
+	tokenTime      time.Duration
+	maxConnections int         // of callers, at each node
+	peerFaults     fault.Board // reaches the connections between nodes
 
 	logLevel string
 }
@@ -148,6 +152,30 @@
 	return accepted
 }
 
+// inDeployment runs f in virtual time with the engines e1, e2, … and the nodes
+// n1, n2, …, once these have settled.
+func inDeployment(t *testing.T, engines, nodes int, f func(t *testing.T, d *deployment)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		d := newDeployment(t)
+		defer d.close()
+		for i := range engines {
+			d.addEngine(fmt.Sprint("e", i+1))
+		}
+		for i := range nodes {
+			d.start(fmt.Sprint("n", i+1))
+		}
+		time.Sleep(settleTime)
+		f(t, d)
+	})
+}
+
+// pair returns the node in office and the other one of the two n1 and n2.
+func (d *deployment) pair() (holder, other string) {
+	holder, _ = d.holder()
+	return holder, map[string]string{"n1": "n2", "n2": "n1"}[holder]
+}
+
 // start runs a node. Its zone is that of its name's last digit, modulo three.
 func (d *deployment) start(name string) *runningNode {
 	d.t.Helper()
@@ -176,7 +204,7 @@
 	assert.NilError(d.t, err)
 	n, err := node.New(node.Config{
 		ID: fleet.NodeID(name), Region: "r", Zone: fleet.AvailabilityZone(fmt.Sprint("z", name[len(name)-1]%3)), Cell: "c",
-		Callers: callers, Peers: peers, Gossip: d.gossip.port(host + ":81"), GossipAddress: host + ":81", Seeds: seeds,
+		Callers: callers, Peers: d.peerFaults.Listener(peers), MaxConnections: d.maxConnections, Gossip: d.gossip.port(host + ":81"), GossipAddress: host + ":81", Seeds: seeds,
 		Secret: []byte(secret), Store: d.api, VMs: d.api, Dial: d.network.Dial, Metrics: metrics,
 		Log: telemetry.NewLogger(testLog{d.t}, name, d.logLevel),
 	})
