--- a/internal/httpsend/httpsend_test.go
+++ b/internal/httpsend/httpsend_test.go
@@ -6,10 +6,12 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"golang.org/x/sys/unix"
 	"gotest.tools/v3/assert"
 
 	"github.com/redwingnotch/redwingnotch/standin/pipenet"
@@ -147,5 +149,41 @@
 	defer l.Close()
 	conn, err := dialTCP(t.Context(), "tcp", l.Addr().String())
 	assert.NilError(t, err)
-	conn.Close()
+	defer conn.Close()
+	raw, err := conn.(*net.TCPConn).SyscallConn()
+	assert.NilError(t, err)
+	var set int
+	var optErr error
+	assert.NilError(t, raw.Control(func(fd uintptr) {
+		set, optErr = unix.GetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT)
+	}))
+	assert.NilError(t, optErr)
+	assert.Equal(t, time.Duration(set)*time.Millisecond, userTimeout)
+}
+
+// BenchmarkDo compares a request through Do with one through the same client
+// without tracking.
+func BenchmarkDo(b *testing.B) {
+	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	defer server.Close()
+	for _, bc := range []struct {
+		name string
+		do   func(*http.Client, *http.Request) (*http.Response, error)
+	}{
+		{"tracked", Do},
+		{"plain", (*http.Client).Do},
+	} {
+		b.Run(bc.name, func(b *testing.B) {
+			client := NewClient(Options{})
+			defer client.CloseIdleConnections()
+			b.ReportAllocs()
+			for b.Loop() {
+				req, err := http.NewRequestWithContext(b.Context(), http.MethodGet, server.URL, nil)
+				assert.NilError(b, err)
+				resp, err := bc.do(client, req)
+				assert.NilError(b, err)
+				resp.Body.Close()
+			}
+		})
+	}
 }
--- a/standin/engine/batch.go
+++ b/standin/engine/batch.go
@@ -2,7 +2,6 @@
 
 import (
 	"container/heap"
-	"context"
 
 	"github.com/redwingnotch/redwingnotch/fleet"
 )
@@ -90,13 +89,3 @@
 	w.index = -1
 	return w
 }
-
-// wait returns once the waiter has its slot or a context has ended.
-func (w *waiter) wait(ctx context.Context) error {
-	select {
-	case <-w.granted:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/standin/engine/infer.go
+++ b/standin/engine/infer.go
@@ -2,9 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
-	"strings"
 	"time"
 
 	"github.com/redwingnotch/redwingnotch/engine"
@@ -27,7 +27,7 @@
 }
 
 // errCancelled is the cause of a request ended by a cancel call.
-var errCancelled = fmt.Errorf("cancelled")
+var errCancelled = errors.New("cancelled")
 
 // admit takes the request into a replica's batch, or refuses it.
 func (p *process) admit(r *request) error {
@@ -139,7 +139,6 @@
 	w        http.ResponseWriter
 	flusher  http.Flusher
 	interval time.Duration // of comments
-	text     strings.Builder
 }
 
 func (s *eventStream) write(text string) {
--- /dev/null
+++ b/standin/fault/fault_test.go
@@ -0,0 +1,76 @@
+package fault_test
+
+import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/redwingnotch/redwingnotch/standin/fault"
+	"github.com/redwingnotch/redwingnotch/standin/host"
+	"github.com/redwingnotch/redwingnotch/standin/pipenet"
+)
+
+func TestVerdicts(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		set    func(b *fault.Board)
+		method string
+		status int // zero: no answer
+		runs   int
+	}{
+		{"none", func(*fault.Board) {}, http.MethodPost, 200, 1},
+		{"outage", func(b *fault.Board) { b.SetOutage(true) }, http.MethodPost, 503, 0},
+		{"failure", func(b *fault.Board) { b.FailNext(1) }, http.MethodPost, 500, 0},
+		{"lost answer", func(b *fault.Board) { b.LoseAnswers(1) }, http.MethodPost, 0, 1},
+		{"lost answers spare reads", func(b *fault.Board) { b.LoseAnswers(1) }, http.MethodGet, 200, 1},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			board := &fault.Board{}
+			tc.set(board)
+			var runs atomic.Int32
+			server := httptest.NewServer(board.Wrap(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { runs.Add(1) })))
+			defer server.Close()
+			req, err := http.NewRequest(tc.method, server.URL, nil)
+			assert.NilError(t, err)
+			resp, err := http.DefaultTransport.RoundTrip(req)
+			if tc.status == 0 {
+				assert.Assert(t, err != nil)
+			} else {
+				assert.NilError(t, err)
+				resp.Body.Close()
+				assert.Equal(t, resp.StatusCode, tc.status)
+			}
+			assert.Equal(t, int(runs.Load()), tc.runs)
+		})
+	}
+}
+
+// TestSilentConnectionDeliversNothing also closes the server, whose end the
+// client of a silent connection must not see.
+func TestSilentConnectionDeliversNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := pipenet.New()
+		board := &fault.Board{}
+		h := host.New(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "hello") }), board)
+		l, err := network.Listen("a:1")
+		assert.NilError(t, err)
+		assert.NilError(t, h.Serve(l))
+		conn, err := network.Dial(t.Context(), "", "a:1")
+		assert.NilError(t, err)
+		synctest.Wait()
+		board.SilenceOpen()
+		_, err = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+		assert.NilError(t, err)
+		h.Close()
+		assert.NilError(t, conn.SetReadDeadline(time.Now().Add(time.Hour)))
+		_, err = conn.Read(make([]byte, 1))
+		assert.ErrorContains(t, err, "timeout")
+		conn.Close()
+	})
+}
