--- a/controller/backends.go
+++ b/controller/backends.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -32,14 +33,18 @@
 	retired    []retiredBoot
 	raised     bool      // takes orders of this office only, at this boot
 	raisedAt   time.Time // reports requested since then were made after the raise
-	readAt     time.Time // when the newest report that counts was requested
+	readAt     time.Time // when the newest answered raise was sent
+	recheckAt  time.Time // a raise sent since then must be answered
+	raiseSent  time.Time // last raise
 	requestAt  time.Time // when the last report was requested
+	answeredAt time.Time // when the last report came
 	measuredAt time.Time // of the newest report
 	memory     int64     // as reported, bytes
 	leaving    bool      // as reported
 	drainSince time.Time // when it was first seen to leave
 	near       map[modelVersion]fleet.Nearness
 	replicas   map[modelVersion]*replica
+	rows       []*replica                  // of replicas, sorted
 	avoid      map[fleet.ModelID]time.Time // no load of the model until then
 }
 
@@ -47,7 +52,8 @@
 type replica struct {
 	key       fleet.ReplicaKey
 	state     fleet.ReplicaState
-	memory    int64
+	memory    int64 // of the model
+	reported  int64 // as the engine reports it, with or without its adapters
 	slots     int
 	seen      bool // in a report of this boot
 	orderID   string
@@ -91,13 +97,17 @@
 	}
 }
 
-// committed returns the memory of the replica and its adapters, in bytes.
+// committed returns the memory of the replica and its adapters, in bytes: the
+// larger of what the tables and the engine say.
 func (r *replica) committed() int64 {
-	sum := r.memory
+	known, reported := r.memory, r.reported
 	for _, a := range r.adapters {
-		sum += a.memory
+		known += a.memory
+		if !a.resident {
+			reported += a.memory
+		}
 	}
-	return sum
+	return max(known, reported)
 }
 
 func (b *backend) isEngine() bool { return b.row.Service == "" }
@@ -106,6 +116,8 @@
 func (b *backend) forget() {
 	b.retired = nil
 	b.requestAt = time.Time{}
+	b.raiseSent = time.Time{}
+	b.answeredAt = time.Time{}
 	b.restart("")
 }
 
@@ -115,11 +127,13 @@
 	b.raised = false
 	b.raisedAt = time.Time{}
 	b.readAt = time.Time{}
+	b.recheckAt = time.Time{}
 	b.measuredAt = time.Time{}
 	b.memory = 0
 	b.leaving = false
 	b.near = map[modelVersion]fleet.Nearness{}
 	b.replicas = map[modelVersion]*replica{}
+	b.rows = nil
 	b.avoid = map[fleet.ModelID]time.Time{}
 }
 
@@ -178,9 +192,9 @@
 		listed[r.Backend.ID] = true
 		c.listBackend(r)
 	}
-	for _, id := range c.order {
-		if !listed[id] {
-			c.dropBackend(id)
+	for _, b := range c.rows {
+		if !listed[b.row.ID] {
+			c.dropBackend(b.row.ID)
 		}
 	}
 	c.sortBackends()
@@ -202,7 +216,7 @@
 
 func (c *Core) dropBackend(id fleet.BackendID) {
 	b := c.backends[id]
-	for _, r := range sortedReplicas(b) {
+	for _, r := range slices.Clone(b.rows) {
 		c.removeReplica(b, r)
 	}
 	c.closeOrdersOf(id)
@@ -211,11 +225,11 @@
 }
 
 func (c *Core) sortBackends() {
-	c.order = c.order[:0]
-	for id := range c.backends {
-		c.order = append(c.order, id)
+	c.rows = c.rows[:0]
+	for _, b := range c.backends {
+		c.rows = append(c.rows, b)
 	}
-	slices.Sort(c.order)
+	slices.SortFunc(c.rows, func(a, b *backend) int { return cmp.Compare(a.row.ID, b.row.ID) })
 }
 
 // SetStopping names the backend servers that an operator stops as planned.
@@ -226,18 +240,11 @@
 	}
 }
 
-func sortedReplicas(b *backend) []*replica {
-	rs := make([]*replica, 0, len(b.replicas))
-	for _, r := range b.replicas {
-		rs = append(rs, r)
-	}
-	slices.SortFunc(rs, compareReplicas)
-	return rs
-}
-
 // addReplica enters a replica into the tables.
 func (c *Core) addReplica(b *backend, r *replica) {
 	b.replicas[modelVersion{r.key.Model, r.key.Version}] = r
+	i, _ := slices.BinarySearchFunc(b.rows, r, compareReplicas)
+	b.rows = slices.Insert(b.rows, i, r)
 	at := c.placed[r.key.Model]
 	if at == nil {
 		at = map[fleet.BackendID]struct{}{}
@@ -249,6 +256,7 @@
 // removeReplica takes a replica that is known to be gone out of the tables.
 func (c *Core) removeReplica(b *backend, r *replica) {
 	delete(b.replicas, modelVersion{r.key.Model, r.key.Version})
+	b.rows = slices.DeleteFunc(b.rows, func(other *replica) bool { return other == r })
 	c.endLoad(b, r)
 	for id, o := range c.open {
 		if o.replica == r {
--- a/controller/loads.go
+++ b/controller/loads.go
@@ -88,7 +88,7 @@
 	return o == nil || o.attempts < 2
 }
 
-func (b *backend) silent(now time.Time) bool { return now.Sub(b.readAt) > silentAfter }
+func (b *backend) silent(now time.Time) bool { return now.Sub(b.answeredAt) > silentAfter }
 
 // serving counts the replicas of the version in force that take requests now
 // and soon.
@@ -126,8 +126,11 @@
 // needsReplacement reports whether a model that nobody waits for right now
 // stands only where it cannot stay, or in an old version, and is worth keeping.
 func (c *Core) needsReplacement(t *tick, m fleet.Model) bool {
-	if ready, coming := c.serving(m); ready+coming > 0 {
-		return false
+	for id := range c.placed[m.ID] {
+		b := c.backends[id]
+		if r := b.replicas[modelVersion{m.ID, m.Version}]; r != nil && c.serves(b, r) {
+			return false
+		}
 	}
 	for id := range c.placed[m.ID] {
 		b := c.backends[id]
@@ -252,7 +255,7 @@
 		Near:      b.nearness(m.ID, m.Version),
 		FreeBytes: c.free(b, m.ID),
 	}
-	for _, r := range sortedReplicas(b) {
+	for _, r := range b.rows {
 		if r.state == fleet.ReplicaReserved || r.state == fleet.ReplicaLoading {
 			s.Loads++
 		}
@@ -328,7 +331,7 @@
 // reserve commits memory and a replica before the order leaves.
 func (c *Core) reserve(t *tick, n need, choice placement.Choice, needsIntent bool) {
 	b := c.backends[choice.Backend]
-	o := c.newOrder(t.now, b, engine.OrderLoad)
+	o := c.newOrder(b, engine.OrderLoad)
 	o.order.Model, o.order.Version = n.model.ID, n.model.Version
 	o.order.Memory = n.model.MemoryBytes
 	o.order.LoadClass = n.rank
--- a/lease/core.go
+++ b/lease/core.go
@@ -36,6 +36,7 @@
 	ReadInterval time.Duration // between reads while one is needed
 	ClaimStagger time.Duration // between the first attempts of two claimants
 	ReclaimDelay time.Duration // a fenced holder waits this long before it claims anew
+	ClaimGrace   time.Duration // a new claim proves for this long that its writer lives
 }
 
 // Defaults of Config.
@@ -44,6 +45,7 @@
 	DefaultReadInterval = 500 * time.Millisecond
 	DefaultClaimStagger = 300 * time.Millisecond
 	DefaultReclaimDelay = 3 * time.Second
+	DefaultClaimGrace   = 5 * time.Second
 )
 
 func (cfg Config) withDefaults() Config {
@@ -51,6 +53,7 @@
 	setDefault(&cfg.ReadInterval, DefaultReadInterval)
 	setDefault(&cfg.ClaimStagger, DefaultClaimStagger)
 	setDefault(&cfg.ReclaimDelay, DefaultReclaimDelay)
+	setDefault(&cfg.ClaimGrace, DefaultClaimGrace)
 	return cfg
 }
 
@@ -78,7 +81,8 @@
 type pendingWrite struct {
 	Write
 	record   Record
-	attempts int  // times sent
+	attempts int // times sent
+	sentAt   time.Time
 	sent     bool // an answer is outstanding
 	unknown  bool // the answer was lost; a read settles it
 }
@@ -107,6 +111,7 @@
 	hint        Successor // highest epoch heard of and who acts with it
 	fencedBy    fleet.Epoch
 	fencedAt    time.Time
+	claimedAt   time.Time   // another node's claim was first seen to replace an earlier one
 	failedSince time.Time   // holder first seen failed; zero while it lives
 	silentSince time.Time   // first failed store call since failedSince
 	advance     fleet.Epoch // epoch acted with before a claim; zero if none
@@ -172,7 +177,7 @@
 	c.reading = false
 	absent := errors.Is(err, platform.ErrNotFound)
 	if err != nil && !absent {
-		c.silent(now)
+		c.silent(c.lastRead)
 		return
 	}
 	if absent {
@@ -226,6 +231,9 @@
 func (c *Core) take(now time.Time, r Record, version uint64) {
 	invariant.Check(r.Epoch >= c.record.Epoch && r.Granted >= c.record.Granted, invariant.EpochMonotonic,
 		"cell %s: record epoch %d after %d", c.cell, r.Epoch, c.record.Epoch)
+	if c.known && r.Epoch > c.record.Epoch && r.Holder != c.self {
+		c.claimedAt = now
+	}
 	c.record, c.version, c.known = r, version, true
 	if r.Epoch > c.advance {
 		c.advance = 0
@@ -247,6 +255,8 @@
 		c.contact(now)
 		c.pending = nil
 		c.take(now, p.record, version)
+	case errors.Is(err, platform.ErrUnknown):
+		c.unknownWrite(p)
 	case errors.Is(err, platform.ErrConflict):
 		c.contact(now)
 		// Settled by the next read: an earlier sending of the same write may
@@ -255,15 +265,19 @@
 		c.stale = true
 		c.readWanted = true
 	case errors.Is(err, platform.ErrUnavailable), errors.Is(err, platform.ErrBudget):
-		c.silent(now)
+		c.silent(p.sentAt)
 		c.dropUnsent(p)
 	default:
-		c.silent(now)
-		p.unknown = true
-		c.readWanted = true
+		c.unknownWrite(p)
 	}
 }
 
+func (c *Core) unknownWrite(p *pendingWrite) {
+	c.silent(p.sentAt)
+	p.unknown = true
+	c.readWanted = true
+}
+
 // dropUnsent forgets a write that is known not to have taken effect. A write
 // of which an earlier sending may have taken effect is kept.
 func (c *Core) dropUnsent(p *pendingWrite) {
@@ -282,9 +296,10 @@
 	c.silentSince = time.Time{}
 }
 
-func (c *Core) silent(now time.Time) {
-	if c.silentSince.IsZero() {
-		c.silentSince = now
+// silent notes that a call made at that time was not answered.
+func (c *Core) silent(madeAt time.Time) {
+	if c.silentSince.IsZero() && madeAt.After(c.lastContact) {
+		c.silentSince = madeAt
 	}
 }
 
