--- a/controller/adapters.go
+++ b/controller/adapters.go
@@ -94,7 +94,7 @@
 func (c *Core) reserveAdapter(t *tick, b *backend, r *replica, want fleet.Adapter, rank fleet.Rank) BlockReason {
 	o := c.newOrder(b, engine.OrderLoadAdapter)
 	if !c.budget.StartAdapter(o.order.ID) {
-		delete(c.open, o.order.ID)
+		c.closeOrder(o.order.ID)
 		return BlockedBudget
 	}
 	o.order.Model, o.order.Version = want.Model, want.Version
--- a/controller/backends.go
+++ b/controller/backends.go
@@ -42,6 +42,7 @@
 	memory     int64     // as reported, bytes
 	leaving    bool      // as reported
 	drainSince time.Time // when it was first seen to leave
+	open       map[string]*openOrder
 	near       map[modelVersion]fleet.Nearness
 	replicas   map[modelVersion]*replica
 	rows       []*replica                  // of replicas, sorted
@@ -131,6 +132,7 @@
 	b.measuredAt = time.Time{}
 	b.memory = 0
 	b.leaving = false
+	b.open = map[string]*openOrder{}
 	b.near = map[modelVersion]fleet.Nearness{}
 	b.replicas = map[modelVersion]*replica{}
 	b.rows = nil
@@ -258,9 +260,9 @@
 	delete(b.replicas, modelVersion{r.key.Model, r.key.Version})
 	b.rows = slices.DeleteFunc(b.rows, func(other *replica) bool { return other == r })
 	c.endLoad(b, r)
-	for id, o := range c.open {
+	for id, o := range b.open {
 		if o.replica == r {
-			delete(c.open, id)
+			c.closeOrder(id)
 		}
 	}
 	for id, a := range r.adapters {
@@ -278,7 +280,7 @@
 
 func (c *Core) removeAdapter(r *replica, id fleet.AdapterID, a *adapter) {
 	delete(r.adapters, id)
-	delete(c.open, a.orderID)
+	c.closeOrder(a.orderID)
 	if c.budget != nil {
 		c.budget.EndAdapter(a.orderID)
 	}
--- a/controller/cell_test.go
+++ b/controller/cell_test.go
@@ -77,6 +77,12 @@
 	Fatalf(format string, args ...any)
 }
 
+// startedLoad is one load that an engine began.
+type startedLoad struct {
+	at    time.Time
+	model fleet.ModelID
+}
+
 // fakeCell is the smallest world that the cores can run in: entry VMs, engines
 // and the object API, with delays and losses from a seeded source.
 type fakeCell struct {
@@ -100,6 +106,7 @@
 	dead    *testNode                                       // called dead by membership though it lives
 	order   func(n *testNode, o engine.Order) time.Duration // extra delay on the way to the engine
 	faults  []string
+	started []startedLoad // at any engine
 }
 
 func newCell(t reporter, seed int64, nodes, engines int, fencing bool) *fakeCell {
--- a/controller/engine_test.go
+++ b/controller/engine_test.go
@@ -137,6 +137,7 @@
 		return
 	}
 	e.loads[o.Model]++
+	e.c.started = append(e.c.started, startedLoad{e.c.now, o.Model})
 	boot := e.boot
 	row := &engine.LoadedReplica{Model: o.Model, Version: o.Version, State: fleet.ReplicaLoading, Memory: o.Memory}
 	e.replicas[o.Model] = row
--- a/controller/failures_test.go
+++ b/controller/failures_test.go
@@ -283,6 +283,62 @@
 		}
 	}
 	assert.Equal(t, inFlight, c.budget.LoadsInFlight)
+	for i, first := range c.started {
+		second := 0
+		for _, later := range c.started[i:] {
+			if later.at.Sub(first.at) < time.Second {
+				second++
+			}
+		}
+		assert.Assert(t, float64(second) <= c.budget.LoadsPerSecond, "%d loads within a second", second)
+	}
+}
+
+func TestUrgentLoadsFirst(t *testing.T) {
+	c := newCell(t, 5, 3, 8, true)
+	c.budget.LoadsPerSecond = 1
+	for _, n := range c.nodes {
+		c.start(n)
+	}
+	c.settle()
+	for i, rank := range []fleet.Rank{fleet.RankBulk, fleet.RankBulk, fleet.RankStandard, fleet.RankUrgent} {
+		c.demand[fleet.Target{Model: c.models[i].ID}] = rank
+	}
+	c.run(5 * time.Second)
+	var order []fleet.ModelID
+	for _, s := range c.started {
+		order = append(order, s.model)
+	}
+	assert.DeepEqual(t, order, []fleet.ModelID{"m3", "m2", "m0", "m1"})
+}
+
+func TestAdapterLoadsKeepTheirLimit(t *testing.T) {
+	s := newSteadyCell(fleetSize{replicas: 4, models: 4, adapters: 4})
+	for range 10 {
+		s.step(nil)
+	}
+	var adapters []fleet.Adapter
+	var demands []fleet.Demand
+	for i := range 50 {
+		a := fleet.Adapter{Model: modelID(i % 4), ID: adapterID(100 + i), Version: "1", MemoryBytes: gib / 16}
+		adapters = append(adapters, a)
+		d := fleet.Demand{Target: fleet.Target{Model: a.Model, Adapter: a.ID}}
+		d.Waiting[fleet.RankStandard] = 1
+		demands = append(demands, d)
+	}
+	var models []fleet.Model
+	for i := range 4 {
+		models = append(models, fleet.Model{ID: modelID(i), Version: "1", MaxReplicas: 2, MemoryBytes: 15 * gib, Slots: 8})
+	}
+	s.core.SetRelease(s.now, 2, models, adapters)
+	s.now = s.now.Add(tickEvery)
+	loads := 0
+	for _, o := range s.core.Tick(s.now, demands, forever{}).Orders {
+		if o.Order.Kind == engine.OrderLoadAdapter {
+			loads++
+		}
+	}
+	assert.Equal(t, loads, 32)
 }
 
 func TestPlannedStopOfBackendServer(t *testing.T) {
--- a/controller/intents.go
+++ b/controller/intents.go
@@ -43,7 +43,7 @@
 
 func (c *Core) dropInherited(i *inheritedIntent) {
 	delete(c.inherited, i.OrderID)
-	delete(c.open, i.OrderID)
+	c.closeOrder(i.OrderID)
 	c.budget.EndAdapter(i.OrderID)
 	if b := c.backends[i.Backend]; b == nil || b.replicas[modelVersion{i.Model, i.Version}] == nil {
 		c.budget.EndLoad(budgetID(i.replicaKey()))
@@ -106,12 +106,12 @@
 		return
 	}
 	o := c.newOrder(b, kind)
-	delete(c.open, o.order.ID)
+	c.closeOrder(o.order.ID)
 	o.order.ID = i.OrderID
 	o.order.Model, o.order.Version, o.order.Adapter = i.Model, i.Version, i.Adapter
 	o.order.Memory = i.Memory
 	o.inherited, o.needsIntent, o.uncertain = true, true, true
-	c.open[i.OrderID] = o
+	c.enterOrder(b, o)
 }
 
 // startInherited counts the load against the weight store's limits.
--- a/controller/orders.go
+++ b/controller/orders.go
@@ -42,10 +42,25 @@
 			Boot:  b.boot,
 		},
 	}
-	c.open[o.order.ID] = o
+	c.enterOrder(b, o)
 	return o
 }
 
+func (c *Core) enterOrder(b *backend, o *openOrder) {
+	c.open[o.order.ID] = o
+	b.open[o.order.ID] = o
+}
+
+// closeOrder forgets an order that is settled.
+func (c *Core) closeOrder(id string) {
+	o := c.open[id]
+	if o == nil {
+		return
+	}
+	delete(c.open, id)
+	delete(c.backends[o.backend].open, id)
+}
+
 // sendDue sends new orders whose intents are durable, and sends again what has
 // not been answered, with the same id.
 func (c *Core) sendDue(t *tick) {
@@ -150,7 +165,7 @@
 
 // void settles an order that did not and will not take effect.
 func (c *Core) void(o *openOrder) {
-	delete(c.open, o.order.ID)
+	c.closeOrder(o.order.ID)
 	if o.inherited {
 		return // counted until its intent is settled
 	}
@@ -173,10 +188,8 @@
 
 // closeOrdersOf forgets the orders to a boot that is gone.
 func (c *Core) closeOrdersOf(id fleet.BackendID) {
-	for orderID, o := range c.open {
-		if o.backend == id {
-			delete(c.open, orderID)
-		}
+	for orderID := range c.backends[id].open {
+		c.closeOrder(orderID)
 	}
 }
 
@@ -207,7 +220,7 @@
 		o.uncertain = true
 		return
 	}
-	delete(c.open, o.order.ID)
+	c.closeOrder(o.order.ID)
 }
 
 func (c *Core) refused(now time.Time, o *openOrder, err error) {
--- a/controller/reports.go
+++ b/controller/reports.go
@@ -140,7 +140,7 @@
 	}
 	if !row.seen {
 		row.seen = true
-		delete(c.open, row.orderID) // carried out
+		c.closeOrder(row.orderID) // carried out
 	}
 	row.reported = lr.Memory
 	row.running, row.waiting = lr.Running, lr.Waiting
@@ -218,6 +218,6 @@
 	}
 	a.resident = true
 	a.lastUsed = now
-	delete(c.open, a.orderID)
+	c.closeOrder(a.orderID)
 	c.budget.EndAdapter(a.orderID)
 }
--- a/controller/takeover.go
+++ b/controller/takeover.go
@@ -29,15 +29,15 @@
 		if c.raiseDue(t.now, b, lastRaise) {
 			c.newOrder(b, engine.OrderRaiseEpoch).order.Boot = "" // whichever boot it meets
 		}
-		if c.stopping[b.row.ID] && b.raised && !b.leaving && !c.hasOpen(b, engine.OrderDrain) {
+		if c.stopping[b.row.ID] && b.raised && !b.leaving && !b.hasOpen(engine.OrderDrain) {
 			c.newOrder(b, engine.OrderDrain)
 		}
 	}
 }
 
-func (c *Core) hasOpen(b *backend, kind engine.OrderKind) bool {
-	for _, o := range c.open {
-		if o.backend == b.row.ID && o.order.Kind == kind {
+func (b *backend) hasOpen(kind engine.OrderKind) bool {
+	for _, o := range b.open {
+		if o.order.Kind == kind {
 			return true
 		}
 	}
@@ -64,5 +64,5 @@
 // asked in the same way, as only the answer to an order does not lag.
 func (c *Core) raiseDue(now time.Time, b *backend, lastRaise time.Time) bool {
 	stale := !b.raised || b.readAt.Before(lastRaise) || b.readAt.Before(b.recheckAt)
-	return stale && now.Sub(b.raiseSent) >= confirmInterval && !c.hasOpen(b, engine.OrderRaiseEpoch)
+	return stale && now.Sub(b.raiseSent) >= confirmInterval && !b.hasOpen(engine.OrderRaiseEpoch)
 }
