--- a/admission/backend.go
+++ b/admission/backend.go
@@ -66,7 +66,8 @@
 }
 
 // admits reports whether a request of the rank and cost fits. A backend server
-// that runs nothing takes any rank.
+// that runs nothing takes any rank, and one on which the rank and those below
+// have less than their floors takes one more.
 func (b *backendState) admits(rank fleet.Rank, cost int, limits *rankLimits) bool {
 	total := b.total()
 	if total == 0 {
@@ -84,7 +85,7 @@
 		reserved += b.reserve(r, cost, limits.window)
 	}
 	most := min(limits.ceilings[rank], capacityUnits-reserved)
-	return lower <= max(most, limits.floors[rank])
+	return lower <= most || lower-cost < limits.floors[rank]
 }
 
 // reserveDeviations is the number of standard deviations above its recent mean
--- a/internal/entry/acquire.go
+++ b/internal/entry/acquire.go
@@ -23,6 +23,7 @@
 type grant struct {
 	id       string
 	backend  fleet.BackendID
+	boot     fleet.BootID
 	address  string
 	version  fleet.Version
 	attempt  int
@@ -63,6 +64,7 @@
 			return grant{}, refusalOf(resp.GetRefusal())
 		default:
 			heard = time.Now()
+			h.noteWait(req, resp.GetWaiting().GetReason())
 		}
 	}
 }
@@ -130,6 +132,7 @@
 	return grant{
 		id:       g.GetGrantId(),
 		backend:  fleet.BackendID(g.GetBackend()),
+		boot:     fleet.BootID(g.GetBoot()),
 		address:  g.GetAddress(),
 		version:  fleet.Version(g.GetVersion()),
 		attempt:  attempt,
