release: rows of a cell without sorting at each change; bytes of bursts measured

Change: the order of adapters is kept; benchmarks report the time to make a cell's rows and the bytes while a cluster forms.

--- a/membership/bench_test.go
+++ b/membership/bench_test.go
@@ -62,6 +62,7 @@
 	n := newNetwork(b, 1)
 	n.startAll(nodes)
 	joined := n.within(5*time.Minute, "the cluster forms", func() bool { return n.whole(nodes) })
+	formed, _ := totals(n)
 	c := newChurn(n, nodes)
 	n.run(time.Minute)
 	sent, received := totals(n)
@@ -82,6 +83,7 @@
 	b.ReportMetric(float64(b.Elapsed().Microseconds())/perNodeSecond, "cpu-us/node-s")
 	n.queue = nil
 	b.ReportMetric(float64(heapBytes()-before)/float64(nodes), "heapB/node")
+	b.ReportMetric(float64(formed)/float64(nodes)/joined.Seconds(), "form-sentB/node-s")
 	b.ReportMetric(joined.Seconds(), "form-virtual-s")
 	runtime.KeepAlive(n)
 }
--- a/release/follow_test.go
+++ b/release/follow_test.go
@@ -340,8 +340,13 @@
 				assert.NilError(b, s.Apply(got))
 			}
 			b.StopTimer()
-			before := heapBytes()
 			start := time.Now()
+			for range 10 {
+				_, _ = s.Models("c"), s.Adapters("c")
+			}
+			b.ReportMetric(float64(time.Since(start).Microseconds())/10, "rows-us")
+			before := heapBytes()
+			start = time.Now()
 			decoded, err := DecodeState(encoded)
 			assert.NilError(b, err)
 			b.ReportMetric(float64(time.Since(start).Microseconds()), "whole-us")
--- a/release/note_test.go
+++ b/release/note_test.go
@@ -1,6 +1,7 @@
 package release
 
 import (
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -168,3 +169,22 @@
 		assert.ErrorIs(t, err, ErrNoChange)
 	})
 }
+
+func TestRowsStayInOrder(t *testing.T) {
+	s := stateAfter(t, adaptersNote(100))
+	s.sortedAdapters()
+	for _, id := range []string{"customer-00050x", "a", "z"} {
+		d, err := mustParse(t, "adapters: [{model: m, id: "+id+", version: v1, memory: 1MiB}]").Merge(s, "ana", time.Unix(2, 0))
+		assert.NilError(t, err)
+		assert.NilError(t, s.Apply(d))
+	}
+	d := &Difference{Version: s.Version + 1, ForgottenAdapters: []AdapterKey{{"m", "a"}}}
+	got := s.Clone()
+	assert.NilError(t, got.Apply(d))
+	for _, state := range []*State{s, got} {
+		rows := state.sortedAdapters()
+		_, count := state.Counts()
+		assert.Equal(t, len(rows), count)
+		assert.Assert(t, slices.IsSortedFunc(rows, func(a, b Adapter) int { return compareAdapterKeys(a.AdapterKey, b.AdapterKey) }))
+	}
+}
--- a/release/publish_test.go
+++ b/release/publish_test.go
@@ -202,10 +202,11 @@
 
 func TestWithdrawnRowsAreBounded(t *testing.T) {
 	s := stateAfter(t, adaptersNote(MaxWithdrawn+10))
-	for _, a := range s.sortedAdapters() {
-		a.WithdrawnIn = 1
-		s.adapters[a.AdapterKey] = a
+	rows := s.sortedAdapters()
+	for i := range rows {
+		rows[i].WithdrawnIn = 1
 	}
+	s.putAdapters(rows)
 	d, err := mustParse(t, modelNote("m", 2)).Merge(s, "ana", time.Unix(1, 0))
 	assert.NilError(t, err)
 	assert.Equal(t, len(d.ForgottenAdapters), 10)
--- a/release/state.go
+++ b/release/state.go
@@ -66,7 +66,8 @@
 	Worth  float64       // of one request answered in time
 }
 
-// State is the whole configuration at one version.
+// State is the whole configuration at one version. It is not safe for
+// concurrent use, also for reading.
 type State struct {
 	Version    uint64
 	AcceptedAt time.Time
@@ -74,6 +75,8 @@
 	models     map[fleet.ModelID]Model
 	adapters   map[AdapterKey]Adapter
 	ranks      map[fleet.Rank]RankSettings
+
+	adapterOrder []AdapterKey // of adapters, sorted; nil if it must be made anew
 }
 
 // Difference leads from the state at Version-1 to the state at Version. Rows
@@ -106,6 +109,7 @@
 	c.models = maps.Clone(s.models)
 	c.adapters = maps.Clone(s.adapters)
 	c.ranks = maps.Clone(s.ranks)
+	c.adapterOrder = slices.Clone(s.adapterOrder)
 	return &c
 }
 
@@ -175,11 +179,45 @@
 }
 
 func (s *State) sortedAdapters() []Adapter {
-	rows := slices.Collect(maps.Values(s.adapters))
-	slices.SortFunc(rows, func(a, b Adapter) int { return compareAdapterKeys(a.AdapterKey, b.AdapterKey) })
+	if s.adapterOrder == nil {
+		s.adapterOrder = slices.SortedFunc(maps.Keys(s.adapters), compareAdapterKeys)
+	}
+	rows := make([]Adapter, 0, len(s.adapterOrder))
+	for _, key := range s.adapterOrder {
+		rows = append(rows, s.adapters[key])
+	}
 	return rows
 }
 
+// maxInserts is the number of new rows up to which they are put in order one by
+// one.
+const maxInserts = 64
+
+// putAdapters replaces and adds rows.
+func (s *State) putAdapters(rows []Adapter) {
+	if len(rows) > maxInserts {
+		s.adapterOrder = nil
+	}
+	for _, a := range rows {
+		if _, known := s.adapters[a.AdapterKey]; !known && s.adapterOrder != nil {
+			at, _ := slices.BinarySearchFunc(s.adapterOrder, a.AdapterKey, compareAdapterKeys)
+			s.adapterOrder = slices.Insert(s.adapterOrder, at, a.AdapterKey)
+		}
+		s.adapters[a.AdapterKey] = a
+	}
+}
+
+// forgetAdapters drops rows.
+func (s *State) forgetAdapters(keys []AdapterKey) {
+	if len(keys) == 0 {
+		return
+	}
+	s.adapterOrder = nil
+	for _, key := range keys {
+		delete(s.adapters, key)
+	}
+}
+
 func compareAdapterKeys(a, b AdapterKey) int {
 	return cmp.Or(cmp.Compare(a.Model, b.Model), cmp.Compare(a.ID, b.ID))
 }
@@ -196,18 +234,14 @@
 	for _, m := range d.Models {
 		s.models[m.ID] = m
 	}
-	for _, a := range d.Adapters {
-		s.adapters[a.AdapterKey] = a
-	}
+	s.putAdapters(d.Adapters)
 	for _, r := range d.Ranks {
 		s.ranks[r.Rank] = r
 	}
 	for _, id := range d.ForgottenModels {
 		delete(s.models, id)
 	}
-	for _, key := range d.ForgottenAdapters {
-		delete(s.adapters, key)
-	}
+	s.forgetAdapters(d.ForgottenAdapters)
 	s.setVersion(d.Version, d.AcceptedAt, d.Operator)
 	return nil
 }
