--- a/controller/adapters.go
+++ b/controller/adapters.go
@@ -92,7 +92,7 @@
 }
 
 func (c *Core) reserveAdapter(t *tick, b *backend, r *replica, want fleet.Adapter, rank fleet.Rank) BlockReason {
-	o := c.newOrder(t.now, b, engine.OrderLoadAdapter)
+	o := c.newOrder(b, engine.OrderLoadAdapter)
 	if !c.budget.StartAdapter(o.order.ID) {
 		delete(c.open, o.order.ID)
 		return BlockedBudget
@@ -117,7 +117,7 @@
 		used time.Time
 	}
 	var victims []victim
-	for _, r := range sortedReplicas(b) {
+	for _, r := range b.rows {
 		for id, a := range r.adapters {
 			if a.leaving {
 				missing -= a.memory
@@ -148,9 +148,8 @@
 		return
 	}
 	done := true
-	for _, id := range c.order {
-		b := c.backends[id]
-		for _, r := range sortedReplicas(b) {
+	for _, b := range c.rows {
+		for _, r := range b.rows {
 			for adapterID, a := range r.adapters {
 				done = c.retireAdapter(t, b, r, adapterID, a) && done
 			}
@@ -177,7 +176,7 @@
 
 func (c *Core) unloadAdapter(t *tick, b *backend, r *replica, id fleet.AdapterID) {
 	a := r.adapters[id]
-	o := c.newOrder(t.now, b, engine.OrderUnloadAdapter)
+	o := c.newOrder(b, engine.OrderUnloadAdapter)
 	o.order.Model, o.order.Version, o.order.Adapter = r.key.Model, r.key.Version, id
 	o.replica, o.adapter = r, a
 	a.leaving = true
