--- a/lease/core.go
+++ b/lease/core.go
@@ -231,7 +231,7 @@
 func (c *Core) take(now time.Time, r Record, version uint64) {
 	invariant.Check(r.Epoch >= c.record.Epoch && r.Granted >= c.record.Granted, invariant.EpochMonotonic,
 		"cell %s: record epoch %d after %d", c.cell, r.Epoch, c.record.Epoch)
-	if c.known && r.Epoch > c.record.Epoch && r.Holder != c.self {
+	if c.known && c.version != 0 && r.Epoch > c.record.Epoch && r.Holder != c.self {
 		c.claimedAt = now
 	}
 	c.record, c.version, c.known = r, version, true
