controller: an answer to an order counts also in the instant of a report

Cause: since reports as old as what is known are ignored, so was the answer to an order made in the same instant as an earlier report, while it still confirmed the engine: an order of the earlier holder taken in between would have gone uncounted. Change: an answer of the same instant adds what it shows and removes nothing; what is older than the known neither counts nor confirms. The tests of two writers wait out the grace of the holder's claim.

--- a/controller/bench_test.go
+++ b/controller/bench_test.go
@@ -84,15 +84,21 @@
 	s.now = s.now.Add(tickEvery)
 	eff := s.core.Tick(s.now, demands, forever{})
 	for _, r := range eff.Reports {
-		s.core.HandleReport(s.now, s.now, s.reports[r.Backend])
+		s.core.HandleReport(s.now, s.now, s.measured(r.Backend))
 	}
 	for _, o := range eff.Orders {
 		s.orders++
-		r := s.reports[o.Backend]
+		r := s.measured(o.Backend)
 		s.core.HandleOrderResult(s.now, controller.OrderResult{OrderID: o.Order.ID, Backend: o.Backend, SentAt: s.now, Report: &r})
 	}
 }
 
+func (s *steadyCell) measured(id fleet.BackendID) engine.Report {
+	r := s.reports[id]
+	r.MeasuredAt = s.now
+	return r
+}
+
 type forever struct{}
 
 func (forever) KeepUntil(_ fleet.Target, lastUsed time.Time) time.Time {
@@ -150,9 +156,10 @@
 			for range 20 {
 				s.step(nil)
 			}
-			r := s.reports["backend-00003"]
+			r := s.measured("backend-00003")
 			b.ResetTimer()
 			for range b.N {
+				r.MeasuredAt = r.MeasuredAt.Add(time.Nanosecond)
 				s.core.HandleReport(s.now, s.now, r)
 			}
 		})
--- a/controller/reports.go
+++ b/controller/reports.go
@@ -41,14 +41,17 @@
 	if b.raised && b.row.Fencing && r.Epoch != c.epoch {
 		return // made before the raise
 	}
+	// What is as old as what is known may be its forerunner within the same
+	// instant: it proves no absence, and counts only as the answer to an order.
+	newer := r.MeasuredAt.After(b.measuredAt)
+	if !newer && !(fresh && r.MeasuredAt.Equal(b.measuredAt)) {
+		return
+	}
 	if fresh && (!b.row.Fencing || r.Epoch == c.epoch) {
 		c.confirm(now, b, requestedAt)
 	}
-	if !r.MeasuredAt.After(b.measuredAt) {
-		return // as old as what is known, which may be the answer to an order
-	}
 	b.measuredAt = r.MeasuredAt
-	c.takeContent(now, b, r)
+	c.takeContent(now, b, r, newer)
 }
 
 // confirm notes that the engine takes no orders of an earlier office at this
@@ -100,7 +103,9 @@
 	b.restart(boot)
 }
 
-func (c *Core) takeContent(now time.Time, b *backend, r engine.Report) {
+// takeContent fills in what the report shows and, if it is newer than all
+// before it, removes what it does not show.
+func (c *Core) takeContent(now time.Time, b *backend, r engine.Report, newer bool) {
 	b.memory = r.Memory
 	b.leaving = r.Draining
 	clear(b.near)
@@ -110,7 +115,10 @@
 	shown := make(map[modelVersion]bool, len(r.Replicas))
 	for _, lr := range r.Replicas {
 		shown[modelVersion{lr.Model, lr.Version}] = true
-		c.takeReplica(now, b, lr)
+		c.takeReplica(now, b, lr, newer)
+	}
+	if !newer {
+		return
 	}
 	for _, row := range slices.Clone(b.rows) {
 		if !shown[modelVersion{row.key.Model, row.key.Version}] {
@@ -133,7 +141,7 @@
 	c.removeReplica(b, row)
 }
 
-func (c *Core) takeReplica(now time.Time, b *backend, lr engine.LoadedReplica) {
+func (c *Core) takeReplica(now time.Time, b *backend, lr engine.LoadedReplica, newer bool) {
 	row := b.replicas[modelVersion{lr.Model, lr.Version}]
 	if row == nil {
 		row = c.foundReplica(now, b, lr)
@@ -148,7 +156,7 @@
 		row.lastUsed = now
 	}
 	c.takeState(now, b, row, lr)
-	c.takeAdapters(now, row, lr.Adapters)
+	c.takeAdapters(now, row, lr.Adapters, newer)
 }
 
 func (c *Core) takeState(now time.Time, b *backend, row *replica, lr engine.LoadedReplica) {
@@ -193,14 +201,14 @@
 	return row
 }
 
-func (c *Core) takeAdapters(now time.Time, row *replica, ids []fleet.AdapterID) {
+func (c *Core) takeAdapters(now time.Time, row *replica, ids []fleet.AdapterID, newer bool) {
 	shown := make(map[fleet.AdapterID]bool, len(ids))
 	for _, id := range ids {
 		shown[id] = true
 		c.takeAdapter(now, row, id)
 	}
 	for id, a := range row.adapters {
-		if a.resident && !shown[id] {
+		if newer && a.resident && !shown[id] {
 			c.removeAdapter(row, id, a)
 		}
 	}
--- a/controller/writers_test.go
+++ b/controller/writers_test.go
@@ -6,14 +6,17 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/redwingnotch/redwingnotch/controller"
 	"github.com/redwingnotch/redwingnotch/engine"
 	"github.com/redwingnotch/redwingnotch/fleet"
+	"github.com/redwingnotch/redwingnotch/lease"
 )
 
 // twoWriters returns a cell whose holder a is called dead and cut off.
 func twoWriters(t *testing.T, engines int) (c *fakeCell, a *testNode) {
 	c = newCell(t, 5, 3, engines, true)
 	a = c.settle()
+	c.run(lease.DefaultClaimGrace) // its claim proves no longer that it lives
 	c.dead = a
 	c.cut[string(a.id)+"/store"] = true
 	c.cutEngines(a, true, c.engines...)
@@ -111,3 +114,22 @@
 	assert.Equal(t, c.loads("m0"), 1)
 	assert.Equal(t, second.epoch, b.auth.Epoch)
 }
+
+// An answer to an order is believed in what it shows even if a report of the
+// same instant came first; what it does not show may be its forerunner's.
+func TestAnswerOfTheSameInstantAsAReport(t *testing.T) {
+	s := newSteadyCell(fleetSize{replicas: 4, models: 4, adapters: 4})
+	for range 10 {
+		s.step(nil)
+	}
+	s.now = s.now.Add(time.Second)
+	r := s.measured("backend-00000")
+	s.core.HandleReport(s.now, s.now, r)
+	r.Replicas = []engine.LoadedReplica{{Model: "other", Version: "1", State: fleet.ReplicaLoading}}
+	s.core.HandleOrderResult(s.now, controller.OrderResult{OrderID: "x", Backend: r.Backend, SentAt: s.now, Report: &r})
+	var models []fleet.ModelID
+	for _, row := range s.core.Replicas()[:2] {
+		models = append(models, row.Model)
+	}
+	assert.DeepEqual(t, models, []fleet.ModelID{"model-000", "other"})
+}
