--- a/internal/node/soak_test.go
+++ b/internal/node/soak_test.go
@@ -99,7 +99,6 @@
 	counts     soakCounts
 	violations []string
 	history    []string // of faults
-	unplanned  time.Time
 	names      []string // of nodes that callers may know
 	engines    []*soakEngine
 	services   []*soakService
