entry: urgent requests go direct after 300 ms of the controller's silence

Change: urgent requests poll with 200 ms (100 ms slack) and are dispatched directly once the controller was not heard for 300 ms; others as before. A request that goes direct gives up its place in the queue.

--- a/internal/entry/acquire.go
+++ b/internal/entry/acquire.go
@@ -14,6 +14,8 @@
 const (
 	pollWait    = time.Second            // longest wait of one Acquire
 	pollSlack   = 500 * time.Millisecond // above pollWait before the controller counts as unheard
+	urgentWait  = 200 * time.Millisecond // pollWait of urgent requests
+	urgentSlack = 100 * time.Millisecond // pollSlack of urgent requests
 	repeatPause = 25 * time.Millisecond  // between tries while the controller is not heard
 	silentPause = 250 * time.Millisecond // between tries once it counts as silent
 )
@@ -36,13 +38,14 @@
 	ctx, cancel := context.WithDeadline(ctx, h.acquireUntil(req, history))
 	defer cancel()
 	message := h.acquireMessage(req, history)
+	poll := h.pollOf(req.rank)
+	message.WaitMs = uint32(poll.wait.Milliseconds())
 	heard := time.Now()
 	for {
-		message.WaitMs = uint32(pollWait.Milliseconds())
-		callCtx, cancel := context.WithTimeout(ctx, pollWait+pollSlack)
+		callCtx, cancel := context.WithTimeout(ctx, poll.wait+poll.slack)
 		resp, err := h.cfg.Grants.Acquire(callCtx, message)
 		cancel()
-		silent := time.Since(heard) >= h.cfg.SilentAfter
+		silent := time.Since(heard) >= poll.silentAfter
 		if ctx.Err() != nil {
 			h.giveUp(req, history, resp)
 			return grant{}, ended(ctx, silent)
@@ -55,6 +58,7 @@
 			}
 			// Without a ready replica the request waits for a successor.
 			if g, ok := h.dispatchDirectly(req, history); ok {
+				h.giveUp(req, history, nil) // the controller may only be slow
 				return g, nil
 			}
 			pause(ctx, silentPause)
@@ -69,6 +73,21 @@
 	}
 }
 
+// poll says how a request asks for its grant.
+type poll struct {
+	wait, slack time.Duration // of one Acquire
+	silentAfter time.Duration // silence of the controller before direct dispatch
+}
+
+// pollOf returns shorter times for urgent requests, whose first token is due
+// long before a crash of the controller is certain.
+func (h *Handler) pollOf(rank fleet.Rank) poll {
+	if rank == fleet.RankUrgent {
+		return poll{wait: urgentWait, slack: urgentSlack, silentAfter: min(h.cfg.SilentAfter, urgentWait+urgentSlack)}
+	}
+	return poll{wait: pollWait, slack: pollSlack, silentAfter: h.cfg.SilentAfter}
+}
+
 // resumeTime is the time to find another replica for an answer that broke off.
 const resumeTime = 30 * time.Second
 
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -170,6 +170,22 @@
 	})
 }
 
+func TestUrgentRequestsAreDispatchedDirectlySooner(t *testing.T) {
+	for _, tc := range []struct {
+		rank string
+		wait time.Duration
+	}{{"urgent", 300 * time.Millisecond}, {"standard", 2 * time.Second}} {
+		inRig(t, func(t *testing.T, r *rig) {
+			r.grants.silent = true
+			r.grants.replicas = []fleet.Replica{{ReplicaKey: fleet.ReplicaKey{Backend: "b9", Model: "lathe"}, Address: "b9", State: fleet.ReplicaReady, Slots: 1}}
+			began := time.Now()
+			assert.Equal(t, r.chat(streamed, "Redwingnotch-Rank", tc.rank).body, answer)
+			assert.Equal(t, time.Since(began).Round(50*time.Millisecond), tc.wait, tc.rank)
+			assert.Equal(t, r.grants.outcomes(), "cancelled", "the place in the queue is given up")
+		})
+	}
+}
+
 // TestSuspectsAreNotDispatchedDirectly has a request that crashes its server
 // while no controller is there to be told.
 func TestSuspectsAreNotDispatchedDirectly(t *testing.T) {
--- a/internal/settings/daemon.go
+++ b/internal/settings/daemon.go
@@ -38,7 +38,7 @@
 	Tick            Duration `arg:"--tick,env:REDWINGNOTCH_TICK" default:"20ms" min:"1ms" max:"1s" help:"interval of the node's decisions"`
 	ReportInterval  Duration `arg:"--report-interval,env:REDWINGNOTCH_REPORT_INTERVAL" default:"250ms" min:"10ms" max:"10s" help:"interval of reports asked of backend servers by the controller"`
 	VMListInterval  Duration `arg:"--vm-list-interval,env:REDWINGNOTCH_VM_LIST_INTERVAL" default:"1s" min:"10ms" max:"1m" help:"interval at which the platform's VM list is read"`
-	SilentAfter     Duration `arg:"--controller-silence,env:REDWINGNOTCH_CONTROLLER_SILENCE" default:"2500ms" min:"10ms" max:"1m" help:"silence of the controller after which requests are dispatched directly"`
+	SilentAfter     Duration `arg:"--controller-silence,env:REDWINGNOTCH_CONTROLLER_SILENCE" default:"2500ms" min:"10ms" max:"1m" help:"silence of the controller after which requests are dispatched directly; urgent ones after 300ms at most"`
 	ShutdownTimeout Duration `arg:"--shutdown-timeout,env:REDWINGNOTCH_SHUTDOWN_TIMEOUT" default:"15m" min:"1s" max:"24h" help:"time for running requests to finish before a stop cuts them"`
 	KeyRetention    Duration `arg:"--key-retention,env:REDWINGNOTCH_KEY_RETENTION" default:"72h" min:"1s" max:"8760h" help:"time for which idempotency keys are remembered"`
 	MaxKeys         Int      `arg:"--max-keys,env:REDWINGNOTCH_MAX_KEYS" default:"20000" min:"1" max:"10000000" help:"idempotency keys that this node remembers in memory"`
