entry: a refusal made before a key's fate is known does not say not run

Other refusals before the key is looked up say the same. Change: such a refusal of a keyed call says unknown, unless the caller states by Redwingnotch-Attempt: 1 that the key was never sent before. The test fails without the change.

--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -270,6 +270,11 @@
 		assert.Assert(t, call.First)
 		assert.Equal(t, r.send(http.MethodPut, "/v1/services/ordering/x", "").status, 201, "PUT needs no key")
 		assert.Equal(t, r.send(http.MethodGet, "/v1/services/nope/x", "").status, 404)
+		// A node that has just started may not know the service yet.
+		code, outcome = r.send(http.MethodPost, "/v1/services/nope/x", "", "Idempotency-Key", "k1").code(t)
+		assert.Equal(t, code+" "+outcome, "unknown_service unknown")
+		code, outcome = r.send(http.MethodPost, "/v1/services/nope/x", "", "Idempotency-Key", "k9", "Redwingnotch-Attempt", "1").code(t)
+		assert.Equal(t, code+" "+outcome, "unknown_service not_run")
 		r.services.result = idempotency.Result{Outcome: fleet.OutcomeUnknown, Code: idempotency.CodeOwnerGone}
 		code, outcome = r.send(http.MethodPost, "/v1/services/ordering/x", "", "Idempotency-Key", "k1").code(t)
 		assert.Equal(t, code+" "+outcome, "owner_gone unknown")
--- a/internal/entry/errors.go
+++ b/internal/entry/errors.go
@@ -45,6 +45,7 @@
 	RetryAfter time.Duration // zero: no advice
 	InForce    []string      // models in force, for CodeUnknownModel
 	RequestID  string
+	keyKnown   bool // the outcome covers every send of the request's key
 }
 
 // Error implements error.
--- a/internal/entry/services.go
+++ b/internal/entry/services.go
@@ -33,6 +33,7 @@
 	}
 	outcome, code := fleet.OutcomeAnswered, codeOK
 	if refused != nil {
+		refused.admitEarlierSend(env)
 		outcome, code = refused.Outcome, refused.Code
 		refused.RequestID = env.id
 		refused.write(w)
@@ -43,6 +44,17 @@
 		"method", call.Method, "keyed", call.Key != "", "code", code, "outcome", outcome, "duration_ms", duration.Milliseconds())
 }
 
+// admitEarlierSend takes back "not run" if the refusal was made before the fate
+// of the request's key was asked for, and the caller does not state that it
+// never sent the key before.
+func (e *Error) admitEarlierSend(env envelope) {
+	if env.key == "" || env.first || e.Outcome != fleet.OutcomeNotRun || e.keyKnown {
+		return
+	}
+	e.Outcome = fleet.OutcomeUnknown
+	e.Message += "; this send did not run, an earlier one of the same key may have"
+}
+
 func (h *Handler) send(ctx context.Context, call idempotency.Call) idempotency.Result {
 	if call.Key == "" {
 		return h.cfg.Services.Send(ctx, call)
@@ -136,7 +148,7 @@
 	if !known {
 		status = http.StatusServiceUnavailable
 	}
-	return &Error{Code: Code(r.Code), Message: r.Detail, Outcome: r.Outcome, Status: status, RetryAfter: r.RetryAfter}
+	return &Error{Code: Code(r.Code), Message: r.Detail, Outcome: r.Outcome, Status: status, RetryAfter: r.RetryAfter, keyKnown: true}
 }
 
 // keyAnswer is the answer of POST /v1/keys.
