--- a/internal/dev/deployment.go
+++ b/internal/dev/deployment.go
@@ -81,6 +81,7 @@
 	options    Options
 	apiAddress string
 	backends   map[fleet.BackendID]platform.VMRecord
+	began      time.Time
 
 	mu    sync.Mutex
 	nodes []*Node
@@ -115,6 +116,7 @@
 		Ledger:   engine.NewLedger(),
 		options:  o,
 		backends: map[fleet.BackendID]platform.VMRecord{},
+		began:    time.Now(),
 	}
 	if err := d.startStandIns(); err != nil {
 		d.Close()
--- a/internal/dev/dev_test.go
+++ b/internal/dev/dev_test.go
@@ -15,6 +15,7 @@
 	"github.com/redwingnotch/redwingnotch/fleet"
 	"github.com/redwingnotch/redwingnotch/platform"
 	"github.com/redwingnotch/redwingnotch/standin/engine"
+	"github.com/redwingnotch/redwingnotch/standin/objectapi"
 	"github.com/redwingnotch/redwingnotch/standin/weightstore"
 )
 
@@ -60,20 +61,25 @@
 }
 
 func TestReplicasBeyondTheLimitBreakAPromise(t *testing.T) {
-	api := &Deployment{Ledger: engine.NewLedger(), Weights: weightstore.New(weightstore.Options{})}
+	d := &Deployment{
+		API:     objectapi.New(),
+		Ledger:  engine.NewLedger(),
+		Weights: weightstore.New(weightstore.Options{}),
+		began:   time.Now().Add(-time.Minute),
+	}
 	release := Release{Models: []fleet.Model{{ID: "m", MaxReplicas: 1}}}
 	for i := range 2 {
-		assert.Equal(t, printPromises(io.Discard, api.countedPromises(release)), 0)
+		assert.Equal(t, printPromises(io.Discard, d.countedPromises(release)), 0)
 		e := engine.New(engine.Config{
 			ID:     fleet.BackendID(fmt.Sprint("e", i)),
 			Memory: 10,
-			Ledger: api.Ledger,
+			Ledger: d.Ledger,
 			Models: map[fleet.ModelID]engine.Model{"m": {}},
 		})
 		defer e.Reclaim()
 		loadOn(t, e)
 	}
-	assert.Equal(t, printPromises(io.Discard, api.countedPromises(release)), 1)
+	assert.Equal(t, printPromises(io.Discard, d.countedPromises(release)), 1)
 }
 
 // loadOn orders the engine to load model m over HTTP.
--- a/internal/dev/promises.go
+++ b/internal/dev/promises.go
@@ -13,6 +13,12 @@
 // new work.
 const leavingGrace = 4 * time.Second
 
+// Rates of the platform's object API, in calls a second.
+const (
+	apiWritesPerSecond = 300
+	apiReadsPerSecond  = 2000
+)
+
 // Promise is one thing that must have held, with what was counted.
 type Promise struct {
 	Name   string
@@ -43,13 +49,26 @@
 			})
 	}
 	loads := d.Weights.Counts()
-	return append(promises, Promise{
+	return append(promises, d.storePromise(), Promise{
 		Name:   "loads in flight",
 		Held:   loads.MaxLoads <= weightstore.DefaultFullSpeedLoads && loads.MaxAdapters <= weightstore.DefaultFullSpeedAdapters,
 		Detail: fmt.Sprintf("%d models and %d adapters at most", loads.MaxLoads, loads.MaxAdapters),
 	})
 }
 
+// storePromise compares the calls that reached the object API with its rates.
+func (d *Deployment) storePromise() Promise {
+	counts := d.API.Counts()
+	seconds := time.Since(d.began).Seconds()
+	writes := float64(counts.Writes) / seconds
+	reads := float64(counts.Reads+counts.Watches+counts.VMReads) / seconds
+	return Promise{
+		Name:   "calls of the object API and VM list",
+		Held:   writes <= apiWritesPerSecond && reads <= apiReadsPerSecond,
+		Detail: fmt.Sprintf("%.1f writes, %.1f reads and watches a second, of %d and %d", writes, reads, apiWritesPerSecond, apiReadsPerSecond),
+	}
+}
+
 // replicaPromises compares the replicas that existed at once with the most that
 // any of the releases allows.
 func (d *Deployment) replicaPromises(releases []Release) []Promise {
