--- a/internal/node/grants.go
+++ b/internal/node/grants.go
@@ -13,7 +13,6 @@
 
 	"github.com/redwingnotch/redwingnotch/fleet"
 	"github.com/redwingnotch/redwingnotch/internal/httpsend"
-	"github.com/redwingnotch/redwingnotch/internal/operators"
 	"github.com/redwingnotch/redwingnotch/peer"
 )
 
@@ -47,7 +46,7 @@
 
 // Do implements the client of twirp.
 func (a *authClient) Do(req *http.Request) (*http.Response, error) {
-	req.Header.Set(operators.HeaderSecret, a.secret)
+	req.Header.Set(HeaderSecret, a.secret)
 	resp, err := a.client.Do(req)
 	if err != nil && errors.Is(req.Context().Err(), context.DeadlineExceeded) {
 		a.client.CloseIdleConnections()
@@ -115,6 +114,19 @@
 	p.node.background.Go(func() { p.finishRemote(req) })
 }
 
+// FinishNow implements entry.Grants.
+func (p *peerClients) FinishNow(ctx context.Context, req *peer.FinishRequest) {
+	ctx, cancel := context.WithTimeout(ctx, finishTimeout)
+	defer cancel()
+	client, err := p.controller()
+	if err == nil {
+		_, err = client.Finish(ctx, req)
+	}
+	if err != nil {
+		p.node.background.Go(func() { p.finishRemote(req) })
+	}
+}
+
 // finishRemote tells the node in office, and after a takeover its successor,
 // which ignores grants of earlier terms.
 func (p *peerClients) finishRemote(req *peer.FinishRequest) {
