--- a/internal/dev/print.go
+++ b/internal/dev/print.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"strings"
 
 	"github.com/redwingnotch/redwingnotch/fleet"
 	"github.com/redwingnotch/redwingnotch/internal/entry"
@@ -22,5 +23,20 @@
 	fmt.Fprintf(out, "  curl http://%s/v1/entry\n", address)
 	fmt.Fprintf(out, "  curl -N http://%s/v1/chat/completions -H '%s: %s' -d '%s'\n", address, entry.HeaderRank, fleet.RankUrgent,
 		`{"model":"`+string(ModelLathe)+`","stream":true,"max_tokens":8,"messages":[{"role":"user","content":"collar wobbles"}]}`)
-	fmt.Fprintf(out, "  curl http://%s/v1/services/%s/orders -H '%s: order-1' -d 'one spindle'\n\n", address, Ordering, entry.HeaderKey)
+	fmt.Fprintf(out, "  curl http://%s/v1/services/%s/orders -H '%s: order-1' -d 'one spindle'\n", address, Ordering, entry.HeaderKey)
+	d.printOperatorCommands(out)
+}
+
+// printOperatorCommands writes commands of the operators' tool to try.
+func (d *Deployment) printOperatorCommands(out io.Writer) {
+	var nodes []string
+	for _, n := range d.Nodes() {
+		nodes = append(nodes, n.AdminAddress)
+	}
+	const rwnctl = "go run ./cmd/rwnctl"
+	fmt.Fprintf(out, "  export REDWINGNOTCH_PLATFORM_URL=http://%s REDWINGNOTCH_ADMIN_NODES=%s REDWINGNOTCH_OPERATOR=$USER\n",
+		d.apiAddress, strings.Join(nodes, ","))
+	fmt.Fprintf(out, "  %s status\n", rwnctl)
+	fmt.Fprintf(out, "  %s withdraw %s\n", rwnctl, ModelOld)
+	fmt.Fprintf(out, "  %s audit\n\n", rwnctl)
 }
