--- a/internal/dev/caller.go
+++ b/internal/dev/caller.go
@@ -33,7 +33,7 @@
 
 // Ask is one inference request.
 type Ask struct {
-	Model     fleet.ModelID
+	Target    fleet.Target
 	Rank      fleet.Rank
 	Content   string
 	MaxTokens int
@@ -153,7 +153,7 @@
 
 func (a Ask) body() []byte {
 	body, err := json.Marshal(chatRequest{
-		Model:     string(a.Model),
+		Model:     a.Target.String(),
 		Stream:    true,
 		Messages:  []chatMessage{{Role: "user", Content: a.Content}},
 		MaxTokens: a.MaxTokens,
@@ -212,7 +212,7 @@
 		return fmt.Errorf("answer broke off, begun %t: %w", !first.IsZero(), err)
 	}
 	reply.FirstToken = first.Sub(began)
-	want, err := engine.Answer(fleet.Target{Model: reply.Model}, body)
+	want, err := engine.Answer(reply.Target, body)
 	reply.Result = Answered
 	if err != nil || text != want {
 		reply.Result = Wrong
--- a/internal/dev/dev_test.go
+++ b/internal/dev/dev_test.go
@@ -20,7 +20,7 @@
 )
 
 func TestCallerTellsHowARequestEnded(t *testing.T) {
-	ask := Ask{Model: "m", Rank: fleet.RankBulk, Content: "c", MaxTokens: 1, Deadline: time.Minute}
+	ask := Ask{Target: fleet.Target{Model: "m"}, Rank: fleet.RankBulk, Content: "c", MaxTokens: 1, Deadline: time.Minute}
 	right, err := engine.Answer(fleet.Target{Model: "m"}, ask.body())
 	assert.NilError(t, err)
 	stream := func(text, end string) string {
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -123,6 +123,9 @@
 		history.ran++
 		history.brokeAt = time.Now()
 	}
+	if end.kind == endCrashed {
+		history.crashes++
+	}
 	if answer.tokens > history.received {
 		history.received, history.version = answer.tokens, g.version
 	}
@@ -140,9 +143,6 @@
 		pause(ctx, unrunWait(history.count-history.ran))
 		return nil
 	}
-	if end.kind == endCrashed {
-		history.crashes++
-	}
 	// An answer to another request is no answer to this one.
 	safe := dispatch.MayRetry(end.err, true, false) || errors.Is(end.err, engine.ErrMismatch)
 	if !safe || history.ran >= maxRuns || history.crashes >= maxCrashes || !h.spent.retry() {
