--- a/internal/dev/day.go
+++ b/internal/dev/day.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/redwingnotch/redwingnotch/fleet"
@@ -36,9 +37,9 @@
 }
 
 var steadyTraffic = []traffic{
-	{Ask{Model: ModelLathe, Rank: fleet.RankUrgent, MaxTokens: 24, Deadline: 15 * time.Second}, 250 * time.Millisecond},
-	{Ask{Model: ModelDeck, Rank: fleet.RankStandard, MaxTokens: 16, Deadline: 20 * time.Second}, 250 * time.Millisecond},
-	{Ask{Model: ModelRulebook, Rank: fleet.RankBulk, MaxTokens: 64, Deadline: 30 * time.Second}, 500 * time.Millisecond},
+	{Ask{Target: fleet.Target{Model: ModelLathe}, Rank: fleet.RankUrgent, MaxTokens: 24, Deadline: 15 * time.Second}, 250 * time.Millisecond},
+	{Ask{Target: fleet.Target{Model: ModelDeck}, Rank: fleet.RankStandard, MaxTokens: 16, Deadline: 20 * time.Second}, 250 * time.Millisecond},
+	{Ask{Target: fleet.Target{Model: ModelRulebook}, Rank: fleet.RankBulk, MaxTokens: 64, Deadline: 30 * time.Second}, 500 * time.Millisecond},
 }
 
 // day is one run of the scripted day.
@@ -73,6 +74,7 @@
 	for _, step := range []func(context.Context) error{
 		y.wakeByBurst,
 		y.applyRelease,
+		y.wakeAdapters,
 		y.orderParts,
 		y.flood,
 		y.stopBackend,
@@ -162,7 +164,7 @@
 	y.sequence++
 	ask.Content = fmt.Sprintf("request %d about the collar", y.sequence)
 	y.mu.Unlock()
-	cold := y.d.Ledger.Replicas(ask.Model) == 0
+	cold := y.d.Ledger.Replicas(ask.Target.Model) == 0
 	reply := c.Chat(ctx, ask)
 	y.measures.Add(reply, cold)
 	return reply
@@ -210,7 +212,7 @@
 
 // wakeByBurst asks for an idle model through all entry nodes at once.
 func (y *day) wakeByBurst(ctx context.Context) error {
-	ask := Ask{Model: ModelSpindle, Rank: fleet.RankUrgent, MaxTokens: 16, Deadline: 15 * time.Second}
+	ask := Ask{Target: fleet.Target{Model: ModelSpindle}, Rank: fleet.RankUrgent, MaxTokens: 16, Deadline: 15 * time.Second}
 	answered := y.together(ctx, "burst", burstCallers, ask)
 	loads := y.d.Ledger.Loads(ModelSpindle)
 	y.say("a burst of %d requests woke %s: %d answered, %d load", burstCallers, ModelSpindle, answered, loads)
@@ -228,8 +230,8 @@
 	if err := y.d.Apply(ctx, SecondRelease()); err != nil {
 		return err
 	}
-	added := Ask{Model: ModelCollar, Rank: fleet.RankStandard, MaxTokens: 8, Deadline: 20 * time.Second}
-	withdrawn := Ask{Model: ModelOld, Rank: fleet.RankStandard, MaxTokens: 8, Deadline: 20 * time.Second}
+	added := Ask{Target: fleet.Target{Model: ModelCollar}, Rank: fleet.RankStandard, MaxTokens: 8, Deadline: 20 * time.Second}
+	withdrawn := Ask{Target: fleet.Target{Model: ModelOld}, Rank: fleet.RankStandard, MaxTokens: 8, Deadline: 20 * time.Second}
 	n := len(y.d.Nodes())
 	answered := y.together(ctx, "added", n, added)
 	gone := 0
@@ -250,6 +252,36 @@
 	return nil
 }
 
+// wakeAdapters asks for all adapters at once, each through another entry node.
+func (y *day) wakeAdapters(ctx context.Context) error {
+	adapters := SecondRelease().Adapters
+	var wg sync.WaitGroup
+	var answered atomic.Int32
+	for i, a := range adapters {
+		c := y.newCaller(fmt.Sprintf("adapter-%d", i), i)
+		ask := Ask{
+			Target:    fleet.Target{Model: a.Model, Adapter: a.ID},
+			Rank:      fleet.RankStandard,
+			MaxTokens: 8,
+			Deadline:  20 * time.Second,
+		}
+		wg.Go(func() {
+			if y.send(ctx, c, ask).Result == Answered {
+				answered.Add(1)
+			}
+		})
+	}
+	wg.Wait()
+	loads := y.d.Weights.Counts()
+	y.say("%d adapters asked for at once: %d answered, %d loads, at most %d at once", len(adapters), answered.Load(), loads.Adapters, loads.MaxAdapters)
+	y.add(Promise{
+		Name:   "requests for idle adapters are answered",
+		Held:   int(answered.Load()) == len(adapters),
+		Detail: fmt.Sprintf("%d of %d answered, %d loads", answered.Load(), len(adapters), loads.Adapters),
+	})
+	return nil
+}
+
 // orderParts sends one order several times through two nodes, then one whose
 // answer is lost after it has run.
 func (y *day) orderParts(ctx context.Context) error {
@@ -311,7 +343,7 @@
 	bulk := y.measures.Rank(fleet.RankBulk)
 	ctx, cancel := context.WithTimeout(ctx, floodTime)
 	defer cancel()
-	ask := Ask{Model: ModelLathe, Rank: fleet.RankBulk, MaxTokens: 96, Deadline: 5 * time.Second}
+	ask := Ask{Target: fleet.Target{Model: ModelLathe}, Rank: fleet.RankBulk, MaxTokens: 96, Deadline: 5 * time.Second}
 	var wg sync.WaitGroup
 	for i := range floodCallers {
 		c := y.newCaller(fmt.Sprintf("flood-%d", i), i)
@@ -395,7 +427,7 @@
 	before := time.Now()
 	controller.Kill()
 	controller.cancel()
-	ask := Ask{Model: ModelCollar, Rank: fleet.RankUrgent, MaxTokens: 8, Deadline: 20 * time.Second}
+	ask := Ask{Target: fleet.Target{Model: ModelCollar}, Rank: fleet.RankUrgent, MaxTokens: 8, Deadline: 20 * time.Second}
 	answered := y.together(ctx, "takeover", takeoverAskers, ask)
 	if err := y.d.WaitReady(ctx); err != nil {
 		return err
--- a/internal/dev/release.go
+++ b/internal/dev/release.go
@@ -10,10 +10,11 @@
 	"github.com/redwingnotch/redwingnotch/release"
 )
 
-// Release is one version of the models in force.
+// Release is one version of the models and adapters in force.
 type Release struct {
-	Version uint64
-	Models  []fleet.Model
+	Version  uint64
+	Models   []fleet.Model
+	Adapters []fleet.Adapter
 }
 
 // The models of the deployment.
@@ -32,6 +33,8 @@
 	modelLoadTime = 800 * time.Millisecond
 	modelSlots    = 8
 	burstSlots    = 64
+	adapterCount  = 40
+	adapterMemory = 8 << 20
 )
 
 func model(id fleet.ModelID, replicas, slots int) fleet.Model {
@@ -56,7 +59,7 @@
 	}}
 }
 
-// SecondRelease adds one model and withdraws another.
+// SecondRelease adds one model and adapters, and withdraws another model.
 func SecondRelease() Release {
 	r := FirstRelease()
 	r.Version = 2
@@ -66,6 +69,14 @@
 		}
 	}
 	r.Models = append(r.Models, model(ModelCollar, 1, modelSlots))
+	for i := range adapterCount {
+		r.Adapters = append(r.Adapters, fleet.Adapter{
+			Model:       ModelLathe,
+			ID:          fleet.AdapterID(fmt.Sprintf("workshop-%d", i+1)),
+			Version:     "v1",
+			MemoryBytes: adapterMemory,
+		})
+	}
 	return r
 }
 
@@ -90,6 +101,12 @@
 		fmt.Fprintf(&text, "  - {id: %s, version: %s, replicas: {%s: %d}, memory: %dMiB, load_time: %s, slots: %d}\n",
 			m.ID, m.Version, Cell, m.MaxReplicas, m.MemoryBytes>>20, m.LoadTime, m.Slots)
 	}
+	if len(r.Adapters) > 0 {
+		text.WriteString("adapters:\n")
+	}
+	for _, a := range r.Adapters {
+		fmt.Fprintf(&text, "  - {model: %s, id: %s, version: %s, memory: %dMiB}\n", a.Model, a.ID, a.Version, a.MemoryBytes>>20)
+	}
 	if len(withdrawn) > 0 {
 		fmt.Fprintf(&text, "withdraw: {models: [%s]}\n", strings.Join(withdrawn, ", "))
 	}
