rwnctl: status says so if no node answered

Cause: it said that a version was in force at 0 of 0 live nodes. Change: it says that this is not known; a model without ranks shows as all. Conclusion: no guess where nothing is known.

--- a/internal/rwnctl/read.go
+++ b/internal/rwnctl/read.go
@@ -153,8 +153,10 @@
 	} else {
 		fmt.Fprintf(w, "accepted: not known, platform: %s\n", s.Platform)
 	}
-	fmt.Fprintf(w, "version %d is in force at %d of %d live nodes\n", s.InForce, s.Reached, s.Live)
-	if len(s.Nodes) > 0 {
+	if len(s.Nodes) == 0 {
+		fmt.Fprintln(w, "where it is in force is not known, as no node answered")
+	} else {
+		fmt.Fprintf(w, "version %d is in force at %d of %d live nodes\n", s.InForce, s.Reached, s.Live)
 		fmt.Fprintf(w, "\nNODE\tZONE\tSTATE\tVERSION\tAS OF\tIN FORCE SINCE\tVIEW\n")
 	}
 	for _, n := range s.Nodes {
--- a/internal/rwnctl/rwnctl_test.go
+++ b/internal/rwnctl/rwnctl_test.go
@@ -183,6 +183,7 @@
 	got = c.run("--nodes", "127.0.0.1:1", "--platform-url", "x", "status")
 	assert.Equal(t, got.code, rwnctl.ExitOK, "the platform alone does")
 	assert.Assert(t, strings.Contains(got.out, "not asked: node unreachable"), got.out)
+	assert.Assert(t, strings.Contains(got.out, "where it is in force is not known"), got.out)
 }
 
 func TestExplain(t *testing.T) {
--- a/release/merge.go
+++ b/release/merge.go
@@ -198,6 +198,9 @@
 }
 
 func ranksText(ranks []fleet.Rank) string {
+	if len(ranks) == 0 {
+		return "all"
+	}
 	parts := make([]string, len(ranks))
 	for i, r := range ranks {
 		parts[i] = r.String()
