--- a/release/follow_test.go
+++ b/release/follow_test.go
@@ -364,3 +364,26 @@
 	runtime.ReadMemStats(&m)
 	return int64(m.HeapAlloc)
 }
+
+// BenchmarkScaleReplicaTick gives the time of one tick of a node's view among N
+// members, the table of members taken over anew.
+func BenchmarkScaleReplicaTick(b *testing.B) {
+	for _, nodes := range []int{8, 80, 780} {
+		b.Run(fmt.Sprintf("N=%d", nodes), func(b *testing.B) {
+			now := time.Unix(1_700_000_000, 0)
+			r := NewReplica(now, "entry-000", "zone-0", DefaultReplicaSettings(), rand.New(rand.NewPCG(1, 1)))
+			var peers []Peer
+			for i := 1; i < nodes; i++ {
+				zone := fleet.AvailabilityZone(fmt.Sprintf("zone-%d", i%10))
+				peers = append(peers, Peer{ID: fleet.NodeID(fmt.Sprintf("entry-%03d", i)), Zone: zone, HeardAt: now})
+			}
+			b.ReportAllocs()
+			b.ResetTimer()
+			for i := range b.N {
+				at := now.Add(time.Duration(i) * membership.TickInterval)
+				r.SetPeers(at, peers)
+				r.Tick(at)
+			}
+		})
+	}
+}
