--- a/admission/backend.go
+++ b/admission/backend.go
@@ -32,7 +32,16 @@
 	foreignAt time.Time
 	finished  []finishedGrant
 	usage     slotAccount
-	downUntil time.Time // gets no work before, as a crash was reported
+	downUntil time.Time                   // gets no work before, as a crash was reported
+	paused    map[fleet.ModelID]time.Time // replicas that get no work before
+}
+
+// pause keeps work from a replica until the time given.
+func (b *backendState) pause(m fleet.ModelID, until time.Time) {
+	if b.paused == nil {
+		b.paused = make(map[fleet.ModelID]time.Time)
+	}
+	b.paused[m] = until
 }
 
 // finishedGrant is a grant that ended lately.
@@ -56,6 +65,12 @@
 	return r.State == fleet.ReplicaReady && !r.Draining
 }
 
+// takes reports whether the replica may get a request now.
+func (r *replicaState) takes(now time.Time) bool {
+	b := r.backend
+	return r.serves() && !now.Before(b.downUntil) && !now.Before(b.paused[r.Model])
+}
+
 // total returns the capacity units in use.
 func (b *backendState) total() int {
 	sum := b.foreign
--- a/admission/model.go
+++ b/admission/model.go
@@ -156,6 +156,7 @@
 			b.finished = before.finished
 			b.usage = before.usage
 			b.downUntil = before.downUntil
+			b.paused = before.paused
 		}
 		q.backends[key] = b
 	}
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -72,7 +72,7 @@
 		if r.Attempt <= g.request.Attempt {
 			return grantDecision(g)
 		}
-		q.finishGrant(now, g, Finish{GrantID: g.terms.ID, Outcome: FinishNotRun})
+		q.finishGrant(now, g, Finish{GrantID: g.terms.ID, Outcome: FinishCancelled})
 	}
 	if w := q.waiters[r.ID]; w != nil {
 		w.offered = now
@@ -231,6 +231,7 @@
 		delete(q.granted, g.request.ID)
 	}
 	q.settle(now, g, f)
+	q.holdBack(now, g, f.Outcome)
 	q.clearSuspicion(now, g, f)
 	if r := g.replica; r != nil {
 		r.running--
@@ -276,15 +277,27 @@
 		}
 	}
 	q.settings.Quarantine.Crash(now, report)
-	if b := q.backends[bootKey{report.Backend, report.Boot}]; b != nil {
+}
+
+// Times for which a replica that failed a grant gets no work, so that requests
+// are not sent there again and again until its next report.
+const (
+	crashPause  = 15 * time.Second       // the whole boot; its successor has another boot id
+	notRunPause = 500 * time.Millisecond // the replica
+)
+
+// holdBack keeps work from a replica that crashed or did not take a request.
+func (q *Queue) holdBack(now time.Time, g *grantState, outcome FinishOutcome) {
+	b := q.backends[bootKey{g.terms.Replica.Backend, g.terms.Replica.Boot}]
+	switch {
+	case b == nil:
+	case outcome == FinishCrashed:
 		b.downUntil = now.Add(crashPause)
+	case outcome == FinishNotRun:
+		b.pause(g.terms.Replica.Model, now.Add(notRunPause))
 	}
 }
 
-// crashPause is how long a boot that is said to have crashed gets no work. Its
-// successor has another boot id and is not held up.
-const crashPause = 15 * time.Second
-
 // EntryLost ends what an entry node of the incarnation or an older one asked
 // for, as nobody waits for it.
 func (q *Queue) EntryLost(now time.Time, node fleet.NodeID, inc fleet.Incarnation) {
--- a/admission/queue_test.go
+++ b/admission/queue_test.go
@@ -216,3 +216,16 @@
 	assert.Equal(t, demands[0].Pressure(), 1)
 	assert.Equal(t, len(q.Demands(start.Add(time.Hour))), 0)
 }
+
+// A replica that did not take a request is not asked again at once.
+func TestReplicaThatTookNothingIsPaused(t *testing.T) {
+	q := newQueue(replica(1, "m", 4))
+	d := q.Offer(start, request("a", fleet.RankUrgent))
+	finish(q, start, d, admission.FinishNotRun)
+	again := request("a", fleet.RankUrgent)
+	again.Attempt = 1
+	assert.Equal(t, q.Offer(start, again).Kind, admission.Wait)
+	decided := q.Tick(start.Add(500 * time.Millisecond))
+	assert.Equal(t, len(decided), 1)
+	assert.Equal(t, decided[0].Kind, admission.Grant)
+}
--- a/admission/serve.go
+++ b/admission/serve.go
@@ -15,7 +15,7 @@
 		if len(m.targets) == 0 {
 			return
 		}
-		if r.serves() {
+		if r.takes(now) {
 			q.serveBackend(now, r.backend)
 		}
 	}
@@ -24,12 +24,9 @@
 // serveBackend grants free slots of a backend server until none is left or
 // nothing that it can run waits.
 func (q *Queue) serveBackend(now time.Time, b *backendState) {
-	if now.Before(b.downUntil) {
-		return
-	}
 	b.usage.decay(now, q.settings.FloorWindow)
 	for {
-		w, fallback := q.pick(b)
+		w, fallback := q.pick(now, b)
 		if w == nil {
 			return
 		}
@@ -56,11 +53,11 @@
 
 // pick returns the waiter that a backend server should run next with the
 // replica to run it on, or nil.
-func (q *Queue) pick(b *backendState) (*waiter, *replicaState) {
+func (q *Queue) pick(now time.Time, b *backendState) (*waiter, *replicaState) {
 	var best [fleet.RankCount]*waiter
 	var on [fleet.RankCount]*replicaState
 	for _, r := range b.replicas {
-		if !r.serves() {
+		if !r.takes(now) {
 			continue
 		}
 		for _, t := range q.models[r.Model].targets {
@@ -179,7 +176,7 @@
 
 // mayRun reports whether the replica can run the waiter now.
 func (q *Queue) mayRun(now time.Time, w *waiter, r *replicaState) bool {
-	if !r.serves() || !r.hasAdapter(w.Target.Adapter) || now.Before(r.backend.downUntil) {
+	if !r.takes(now) || !r.hasAdapter(w.Target.Adapter) {
 		return false
 	}
 	if !r.backend.admits(w.Rank, r.cost(), &q.limits) {
--- /dev/null
+++ b/internal/policybench/run_test.go
@@ -0,0 +1,54 @@
+package policybench_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/redwingnotch/redwingnotch/admission"
+	"github.com/redwingnotch/redwingnotch/internal/policybench"
+	"github.com/redwingnotch/redwingnotch/keepwarm"
+	"github.com/redwingnotch/redwingnotch/quarantine"
+)
+
+// small returns a deployment that runs in a moment.
+func small() policybench.Deployment {
+	d := policybench.Naipes(admission.DefaultSettings(), keepwarm.DefaultSettings())
+	d.Servers, d.Models, d.Adapters = 4, 12, 6
+	return d
+}
+
+// scenario returns the named course of events, cut to its first hour.
+func scenario(t *testing.T, name string) policybench.Scenario {
+	for _, s := range policybench.Scenarios() {
+		if s.Name == name {
+			s.Length = min(s.Length, time.Hour)
+			return s
+		}
+	}
+	t.Fatalf("no scenario %s", name)
+	return policybench.Scenario{}
+}
+
+func TestRunsAreRepeatableAndLoseNothing(t *testing.T) {
+	for _, name := range []string{"ordinary-day", "reclaimed-third", "poison"} {
+		for i, p := range policybench.Compared(small()) {
+			row := policybench.Run(small(), scenario(t, name), p).Row()
+			again := policybench.Run(small(), scenario(t, name), policybench.Compared(small())[i]).Row()
+			assert.DeepEqual(t, row, again)
+			assert.Equal(t, row.Lost+row.Duplicates+row.FalseNotRun, 0, "%s %s: %+v", name, p.Name, row)
+		}
+	}
+}
+
+func TestPoisonCostsTwoServers(t *testing.T) {
+	for _, p := range policybench.Compared(small()) {
+		row := policybench.Run(small(), scenario(t, "poison"), p).Row()
+		if p.Name == policybench.PolicyNaive {
+			assert.Assert(t, row.ServersLost > quarantine.MaxCrashes, "the poison request does no harm: %+v", row)
+			continue
+		}
+		assert.Assert(t, row.ServersLost <= quarantine.MaxCrashes, "%s: %+v", p.Name, row)
+	}
+}
