--- a/admission/estimate.go
+++ b/admission/estimate.go
@@ -130,7 +130,7 @@
 	}
 	drained += m.learnt.firstTokenTime(now)
 	if w.overdue || now.Add(drained).After(w.target) {
-		n := 1 + m.overdue(w.Rank)
+		n := m.overdue(w.Rank)
 		drained = max(drained, m.lateness[w.Rank].wait(now, n, w.Deadline.Sub(w.Arrival)))
 	}
 	return drained, true
--- a/admission/export_test.go
+++ b/admission/export_test.go
@@ -8,7 +8,7 @@
 	m := q.model(r.Target.Model)
 	q.normalise(now, &r)
 	w := &waiter{Request: r, offered: now}
-	q.enqueue(m, w)
+	q.enqueue(now, m, w)
 	m.replicas[0].Draining = true
 	q.grant(now, w, m.replicas[0])
 }
--- a/admission/overdue.go
+++ b/admission/overdue.go
@@ -19,7 +19,7 @@
 // slot. It is zero, for unknown, as long as others got slots lately.
 func (o *overdueRate) wait(now time.Time, ahead int, allowance time.Duration) time.Duration {
 	starved := now.Sub(o.since)
-	if o.since.IsZero() || starved < time.Duration(starvedShare*float64(allowance)) {
+	if ahead == 0 || starved < time.Duration(starvedShare*float64(allowance)) {
 		return 0
 	}
 	return time.Duration(ahead) * starved
@@ -37,14 +37,18 @@
 // makeOverdue moves a queued waiter to those that missed their target.
 func (q *Queue) makeOverdue(now time.Time, m *modelState, w *waiter) {
 	m.remove(w)
-	late := &m.lateness[w.Rank]
-	if m.overdue(w.Rank) == 0 {
-		late.since = now
-	}
 	w.overdue = true
+	m.noteOverdue(now, w)
 	m.add(w, q.settings.FIFO)
 }
 
+// noteOverdue starts the account of a rank's overdue waiters with the first.
+func (m *modelState) noteOverdue(now time.Time, w *waiter) {
+	if w.overdue && m.overdue(w.Rank) == 0 {
+		m.lateness[w.Rank].since = now
+	}
+}
+
 // overdue returns the number of overdue waiters of the rank.
 func (m *modelState) overdue(rank fleet.Rank) int {
 	n := 0
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -95,7 +95,7 @@
 		q.noteRefused(now, &r, CodeOverloaded)
 		return refuseDecision(&r, Refusal{Code: CodeOverloaded, Detail: "the queue is full", RetryAfter: overloadRetry})
 	}
-	q.enqueue(m, w)
+	q.enqueue(now, m, w)
 	q.serveModel(now, m)
 	if g := q.granted[r.ID]; g != nil {
 		q.takeReady(r.ID)
@@ -119,12 +119,13 @@
 }
 
 // enqueue puts a waiter into its queue.
-func (q *Queue) enqueue(m *modelState, w *waiter) {
+func (q *Queue) enqueue(now time.Time, m *modelState, w *waiter) {
 	q.waiters[w.ID] = w
 	q.waiting[w.Rank]++
 	if last := m.last[w.Target.Adapter]; w.Arrival.After(last) {
 		m.last[w.Target.Adapter] = w.Arrival
 	}
+	m.noteOverdue(now, w)
 	m.add(w, q.settings.FIFO)
 	q.demanded[w.Target.Model] = struct{}{}
 }
--- a/admission/queue_test.go
+++ b/admission/queue_test.go
@@ -229,3 +229,29 @@
 	assert.Equal(t, len(decided), 1)
 	assert.Equal(t, decided[0].Kind, admission.Grant)
 }
+
+// A burst that waits for a load misses its target without any overload, however
+// long ago the model was last overloaded.
+func TestBurstAfterAnOldOverloadIsNotRefused(t *testing.T) {
+	q := newQueue(replica(1, "m", 1))
+	running := q.Offer(start, request("running", fleet.RankStandard))
+	for i := range 3 {
+		q.Offer(start, request(fmt.Sprint("first-", i), fleet.RankStandard))
+	}
+	now := start.Add(20 * time.Second) // past the target of 15 s
+	q.Tick(now)
+	for range 4 {
+		now = now.Add(3 * time.Second)
+		finish(q, now, running, admission.FinishOK)
+		if decided := q.Decided(); len(decided) > 0 {
+			running = decided[0]
+		}
+	}
+	now = now.Add(time.Hour)
+	q.Offer(now, request("again", fleet.RankStandard))
+	for i := range 20 {
+		late := request(fmt.Sprint("late-", i), fleet.RankStandard)
+		late.Arrival = now.Add(-16 * time.Second)
+		assert.Equal(t, q.Offer(now, late).Kind, admission.Wait)
+	}
+}
