--- a/controller/reports.go
+++ b/controller/reports.go
@@ -20,6 +20,12 @@
 // HandleReport takes in a report and the time of the Tick that requested it. A
 // report is one snapshot of boot, epoch and replicas; it may lag.
 func (c *Core) HandleReport(now time.Time, requestedAt time.Time, r engine.Report) {
+	c.handleReport(now, requestedAt, r, false)
+}
+
+// handleReport takes in a report. A fresh one was made when an order was
+// accepted and does not lag.
+func (c *Core) handleReport(now time.Time, requestedAt time.Time, r engine.Report, fresh bool) {
 	if !c.inOffice {
 		return
 	}
@@ -31,22 +37,26 @@
 	if b == nil || requestedAt.Before(c.officeAt) || !c.acceptBoot(now, b, requestedAt, r.Boot) {
 		return
 	}
-	fenced := !b.row.Fencing || r.Epoch == c.epoch
-	if b.raised && !fenced {
+	b.answeredAt = now
+	if b.raised && b.row.Fencing && r.Epoch != c.epoch {
 		return // made before the raise
 	}
-	if fenced {
-		c.confirm(now, b, requestedAt)
+	// What is as old as what is known may be its forerunner within the same
+	// instant: it proves no absence, and counts only as the answer to an order.
+	newer := r.MeasuredAt.After(b.measuredAt)
+	if !newer && !(fresh && r.MeasuredAt.Equal(b.measuredAt)) {
+		return
 	}
-	if !r.MeasuredAt.After(b.measuredAt) {
-		return // as old as what is known, which may be the answer to an order
+	if fresh && (!b.row.Fencing || r.Epoch == c.epoch) {
+		c.confirm(now, b, requestedAt)
 	}
 	b.measuredAt = r.MeasuredAt
-	c.takeContent(now, b, r)
+	c.takeContent(now, b, r, newer)
 }
 
 // confirm notes that the engine takes no orders of an earlier office at this
-// boot, and when that was read.
+// boot, and when that was asked. Only an answer to an order tells: a report that
+// lags may be older than the orders of another controller.
 func (c *Core) confirm(now time.Time, b *backend, requestedAt time.Time) {
 	if !b.raised {
 		b.raised = true
@@ -86,14 +96,16 @@
 		b.retired = append(b.retired, retiredBoot{boot: b.boot, at: c.afterTick(now)})
 		b.retired = b.retired[max(0, len(b.retired)-maxRetiredBoots):]
 	}
-	for _, r := range sortedReplicas(b) {
+	for _, r := range slices.Clone(b.rows) {
 		c.removeReplica(b, r)
 	}
 	c.closeOrdersOf(b.row.ID)
 	b.restart(boot)
 }
 
-func (c *Core) takeContent(now time.Time, b *backend, r engine.Report) {
+// takeContent fills in what the report shows and, if it is newer than all
+// before it, removes what it does not show.
+func (c *Core) takeContent(now time.Time, b *backend, r engine.Report, newer bool) {
 	b.memory = r.Memory
 	b.leaving = r.Draining
 	clear(b.near)
@@ -103,9 +115,12 @@
 	shown := make(map[modelVersion]bool, len(r.Replicas))
 	for _, lr := range r.Replicas {
 		shown[modelVersion{lr.Model, lr.Version}] = true
-		c.takeReplica(now, b, lr)
+		c.takeReplica(now, b, lr, newer)
+	}
+	if !newer {
+		return
 	}
-	for _, row := range sortedReplicas(b) {
+	for _, row := range slices.Clone(b.rows) {
 		if !shown[modelVersion{row.key.Model, row.key.Version}] {
 			c.takeAbsence(now, b, row, r)
 		}
@@ -126,22 +141,22 @@
 	c.removeReplica(b, row)
 }
 
-func (c *Core) takeReplica(now time.Time, b *backend, lr engine.LoadedReplica) {
+func (c *Core) takeReplica(now time.Time, b *backend, lr engine.LoadedReplica, newer bool) {
 	row := b.replicas[modelVersion{lr.Model, lr.Version}]
 	if row == nil {
 		row = c.foundReplica(now, b, lr)
 	}
 	if !row.seen {
 		row.seen = true
-		delete(c.open, row.orderID) // carried out
+		c.closeOrder(row.orderID) // carried out
 	}
-	row.memory = max(row.memory, lr.Memory)
+	row.reported = lr.Memory
 	row.running, row.waiting = lr.Running, lr.Waiting
 	if !row.idle() {
 		row.lastUsed = now
 	}
 	c.takeState(now, b, row, lr)
-	c.takeAdapters(now, row, lr.Adapters)
+	c.takeAdapters(now, row, lr.Adapters, newer)
 }
 
 func (c *Core) takeState(now time.Time, b *backend, row *replica, lr engine.LoadedReplica) {
@@ -173,7 +188,7 @@
 	row := &replica{
 		key:      fleet.ReplicaKey{Backend: b.row.ID, Boot: b.boot, Model: lr.Model, Version: lr.Version},
 		state:    max(lr.State, fleet.ReplicaLoading),
-		memory:   max(lr.Memory, m.MemoryBytes),
+		memory:   m.MemoryBytes,
 		slots:    max(1, m.Slots),
 		lastUsed: now,
 		readyAt:  now,
@@ -186,14 +201,14 @@
 	return row
 }
 
-func (c *Core) takeAdapters(now time.Time, row *replica, ids []fleet.AdapterID) {
+func (c *Core) takeAdapters(now time.Time, row *replica, ids []fleet.AdapterID, newer bool) {
 	shown := make(map[fleet.AdapterID]bool, len(ids))
 	for _, id := range ids {
 		shown[id] = true
 		c.takeAdapter(now, row, id)
 	}
 	for id, a := range row.adapters {
-		if a.resident && !shown[id] {
+		if newer && a.resident && !shown[id] {
 			c.removeAdapter(row, id, a)
 		}
 	}
@@ -211,6 +226,6 @@
 	}
 	a.resident = true
 	a.lastUsed = now
-	delete(c.open, a.orderID)
+	c.closeOrder(a.orderID)
 	c.budget.EndAdapter(a.orderID)
 }
--- a/internal/node/cell.go
+++ b/internal/node/cell.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -38,8 +37,8 @@
 	waiting    map[string]struct{}                // ids of requests that wait
 	told       map[string]uint64                  // versions of quarantine items told to the members
 
-	blocked       atomic.Pointer[[]controller.Blocked] // at the last tick
-	blockedLogged time.Time                            // used by tick only
+	blocked       []controller.Blocked // at the last tick
+	blockedLogged time.Time            // used by tick only
 }
 
 func newCell(n *Node) *cell {
@@ -124,6 +123,24 @@
 	c.release = current.version
 	c.controller.SetRelease(now, current.version, current.models, current.adapters)
 	c.queue.SetModels(now, current.models, current.adapters)
+	settings := rankTerms(c.node.cfg.Admission, current.ranks)
+	if err := settings.Validate(); err != nil {
+		level.Error(c.node.cfg.Log).Log("event", "rank_terms_ignored", "version", current.version, "err", err)
+		return
+	}
+	c.queue.SetRanks(settings.Ranks)
+}
+
+// rankTerms returns the node's own settings with what the release overrides.
+func rankTerms(s admission.Settings, overrides []release.RankSettings) admission.Settings {
+	for _, o := range overrides {
+		terms := &s.Ranks[o.Rank]
+		if o.Target > 0 {
+			terms.FirstTokenTarget = o.Target
+		}
+		terms.Floor, terms.Worth = o.Floor, o.Worth
+	}
+	return s
 }
 
 func (c *cell) setBackends(records []platform.VMRecord, asOf time.Time) {
@@ -191,14 +208,3 @@
 	}
 	return estimates
 }
-
-// refused returns how long quarantine refuses the content; zero if it does not.
-func (c *cell) refused(now time.Time, model fleet.ModelID, hash fleet.ContentHash) time.Duration {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	key := quarantine.Key{Model: model, Hash: hash}
-	if c.quarantine.Verdict(now, key) != quarantine.Refuse {
-		return 0
-	}
-	return c.quarantine.RetryAfter(now, key)
-}
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -9,12 +9,13 @@
 	"time"
 
 	"github.com/redwingnotch/redwingnotch/engine"
-	"github.com/redwingnotch/redwingnotch/fleet"
 	"github.com/redwingnotch/redwingnotch/internal/entry"
-	"github.com/redwingnotch/redwingnotch/internal/operators"
 	"github.com/redwingnotch/redwingnotch/peer"
 )
 
+// HeaderSecret carries the secret that all nodes of a deployment share.
+const HeaderSecret = "Redwingnotch-Secret"
+
 // peerHeaderTimeout is the time for another node to send a request header.
 const peerHeaderTimeout = 2 * time.Second
 
@@ -26,7 +27,7 @@
 		Zone:         n.cfg.Zone,
 		Grants:       n.peers,
 		Catalog:      n.catalog,
-		Verdict:      verdict{n.cell},
+		Quarantine:   n.cell,
 		Engine:       func(address string) engine.Engine { return n.backends.engine(address) },
 		Keys:         n.keys,
 		Services:     n.backends,
@@ -43,14 +44,6 @@
 	}
 }
 
-// verdict implements entry.Verdict.
-type verdict struct{ cell *cell }
-
-// Refused implements entry.Verdict.
-func (v verdict) Refused(now time.Time, model fleet.ModelID, hash fleet.ContentHash) time.Duration {
-	return v.cell.refused(now, model, hash)
-}
-
 func (n *Node) newCallerServer() *http.Server {
 	return &http.Server{
 		Handler:           n.entry,
@@ -67,8 +60,6 @@
 	mux.Handle(peer.KeysPathPrefix, peer.NewKeysServer(keyServer{n}))
 	mux.Handle(peer.ReleasePathPrefix, peer.NewReleaseServer(n.releases))
 	mux.HandleFunc("GET "+identityPath, n.serveIdentity)
-	mux.HandleFunc("GET "+operators.PathStatus, n.serveStatus)
-	mux.HandleFunc("GET "+operators.PathExplain+"{id}", n.serveExplain)
 	return &http.Server{
 		Handler:           n.requireSecret(mux),
 		ReadHeaderTimeout: peerHeaderTimeout,
@@ -79,7 +70,7 @@
 // requireSecret refuses calls that don't bear the deployment's secret.
 func (n *Node) requireSecret(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		given := r.Header.Get(operators.HeaderSecret)
+		given := r.Header.Get(HeaderSecret)
 		if subtle.ConstantTimeCompare([]byte(given), n.cfg.Secret) != 1 {
 			http.Error(w, "peers must bear the deployment's secret", http.StatusUnauthorized)
 			return
--- a/lease/core.go
+++ b/lease/core.go
@@ -81,7 +81,8 @@
 type pendingWrite struct {
 	Write
 	record   Record
-	attempts int  // times sent
+	attempts int // times sent
+	sentAt   time.Time
 	sent     bool // an answer is outstanding
 	unknown  bool // the answer was lost; a read settles it
 }
@@ -176,7 +177,7 @@
 	c.reading = false
 	absent := errors.Is(err, platform.ErrNotFound)
 	if err != nil && !absent {
-		c.silent(now)
+		c.silent(c.lastRead)
 		return
 	}
 	if absent {
@@ -230,7 +231,7 @@
 func (c *Core) take(now time.Time, r Record, version uint64) {
 	invariant.Check(r.Epoch >= c.record.Epoch && r.Granted >= c.record.Granted, invariant.EpochMonotonic,
 		"cell %s: record epoch %d after %d", c.cell, r.Epoch, c.record.Epoch)
-	if c.known && r.Epoch > c.record.Epoch && r.Holder != c.self {
+	if c.known && c.version != 0 && r.Epoch > c.record.Epoch && r.Holder != c.self {
 		c.claimedAt = now
 	}
 	c.record, c.version, c.known = r, version, true
@@ -254,6 +255,8 @@
 		c.contact(now)
 		c.pending = nil
 		c.take(now, p.record, version)
+	case errors.Is(err, platform.ErrUnknown):
+		c.unknownWrite(p)
 	case errors.Is(err, platform.ErrConflict):
 		c.contact(now)
 		// Settled by the next read: an earlier sending of the same write may
@@ -262,15 +265,19 @@
 		c.stale = true
 		c.readWanted = true
 	case errors.Is(err, platform.ErrUnavailable), errors.Is(err, platform.ErrBudget):
-		c.silent(now)
+		c.silent(p.sentAt)
 		c.dropUnsent(p)
 	default:
-		c.silent(now)
-		p.unknown = true
-		c.readWanted = true
+		c.unknownWrite(p)
 	}
 }
 
+func (c *Core) unknownWrite(p *pendingWrite) {
+	c.silent(p.sentAt)
+	p.unknown = true
+	c.readWanted = true
+}
+
 // dropUnsent forgets a write that is known not to have taken effect. A write
 // of which an earlier sending may have taken effect is kept.
 func (c *Core) dropUnsent(p *pendingWrite) {
@@ -289,9 +296,10 @@
 	c.silentSince = time.Time{}
 }
 
-func (c *Core) silent(now time.Time) {
-	if c.silentSince.IsZero() {
-		c.silentSince = now
+// silent notes that a call made at that time was not answered.
+func (c *Core) silent(madeAt time.Time) {
+	if c.silentSince.IsZero() && madeAt.After(c.lastContact) {
+		c.silentSince = madeAt
 	}
 }
 
