--- a/admission/queue.go
+++ b/admission/queue.go
@@ -157,19 +157,24 @@
 	q.dequeue(w)
 }
 
-// makeRoom refuses a waiter of the lowest rank below the given one, from the
-// longest queue, and reports whether there was one.
+// makeRoom refuses a waiter of the rank of least worth, from its longest queue,
+// if that is worth less than the given rank, and reports whether it did.
 func (q *Queue) makeRoom(now time.Time, rank fleet.Rank) bool {
-	for lowest := fleet.Rank(fleet.RankCount - 1); lowest > rank; lowest-- {
-		if q.waiting[lowest] == 0 {
-			continue
-		}
-		if w := q.lastOf(lowest); w != nil {
-			q.refuse(now, w, Refusal{Code: CodeOverloaded, Detail: "displaced by more urgent work", RetryAfter: overloadRetry})
-			return true
+	least := rank
+	for r, n := range q.waiting {
+		if n > 0 && q.settings.Ranks[r].Worth < q.settings.Ranks[least].Worth {
+			least = fleet.Rank(r)
 		}
 	}
-	return false
+	if least == rank {
+		return false
+	}
+	w := q.lastOf(least)
+	if w == nil {
+		return false
+	}
+	q.refuse(now, w, Refusal{Code: CodeOverloaded, Detail: "displaced by work of more worth", RetryAfter: overloadRetry})
+	return true
 }
 
 // lastOf returns a late waiter of the longest queue of the rank.
--- a/admission/queue_test.go
+++ b/admission/queue_test.go
@@ -255,3 +255,17 @@
 		assert.Equal(t, q.Offer(now, late).Kind, admission.Wait)
 	}
 }
+
+func TestFullQueueMakesRoomForMoreWorth(t *testing.T) {
+	s := admission.DefaultSettings()
+	s.MaxWaiting = 2
+	q := admission.New(s)
+	assert.Equal(t, q.Offer(start, request("bulk", fleet.RankBulk)).Kind, admission.Wait)
+	assert.Equal(t, q.Offer(start, request("standard", fleet.RankStandard)).Kind, admission.Wait)
+	assert.Equal(t, q.Offer(start, request("urgent", fleet.RankUrgent)).Kind, admission.Wait)
+	decided := q.Decided()
+	assert.Equal(t, len(decided), 1)
+	assert.Equal(t, decided[0].RequestID, "bulk")
+	assert.Equal(t, decided[0].Refusal.Code, admission.CodeOverloaded)
+	assert.Equal(t, q.Offer(start, request("more", fleet.RankBulk)).Refusal.Code, admission.CodeOverloaded)
+}
--- a/internal/policybench/world.go
+++ b/internal/policybench/world.go
@@ -63,10 +63,7 @@
 	loader       Loader
 	calls        map[string]*call // without an outcome
 	waiting      int              // calls without a grant
-	grants       map[string]*call // dispatched, by grant id
 	tickAt       time.Time        // next tick
-	reportAt     time.Time
-	lastBusy     time.Time
 	result       *Result
 	measuring    bool
 	measuredFrom time.Time
