--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -8,7 +8,6 @@
 	"math/big"
 	mathrand "math/rand/v2"
 	"net/http"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -44,7 +43,7 @@
 
 	callerServer *http.Server
 	peerServer   *http.Server
-	background   sync.WaitGroup // short tasks that a stop waits for
+	background   tasks // short tasks that a stop waits for
 	stopping     atomic.Bool
 	halt         context.CancelFunc // ends the loops
 	halted       context.Context
