--- a/admission/queue.go
+++ b/admission/queue.go
@@ -72,7 +72,7 @@
 		if r.Attempt <= g.request.Attempt {
 			return grantDecision(g)
 		}
-		q.finishGrant(now, g, Finish{GrantID: g.terms.ID, Outcome: FinishNotRun})
+		q.finishGrant(now, g, Finish{GrantID: g.terms.ID, Outcome: FinishCancelled})
 	}
 	if w := q.waiters[r.ID]; w != nil {
 		w.offered = now
@@ -95,7 +95,7 @@
 		q.noteRefused(now, &r, CodeOverloaded)
 		return refuseDecision(&r, Refusal{Code: CodeOverloaded, Detail: "the queue is full", RetryAfter: overloadRetry})
 	}
-	q.enqueue(m, w)
+	q.enqueue(now, m, w)
 	q.serveModel(now, m)
 	if g := q.granted[r.ID]; g != nil {
 		q.takeReady(r.ID)
@@ -119,12 +119,13 @@
 }
 
 // enqueue puts a waiter into its queue.
-func (q *Queue) enqueue(m *modelState, w *waiter) {
+func (q *Queue) enqueue(now time.Time, m *modelState, w *waiter) {
 	q.waiters[w.ID] = w
 	q.waiting[w.Rank]++
 	if last := m.last[w.Target.Adapter]; w.Arrival.After(last) {
 		m.last[w.Target.Adapter] = w.Arrival
 	}
+	m.noteOverdue(now, w)
 	m.add(w, q.settings.FIFO)
 	q.demanded[w.Target.Model] = struct{}{}
 }
@@ -156,19 +157,24 @@
 	q.dequeue(w)
 }
 
-// makeRoom refuses a waiter of the lowest rank below the given one, from the
-// longest queue, and reports whether there was one.
+// makeRoom refuses a waiter of the rank of least worth, from its longest queue,
+// if that is worth less than the given rank, and reports whether it did.
 func (q *Queue) makeRoom(now time.Time, rank fleet.Rank) bool {
-	for lowest := fleet.Rank(fleet.RankCount - 1); lowest > rank; lowest-- {
-		if q.waiting[lowest] == 0 {
-			continue
-		}
-		if w := q.lastOf(lowest); w != nil {
-			q.refuse(now, w, Refusal{Code: CodeOverloaded, Detail: "displaced by more urgent work", RetryAfter: overloadRetry})
-			return true
+	least := rank
+	for r, n := range q.waiting {
+		if n > 0 && q.settings.Ranks[r].Worth < q.settings.Ranks[least].Worth {
+			least = fleet.Rank(r)
 		}
 	}
-	return false
+	if least == rank {
+		return false
+	}
+	w := q.lastOf(least)
+	if w == nil {
+		return false
+	}
+	q.refuse(now, w, Refusal{Code: CodeOverloaded, Detail: "displaced by work of more worth", RetryAfter: overloadRetry})
+	return true
 }
 
 // lastOf returns a late waiter of the longest queue of the rank.
@@ -231,6 +237,7 @@
 		delete(q.granted, g.request.ID)
 	}
 	q.settle(now, g, f)
+	q.holdBack(now, g, f.Outcome)
 	q.clearSuspicion(now, g, f)
 	if r := g.replica; r != nil {
 		r.running--
@@ -276,15 +283,27 @@
 		}
 	}
 	q.settings.Quarantine.Crash(now, report)
-	if b := q.backends[bootKey{report.Backend, report.Boot}]; b != nil {
+}
+
+// Times for which a replica that failed a grant gets no work, so that requests
+// are not sent there again and again until its next report.
+const (
+	crashPause  = 15 * time.Second       // the whole boot; its successor has another boot id
+	notRunPause = 500 * time.Millisecond // the replica
+)
+
+// holdBack keeps work from a replica that crashed or did not take a request.
+func (q *Queue) holdBack(now time.Time, g *grantState, outcome FinishOutcome) {
+	b := q.backends[bootKey{g.terms.Replica.Backend, g.terms.Replica.Boot}]
+	switch {
+	case b == nil:
+	case outcome == FinishCrashed:
 		b.downUntil = now.Add(crashPause)
+	case outcome == FinishNotRun:
+		b.pause(g.terms.Replica.Model, now.Add(notRunPause))
 	}
 }
 
-// crashPause is how long a boot that is said to have crashed gets no work. Its
-// successor has another boot id and is not held up.
-const crashPause = 15 * time.Second
-
 // EntryLost ends what an entry node of the incarnation or an older one asked
 // for, as nobody waits for it.
 func (q *Queue) EntryLost(now time.Time, node fleet.NodeID, inc fleet.Incarnation) {
--- a/admission/queue_test.go
+++ b/admission/queue_test.go
@@ -216,3 +216,56 @@
 	assert.Equal(t, demands[0].Pressure(), 1)
 	assert.Equal(t, len(q.Demands(start.Add(time.Hour))), 0)
 }
+
+// A replica that did not take a request is not asked again at once.
+func TestReplicaThatTookNothingIsPaused(t *testing.T) {
+	q := newQueue(replica(1, "m", 4))
+	d := q.Offer(start, request("a", fleet.RankUrgent))
+	finish(q, start, d, admission.FinishNotRun)
+	again := request("a", fleet.RankUrgent)
+	again.Attempt = 1
+	assert.Equal(t, q.Offer(start, again).Kind, admission.Wait)
+	decided := q.Tick(start.Add(500 * time.Millisecond))
+	assert.Equal(t, len(decided), 1)
+	assert.Equal(t, decided[0].Kind, admission.Grant)
+}
+
+// A burst that waits for a load misses its target without any overload, however
+// long ago the model was last overloaded.
+func TestBurstAfterAnOldOverloadIsNotRefused(t *testing.T) {
+	q := newQueue(replica(1, "m", 1))
+	running := q.Offer(start, request("running", fleet.RankStandard))
+	for i := range 3 {
+		q.Offer(start, request(fmt.Sprint("first-", i), fleet.RankStandard))
+	}
+	now := start.Add(20 * time.Second) // past the target of 15 s
+	q.Tick(now)
+	for range 4 {
+		now = now.Add(3 * time.Second)
+		finish(q, now, running, admission.FinishOK)
+		if decided := q.Decided(); len(decided) > 0 {
+			running = decided[0]
+		}
+	}
+	now = now.Add(time.Hour)
+	q.Offer(now, request("again", fleet.RankStandard))
+	for i := range 20 {
+		late := request(fmt.Sprint("late-", i), fleet.RankStandard)
+		late.Arrival = now.Add(-16 * time.Second)
+		assert.Equal(t, q.Offer(now, late).Kind, admission.Wait)
+	}
+}
+
+func TestFullQueueMakesRoomForMoreWorth(t *testing.T) {
+	s := admission.DefaultSettings()
+	s.MaxWaiting = 2
+	q := admission.New(s)
+	assert.Equal(t, q.Offer(start, request("bulk", fleet.RankBulk)).Kind, admission.Wait)
+	assert.Equal(t, q.Offer(start, request("standard", fleet.RankStandard)).Kind, admission.Wait)
+	assert.Equal(t, q.Offer(start, request("urgent", fleet.RankUrgent)).Kind, admission.Wait)
+	decided := q.Decided()
+	assert.Equal(t, len(decided), 1)
+	assert.Equal(t, decided[0].RequestID, "bulk")
+	assert.Equal(t, decided[0].Refusal.Code, admission.CodeOverloaded)
+	assert.Equal(t, q.Offer(start, request("more", fleet.RankBulk)).Refusal.Code, admission.CodeOverloaded)
+}
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -72,6 +72,11 @@
 		if end.kind != endOK {
 			req.note("attempt at %s: %s after %s, %d tokens: %v", g.backend, end.kind, end.duration, end.tokens, end.err)
 		}
+		if end.kind == endCrashed {
+			// The controller that made the grant may be gone, and a direct
+			// dispatch has none to tell.
+			h.cfg.Quarantine.Crashed(time.Now(), g.backend, g.boot, req.target.Model, req.hash)
+		}
 		if end.kind == endOK || end.kind == endCancelled {
 			h.finishGrant(req, g, end)
 		} else {
@@ -118,18 +123,15 @@
 		history.ran++
 		history.brokeAt = time.Now()
 	}
+	if end.kind == endCrashed {
+		history.crashes++
+	}
 	if answer.tokens > history.received {
 		history.received, history.version = answer.tokens, g.version
 	}
 	if !history.excludes(g.backend) {
 		history.excluded = append(history.excluded, string(g.backend))
 	}
-	if end.kind == endCrashed {
-		history.crashes++
-		// The controller that made the grant may be gone, and a direct dispatch
-		// has none to tell.
-		h.cfg.Quarantine.Crashed(time.Now(), g.backend, g.boot, req.target.Model, req.hash)
-	}
 	if ctx.Err() != nil || end.kind == endCancelled {
 		return history.amend(stopped(ctx, end.err))
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -137,7 +137,7 @@
 	n.halt()
 	n.closeListeners()
 	err := errors.Join(stopErr, ignoreCancel(group.Wait()))
-	n.background.Wait()
+	n.background.Close()
 	return err
 }
 
--- a/internal/tasks/tasks.go
+++ b/internal/tasks/tasks.go
@@ -9,12 +9,18 @@
 type Group struct {
 	mu      sync.Mutex
 	running int
+	closed  bool
 	idle    chan struct{} // closed when running falls to zero; nil while nobody waits
 }
 
-// Go runs f in a goroutine of its own as a task.
+// Go runs f in a goroutine of its own as a task, unless Close was called.
 func (g *Group) Go(f func()) {
-	g.Add()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.closed {
+		return
+	}
+	g.running++
 	go func() {
 		defer g.Done()
 		f()
@@ -54,6 +60,14 @@
 	<-idle
 }
 
+// Close returns when all tasks have ended. Tasks given from now on are not run.
+func (g *Group) Close() {
+	g.mu.Lock()
+	g.closed = true
+	g.mu.Unlock()
+	g.Wait()
+}
+
 // Running returns the number of tasks that run.
 func (g *Group) Running() int {
 	g.mu.Lock()
--- a/internal/tasks/tasks_test.go
+++ b/internal/tasks/tasks_test.go
@@ -1,6 +1,7 @@
 package tasks_test
 
 import (
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -28,3 +29,20 @@
 		assert.Equal(t, g.Running(), 0)
 	})
 }
+
+func TestTasksGivenAfterTheEndAreNotRun(t *testing.T) {
+	var g tasks.Group
+	var ran atomic.Int64
+	for range 8 {
+		g.Go(func() {
+			ran.Add(1)
+			g.Go(func() { ran.Add(1) }) // may come while Close waits
+		})
+	}
+	g.Close()
+	before := ran.Load()
+	assert.Assert(t, before >= 8)
+	g.Go(func() { ran.Add(1) })
+	g.Close()
+	assert.Equal(t, ran.Load(), before)
+}
