--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -331,3 +331,27 @@
 		}
 	})
 }
+
+// TestPlannedStopFinishesWhatWaitsAndRuns stops the node in office while a cold
+// request waits at it and an order runs through it.
+func TestPlannedStopFinishesWhatWaitsAndRuns(t *testing.T) {
+	inDeployment(t, 1, 3, func(t *testing.T, d *deployment) {
+		ordering := d.addService("s1", "ordering")
+		time.Sleep(2 * time.Second)
+		holder, _ := d.holder()
+		waiting, running := make(chan reply, 1), make(chan reply, 1)
+		go func() { waiting <- d.send(holder, "POST", "/v1/chat/completions", latheRequest) }()
+		go func() {
+			running <- d.send(holder, "POST", "/v1/services/ordering/orders", "spindle", "Idempotency-Key", "order-7")
+		}()
+		time.Sleep(loadTime / 4)
+		d.nodes[holder].stop()
+		assert.NilError(t, checkAnswer(<-waiting, "lathe", latheRequest))
+		got := <-running
+		assert.Equal(t, got.status, http.StatusOK, got.body)
+		assert.Equal(t, ordering.Runs("order-7"), 1)
+		assert.Equal(t, d.ledger.Loads("lathe"), 1)
+		assert.NilError(t, <-d.nodes[holder].err)
+		delete(d.nodes, holder)
+	})
+}
--- a/internal/telemetry/log.go
+++ b/internal/telemetry/log.go
@@ -12,6 +12,7 @@
 // and node, and drops events below the named level: debug, info, warn, error.
 func NewLogger(out io.Writer, node, least string) log.Logger {
 	logger := log.NewLogfmtLogger(log.NewSyncWriter(out))
-	logger = level.NewFilter(logger, level.Allow(level.ParseDefault(least, level.InfoValue())))
-	return log.With(logger, "ts", log.DefaultTimestampUTC, "node", node)
+	logger = log.With(logger, "ts", log.DefaultTimestampUTC, "node", node)
+	// The filter stands first, so that dropped events cost no time stamp.
+	return level.NewFilter(logger, level.Allow(level.ParseDefault(least, level.InfoValue())))
 }
