--- a/internal/policybench/world.go
+++ b/internal/policybench/world.go
@@ -43,6 +43,7 @@
 const (
 	busyTick     = 100 * time.Millisecond // while requests wait or loads run
 	idleTick     = 2 * time.Second
+	settleTime   = time.Second // after work, until lagging reports have shown its end
 	pollInterval = 5 * time.Second
 	reportEvery  = time.Second // by the naive loader
 )
@@ -65,6 +66,7 @@
 	waiting      int              // calls without a grant
 	tickAt       time.Time        // next tick
 	result       *Result
+	busyUntil    time.Time
 	measuring    bool
 	measuredFrom time.Time
 }
@@ -171,6 +173,9 @@
 func (w *world) tick() {
 	next := idleTick
 	if w.busy() {
+		w.busyUntil = w.now.Add(settleTime)
+	}
+	if w.now.Before(w.busyUntil) {
 		next = busyTick
 	}
 	effects := w.loader.Tick(w.now, w.queue.Demands(w.now), w.policies.Retention)
