--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -170,6 +170,22 @@
 	})
 }
 
+func TestUrgentRequestsAreDispatchedDirectlySooner(t *testing.T) {
+	for _, tc := range []struct {
+		rank string
+		wait time.Duration
+	}{{"urgent", 300 * time.Millisecond}, {"standard", 2 * time.Second}} {
+		inRig(t, func(t *testing.T, r *rig) {
+			r.grants.silent = true
+			r.grants.replicas = []fleet.Replica{{ReplicaKey: fleet.ReplicaKey{Backend: "b9", Model: "lathe"}, Address: "b9", State: fleet.ReplicaReady, Slots: 1}}
+			began := time.Now()
+			assert.Equal(t, r.chat(streamed, "Redwingnotch-Rank", tc.rank).body, answer)
+			assert.Equal(t, time.Since(began).Round(50*time.Millisecond), tc.wait, tc.rank)
+			assert.Equal(t, r.grants.outcomes(), "cancelled", "the place in the queue is given up")
+		})
+	}
+}
+
 // TestSuspectsAreNotDispatchedDirectly has a request that crashes its server
 // while no controller is there to be told.
 func TestSuspectsAreNotDispatchedDirectly(t *testing.T) {
@@ -254,6 +270,11 @@
 		assert.Assert(t, call.First)
 		assert.Equal(t, r.send(http.MethodPut, "/v1/services/ordering/x", "").status, 201, "PUT needs no key")
 		assert.Equal(t, r.send(http.MethodGet, "/v1/services/nope/x", "").status, 404)
+		// A node that has just started may not know the service yet.
+		code, outcome = r.send(http.MethodPost, "/v1/services/nope/x", "", "Idempotency-Key", "k1").code(t)
+		assert.Equal(t, code+" "+outcome, "unknown_service unknown")
+		code, outcome = r.send(http.MethodPost, "/v1/services/nope/x", "", "Idempotency-Key", "k9", "Redwingnotch-Attempt", "1").code(t)
+		assert.Equal(t, code+" "+outcome, "unknown_service not_run")
 		r.services.result = idempotency.Result{Outcome: fleet.OutcomeUnknown, Code: idempotency.CodeOwnerGone}
 		code, outcome = r.send(http.MethodPost, "/v1/services/ordering/x", "", "Idempotency-Key", "k1").code(t)
 		assert.Equal(t, code+" "+outcome, "owner_gone unknown")
