--- a/internal/node/grants.go
+++ b/internal/node/grants.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/go-kit/log/level"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/redwingnotch/redwingnotch/fleet"
 	"github.com/redwingnotch/redwingnotch/internal/httpsend"
@@ -26,6 +27,8 @@
 	mu       sync.Mutex
 	cells    map[string]peer.Cell // by peer address
 	snapshot atomic.Pointer[[]fleet.Replica]
+
+	nextSnapshot time.Time // used by refreshSnapshot only
 }
 
 func newPeerClients(n *Node) *peerClients {
@@ -163,10 +166,14 @@
 	snapshotTimeout  = time.Second
 )
 
+// snapshotBytesPerSecond bounds what snapshots cost a node: the larger the
+// cell, the less often it asks.
+const snapshotBytesPerSecond = 1024
+
 // refreshSnapshot keeps the last replicas that a controller told.
-func (n *Node) refreshSnapshot(ctx context.Context, _ time.Time) error {
+func (n *Node) refreshSnapshot(ctx context.Context, now time.Time) error {
 	client, err := n.peers.controller()
-	if err != nil {
+	if err != nil || now.Before(n.peers.nextSnapshot) {
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, snapshotTimeout)
@@ -175,6 +182,7 @@
 	if err != nil || resp.GetController() == "" || len(resp.GetReplicas()) == 0 {
 		return nil
 	}
+	n.peers.nextSnapshot = now.Add(snapshotPause(proto.Size(resp)))
 	rows := make([]fleet.Replica, 0, len(resp.GetReplicas()))
 	for _, row := range resp.GetReplicas() {
 		rows = append(rows, replicaOf(row))
@@ -183,6 +191,11 @@
 	return nil
 }
 
+// snapshotPause returns the time to the next snapshot after one of that size.
+func snapshotPause(bytes int) time.Duration {
+	return time.Duration(bytes) * time.Second / snapshotBytesPerSecond
+}
+
 func replicaOf(row *peer.ReplicaRow) fleet.Replica {
 	r := fleet.Replica{
 		ReplicaKey: fleet.ReplicaKey{
