policybench: ticks stay frequent after orders

An unload ordered on an idle tick was seen gone two seconds late, which the daemon's ticks of 20 ms do not do.

--- a/internal/policybench/world.go
+++ b/internal/policybench/world.go
@@ -171,13 +171,6 @@
 
 // tick runs one round of the controller's node.
 func (w *world) tick() {
-	next := idleTick
-	if w.busy() {
-		w.busyUntil = w.now.Add(settleTime)
-	}
-	if w.now.Before(w.busyUntil) {
-		next = busyTick
-	}
 	effects := w.loader.Tick(w.now, w.queue.Demands(w.now), w.policies.Retention)
 	for _, o := range effects.Orders {
 		w.send(o)
@@ -189,6 +182,13 @@
 	for _, d := range w.queue.Tick(w.now) {
 		w.decided(d)
 	}
+	if w.busy() || len(effects.Orders) > 0 {
+		w.busyUntil = w.now.Add(settleTime)
+	}
+	next := idleTick
+	if w.now.Before(w.busyUntil) {
+		next = busyTick
+	}
 	w.tickAt = time.Time{}
 	w.wake(next)
 }
