--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -17,6 +17,7 @@
 	"github.com/redwingnotch/redwingnotch/fleet"
 	"github.com/redwingnotch/redwingnotch/idempotency"
 	"github.com/redwingnotch/redwingnotch/internal/entry"
+	"github.com/redwingnotch/redwingnotch/internal/tasks"
 	"github.com/redwingnotch/redwingnotch/membership"
 )
 
@@ -43,7 +44,7 @@
 
 	callerServer *http.Server
 	peerServer   *http.Server
-	background   tasks // short tasks that a stop waits for
+	background   tasks.Group // short tasks that a stop waits for
 	stopping     atomic.Bool
 	halt         context.CancelFunc // ends the loops
 	halted       context.Context
@@ -136,7 +137,7 @@
 	n.halt()
 	n.closeListeners()
 	err := errors.Join(stopErr, ignoreCancel(group.Wait()))
-	n.background.Wait()
+	n.background.Close()
 	return err
 }
 
