--- /dev/null
+++ b/dispatch/example_test.go
@@ -0,0 +1,32 @@
+package dispatch_test
+
+import (
+	"fmt"
+
+	"github.com/redwingnotch/redwingnotch/dispatch"
+	"github.com/redwingnotch/redwingnotch/engine"
+)
+
+func ExampleChoose() {
+	candidates := []dispatch.Candidate{
+		{Backend: "engine-1", Load: 0.2, Excluded: true}, // a former try failed there
+		{Backend: "engine-2", Load: 0.9},
+		{Backend: "engine-3", Load: 0.4, SameZone: true},
+	}
+	fmt.Println(candidates[dispatch.Choose(candidates)].Backend)
+	// Output: engine-3
+}
+
+// A request whose fate is unknown may be repeated only if it is idempotent and
+// the caller got nothing of its answer.
+func ExampleMayRetry() {
+	fmt.Println(dispatch.MayRetry(engine.ErrUnreachable, false, false), dispatch.OutcomeOf(engine.ErrUnreachable, false, false))
+	fmt.Println(dispatch.MayRetry(engine.ErrSilent, false, false), dispatch.OutcomeOf(engine.ErrSilent, false, false))
+	fmt.Println(dispatch.MayRetry(engine.ErrSilent, true, false))
+	fmt.Println(dispatch.MayRetry(engine.ErrSilent, true, true))
+	// Output:
+	// true not_run
+	// false unknown
+	// true
+	// false
+}
--- /dev/null
+++ b/idempotency/example_test.go
@@ -0,0 +1,56 @@
+package idempotency_test
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/redwingnotch/redwingnotch/fleet"
+	"github.com/redwingnotch/redwingnotch/idempotency"
+	"github.com/redwingnotch/redwingnotch/standin/objectapi"
+)
+
+// orders is a service that counts how often it runs.
+type orders struct{ runs int }
+
+func (o *orders) Run(context.Context, idempotency.Call) idempotency.Result {
+	o.runs++
+	answer := idempotency.Answer{Status: 201, Body: fmt.Appendf(nil, "order %d", o.runs)}
+	return idempotency.Result{Outcome: fleet.OutcomeAnswered, Answer: answer}
+}
+
+// alone is a deployment of one node.
+type alone struct{}
+
+func (alone) Alive(idempotency.Owner) bool { return false }
+
+func (alone) Forward(context.Context, idempotency.Owner, idempotency.Call) (idempotency.Result, error) {
+	return idempotency.Result{}, context.Canceled
+}
+
+// A call that is sent twice with one key runs once.
+func Example() {
+	core := idempotency.NewCore(idempotency.DefaultSettings(), idempotency.Owner{Node: "entry-1", Incarnation: 7}, []byte("random for each run"))
+	claims := idempotency.NewClaims(objectapi.New())
+	logFailure := func(event string, key idempotency.Key, err error) { fmt.Println(event, key, err) }
+	service := idempotency.NewService(core, claims, &orders{}, alone{}, logFailure)
+	call := idempotency.Call{
+		Key:      "order-17",
+		Service:  "ordering",
+		Method:   "POST",
+		Path:     "/orders",
+		Body:     []byte("one spindle"),
+		Deadline: time.Now().Add(time.Minute),
+	}
+	for range 2 {
+		result := service.Call(context.Background(), call)
+		fmt.Printf("%s: %s, replayed: %t\n", result.Outcome, result.Answer.Body, result.Replayed)
+	}
+	call.Body = []byte("two spindles")
+	fmt.Println(service.Call(context.Background(), call).Code)
+	service.Wait()
+	// Output:
+	// ran: order 1, replayed: false
+	// ran: order 1, replayed: true
+	// key_mismatch
+}
--- /dev/null
+++ b/placement/example_test.go
@@ -0,0 +1,32 @@
+package placement_test
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/redwingnotch/redwingnotch/fleet"
+	"github.com/redwingnotch/redwingnotch/placement"
+)
+
+// A backend server that holds the weights in its memory is preferred to an empty
+// one that would read them from the weight store.
+func ExampleBest() {
+	now := time.Date(2026, 3, 2, 12, 0, 0, 0, time.UTC)
+	const gib = 1 << 30
+	need := placement.Need{Model: "lathe-diagnosis", Version: "v1", MemoryBytes: 14 * gib, LoadTime: 25 * time.Second}
+	servers := []placement.Server{
+		{Backend: "engine-1", Near: fleet.NearRemote, FreeBytes: 80 * gib},
+		{Backend: "engine-2", Near: fleet.NearMemory, FreeBytes: 4 * gib, Residents: []placement.Resident{{
+			Model: "deck-order", Version: "v2", MemoryBytes: 12 * gib, Evictable: true,
+			KeepUntil: now.Add(-time.Minute), ReloadTime: 2 * time.Second,
+		}}},
+	}
+	choice, ok := placement.Best(now, need, servers)
+	fmt.Println(ok, choice.Backend, choice.Near)
+	for _, resident := range choice.Evict {
+		fmt.Println("evict", resident.Model)
+	}
+	// Output:
+	// true engine-2 memory
+	// evict deck-order
+}
--- /dev/null
+++ b/quarantine/example_test.go
@@ -0,0 +1,28 @@
+package quarantine_test
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/redwingnotch/redwingnotch/fleet"
+	"github.com/redwingnotch/redwingnotch/quarantine"
+)
+
+// A content that was in flight at two crashes is refused for a time.
+func Example() {
+	now := time.Date(2026, 3, 2, 12, 0, 0, 0, time.UTC)
+	table := quarantine.New(quarantine.DefaultSettings())
+	key := quarantine.Key{Model: "lathe-diagnosis", Hash: "hash of the prompt"}
+	fmt.Println(table.Verdict(now, key))
+	for _, boot := range []fleet.BootID{"boot-1", "boot-2"} {
+		table.Start(key, boot)
+		table.Crash(now, quarantine.CrashReport{Backend: "engine-1", Boot: boot, InFlight: []quarantine.Key{key}})
+		fmt.Println(table.Verdict(now, key))
+	}
+	fmt.Println("again after", table.RetryAfter(now, key))
+	// Output:
+	// free
+	// isolate
+	// refuse
+	// again after 30m0s
+}
