--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -137,6 +137,9 @@
 	h.mux.HandleFunc("POST /v1/chat/completions", h.serveChat)
 	h.mux.HandleFunc("POST /v1/keys", h.serveKeys)
 	h.mux.HandleFunc("/v1/services/{service}/{path...}", h.serveService)
+	h.mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
+		refuse(http.StatusNotFound, CodeNotFound, "no %s at %s", r.Method, r.URL.Path).write(w)
+	})
 	return h
 }
 
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -88,6 +88,18 @@
 	}
 }
 
+func TestUnknownPathsAreTyped(t *testing.T) {
+	inRig(t, func(t *testing.T, r *rig) {
+		for _, target := range []string{"GET /", "GET /v1/chat/completions", "DELETE /v1/entry", "POST /v2/keys"} {
+			method, path, _ := strings.Cut(target, " ")
+			got := r.send(method, path, "")
+			assert.Equal(t, got.status, http.StatusNotFound, target)
+			code, outcome := got.code(t)
+			assert.Equal(t, code+" "+outcome, "not_found not_run", target)
+		}
+	})
+}
+
 func TestUnknownModelNamesWhatIsInForce(t *testing.T) {
 	inRig(t, func(t *testing.T, r *rig) {
 		assert.Assert(t, strings.Contains(r.chat(`{"model":"nope"}`).body, `"in_force":["lathe","urgent-only"]`))
--- a/internal/entry/errors.go
+++ b/internal/entry/errors.go
@@ -17,6 +17,7 @@
 // The codes of typed errors.
 const (
 	CodeBadRequest       Code = "bad_request"
+	CodeNotFound         Code = "not_found"
 	CodeUnknownModel     Code = "unknown_model"
 	CodeUnknownService   Code = "unknown_service"
 	CodeWithdrawn        Code = "withdrawn"
