--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -355,3 +355,23 @@
 		delete(d.nodes, holder)
 	})
 }
+
+func TestStopThatCutsSaysSo(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDeployment(t)
+		defer d.close()
+		d.shutdownTimeout = time.Second
+		d.tokenTime = 10 * time.Second
+		d.addEngine("e1")
+		n := d.start("n1")
+		time.Sleep(settleTime)
+		answer := make(chan reply, 1)
+		go func() { answer <- d.send("n1", "POST", "/v1/chat/completions", latheRequest) }()
+		time.Sleep(loadTime + 2*d.tokenTime)
+		n.stop()
+		assert.ErrorIs(t, <-n.err, node.ErrCut)
+		got := <-answer
+		assert.Assert(t, got.err != nil, "a cut answer must look broken: %q", got.body)
+		delete(d.nodes, "n1")
+	})
+}
