--- a/internal/policybench/run_test.go
+++ b/internal/policybench/run_test.go
@@ -1,6 +1,8 @@
 package policybench_test
 
 import (
+	"os"
+	"path/filepath"
 	"testing"
 	"time"
 
@@ -10,6 +12,7 @@
 	"github.com/redwingnotch/redwingnotch/internal/policybench"
 	"github.com/redwingnotch/redwingnotch/keepwarm"
 	"github.com/redwingnotch/redwingnotch/quarantine"
+	"github.com/redwingnotch/redwingnotch/release"
 )
 
 // small returns a deployment that runs in a moment.
@@ -52,3 +55,12 @@
 		assert.Assert(t, row.ServersLost <= quarantine.MaxCrashes, "%s: %+v", p.Name, row)
 	}
 }
+
+func TestExampleNotesParse(t *testing.T) {
+	for _, name := range []string{"tocka", "naipes"} {
+		text, err := os.ReadFile(filepath.Join("..", "..", "examples", name, "release.yaml"))
+		assert.NilError(t, err)
+		_, findings := release.ParseNote(text)
+		assert.Equal(t, len(findings), 0, "%s: %v", name, findings)
+	}
+}
