--- a/internal/telemetry/page_test.go
+++ b/internal/docscheck/names_test.go
@@ -1,4 +1,4 @@
-package telemetry_test
+package docscheck_test
 
 import (
 	"io/fs"
@@ -14,8 +14,9 @@
 )
 
 const (
-	root = "../.."
-	page = root + "/docs/operations/metrics-and-logs.md"
+	root        = "../.."
+	page        = root + "/docs/operations/metrics-and-logs.md"
+	callersPage = root + "/docs/CALLERS.md"
 )
 
 // sources returns the text of all Go files of the product, tests left out.
@@ -83,3 +84,15 @@
 		}
 	}
 }
+
+func TestCallersPageNamesEveryCode(t *testing.T) {
+	text, err := os.ReadFile(callersPage)
+	assert.NilError(t, err)
+	codes := namesIn(sources(t), `\bCode\w+\s+(?:Refusal)?Code\s+=\s+"(\w+)"`)
+	for _, known := range []string{"bad_request", "overloaded", "owner_gone"} {
+		assert.Assert(t, codes[known], "no code %q in the code: mend this test", known)
+	}
+	for code := range codes {
+		assert.Assert(t, strings.Contains(string(text), "`"+code+"`"), "code %q is not on %s", code, callersPage)
+	}
+}
