--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -1,6 +1,9 @@
 // Package dispatch decides how one request is sent: on which replica, whether
 // a failed try may be repeated or hedged, and how a broken stream is resumed.
-// All of it is pure or plain state without I/O.
+// Failures are told apart by the errors of package engine: what an error proves
+// decides what may be done next.
+//
+// The functions are pure. Budget and Hedger are plain state without I/O or clock.
 package dispatch
 
 import (
--- a/internal/docscheck/names_test.go
+++ b/docs/names_test.go
@@ -1,9 +1,7 @@
-package docscheck_test
+package docs_test
 
 import (
-	"io/fs"
 	"os"
-	"path/filepath"
 	"regexp"
 	"strings"
 	"testing"
@@ -13,28 +11,32 @@
 	"github.com/redwingnotch/redwingnotch/invariant"
 )
 
+// Pages whose names are compared with the code.
 const (
-	root        = "../.."
-	page        = root + "/docs/operations/metrics-and-logs.md"
-	callersPage = root + "/docs/CALLERS.md"
+	namesPage   = "operations/metrics-and-logs.md"
+	callersPage = "CALLERS.md"
 )
 
-// sources returns the text of all Go files of the product, tests left out.
-func sources(t *testing.T) string {
+// code returns the text of all Go files of the product, tests left out.
+func code(t *testing.T) string {
 	t.Helper()
 	var all strings.Builder
-	err := filepath.WalkDir(root, func(path string, d fs.DirEntry, err error) error {
-		if err != nil || d.IsDir() || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
-			return err
+	for path, text := range read(t, ".go") {
+		if !strings.HasSuffix(path, "_test.go") {
+			all.WriteString(text)
 		}
-		text, err := os.ReadFile(path)
-		all.Write(text)
-		return err
-	})
-	assert.NilError(t, err)
+	}
 	return all.String()
 }
 
+// page returns the text of one page.
+func page(t *testing.T, path string) string {
+	t.Helper()
+	text, err := os.ReadFile(path)
+	assert.NilError(t, err)
+	return string(text)
+}
+
 // namesIn returns what the first group of the expression matches.
 func namesIn(text, expression string) map[string]bool {
 	names := make(map[string]bool)
@@ -45,9 +47,8 @@
 }
 
 func TestPageNamesWhatTheCodeReports(t *testing.T) {
-	text, err := os.ReadFile(page)
-	assert.NilError(t, err)
-	code := sources(t)
+	text := page(t, namesPage)
+	written := code(t)
 	for _, kind := range []struct {
 		what, expression, known, before, after string
 	}{
@@ -58,41 +59,38 @@
 		{"audit outcome", `Outcome\w+\s+Outcome\s+=\s+"(accepted|refused|not accepted|unknown)"`, "not accepted", "`", "`"},
 		{"reason of a blocked load", `BlockReason = "([^"]+)"`, "replica limit reached", "| ", " |"},
 	} {
-		names := namesIn(code, kind.expression)
+		names := namesIn(written, kind.expression)
 		assert.Assert(t, names[kind.known], "no %s %q in the code: mend this test", kind.what, kind.known)
 		for name := range names {
-			assert.Assert(t, strings.Contains(string(text), kind.before+name+kind.after), "%s %q is not on %s", kind.what, name, page)
+			assert.Assert(t, strings.Contains(text, kind.before+name+kind.after), "%s %q is not on %s", kind.what, name, namesPage)
 		}
 	}
 }
 
 func TestPageNamesNoEventThatTheCodeLacks(t *testing.T) {
-	text, err := os.ReadFile(page)
-	assert.NilError(t, err)
-	_, section, found := strings.Cut(string(text), "\n## Log events")
+	_, section, found := strings.Cut(page(t, namesPage), "\n## Log events")
 	assert.Assert(t, found)
 	section, _, found = strings.Cut(section, "\n## Reasons")
 	assert.Assert(t, found)
-	code := sources(t)
+	written := code(t)
 	for line := range strings.Lines(section) {
 		if !strings.HasPrefix(line, "| `") {
 			continue
 		}
 		cell, _, _ := strings.Cut(line[1:], "|")
 		for name := range namesIn(cell, "`(\\w+)`") {
-			assert.Assert(t, strings.Contains(code, `"`+name+`"`), "event %q of %s is not in the code", name, page)
+			assert.Assert(t, strings.Contains(written, `"`+name+`"`), "event %q of %s is not in the code", name, namesPage)
 		}
 	}
 }
 
 func TestCallersPageNamesEveryCode(t *testing.T) {
-	text, err := os.ReadFile(callersPage)
-	assert.NilError(t, err)
-	codes := namesIn(sources(t), `\bCode\w+\s+(?:Refusal)?Code\s+=\s+"(\w+)"`)
+	text := page(t, callersPage)
+	codes := namesIn(code(t), `\bCode\w+\s+(?:Refusal)?Code\s+=\s+"(\w+)"`)
 	for _, known := range []string{"bad_request", "overloaded", "owner_gone"} {
 		assert.Assert(t, codes[known], "no code %q in the code: mend this test", known)
 	}
-	for code := range codes {
-		assert.Assert(t, strings.Contains(string(text), "`"+code+"`"), "code %q is not on %s", code, callersPage)
+	for name := range codes {
+		assert.Assert(t, strings.Contains(text, "`"+name+"`"), "code %q is not on %s", name, callersPage)
 	}
 }
--- a/idempotency/types.go
+++ b/idempotency/types.go
@@ -1,6 +1,7 @@
 // Package idempotency runs calls that carry an idempotency key at most once,
 // whichever nodes they and their resends arrive at. Core decides and does no
-// I/O; Service carries its decisions out against a Store, a Runner and Peers.
+// I/O; Service carries its decisions out against Claims in the platform's store,
+// a Runner and Peers.
 //
 // A key that a node issued may be run only by that run of the node, so it costs
 // no store write. A key that the caller chose is claimed in the store by a
--- a/internal/settings/daemon.go
+++ b/internal/settings/daemon.go
@@ -22,7 +22,7 @@
 	CallerAddress string `arg:"--caller-address,env:REDWINGNOTCH_CALLER_ADDRESS" help:"IP:port told to callers; empty: the one listened on"`
 	PeerListen    string `arg:"--peer-listen,env:REDWINGNOTCH_PEER_LISTEN" default:"127.0.0.1:8081" help:"IP:port for calls of other nodes (TCP) and membership (UDP)"`
 	PeerAddress   string `arg:"--peer-address,env:REDWINGNOTCH_PEER_ADDRESS" help:"IP:port told to other nodes; empty: the one listened on"`
-	AdminListen   string `arg:"--admin-listen,env:REDWINGNOTCH_ADMIN_LISTEN" default:"127.0.0.1:8082" help:"IP:port of metrics, health and readiness"`
+	AdminListen   string `arg:"--admin-listen,env:REDWINGNOTCH_ADMIN_LISTEN" default:"127.0.0.1:8082" help:"IP:port of metrics, health, readiness and the operators' interface"`
 
 	MaxBody         Int      `arg:"--max-body,env:REDWINGNOTCH_MAX_BODY" default:"4194304" min:"1024" max:"268435456" help:"largest request body, bytes"`
 	MaxHeader       Int      `arg:"--max-header,env:REDWINGNOTCH_MAX_HEADER" default:"32768" min:"4096" max:"1048576" help:"largest request header, bytes"`
--- a/lease/record.go
+++ b/lease/record.go
@@ -5,7 +5,7 @@
 // successors, so that a takeover during a store outage needs no write.
 //
 // Core is free of I/O: it takes answers of the store, the member table and
-// ticks, and returns the calls to make.
+// ticks, and returns the calls to make. It is not safe for concurrent use.
 package lease
 
 import (
--- a/loadbudget/loadbudget.go
+++ b/loadbudget/loadbudget.go
@@ -1,6 +1,9 @@
 // Package loadbudget keeps loads from the weight store within its limits: loads
 // started a second, loads in flight, and adapter loads in flight. A controller
 // that may not be alone works with a share of the limits.
+//
+// Loads are spaced: no two start within the inverse of the rate. Budget does no
+// I/O, has no clock and is not safe for concurrent use.
 package loadbudget
 
 import (
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -1,5 +1,8 @@
 // Package placement chooses the backend server for a load and what must be
 // evicted there. Its functions are pure.
+//
+// Roster names the few backend servers that may hold a model at all, so that a
+// controller that takes over has few to ask. Best chooses among them.
 package placement
 
 import (
