redwingnotch-dev: the printed lines also show explain

Cause: explain needs the id of an answer, which the printed curl did not show; rwnctl refused changes where USER is not set. Change: the curl shows headers, a line for explain, an operator by default. Tried by hand without USER: status, explain, withdraw and audit exit with 0.

--- a/internal/dev/print.go
+++ b/internal/dev/print.go
@@ -21,7 +21,7 @@
 	address := d.Nodes()[0].CallerAddress()
 	fmt.Fprintln(out, "\nTry:")
 	fmt.Fprintf(out, "  curl http://%s/v1/entry\n", address)
-	fmt.Fprintf(out, "  curl -N http://%s/v1/chat/completions -H '%s: %s' -d '%s'\n", address, entry.HeaderRank, fleet.RankUrgent,
+	fmt.Fprintf(out, "  curl -iN http://%s/v1/chat/completions -H '%s: %s' -d '%s'\n", address, entry.HeaderRank, fleet.RankUrgent,
 		`{"model":"`+string(ModelLathe)+`","stream":true,"max_tokens":8,"messages":[{"role":"user","content":"collar wobbles"}]}`)
 	fmt.Fprintf(out, "  curl http://%s/v1/services/%s/orders -H '%s: order-1' -d 'one spindle'\n", address, Ordering, entry.HeaderKey)
 	d.printOperatorCommands(out)
@@ -34,9 +34,10 @@
 		nodes = append(nodes, n.AdminAddress)
 	}
 	const rwnctl = "go run ./cmd/rwnctl"
-	fmt.Fprintf(out, "  export REDWINGNOTCH_PLATFORM_URL=http://%s REDWINGNOTCH_ADMIN_NODES=%s REDWINGNOTCH_OPERATOR=$USER\n",
+	fmt.Fprintf(out, "  export REDWINGNOTCH_PLATFORM_URL=http://%s REDWINGNOTCH_ADMIN_NODES=%s REDWINGNOTCH_OPERATOR=${USER:-me}\n",
 		d.apiAddress, strings.Join(nodes, ","))
 	fmt.Fprintf(out, "  %s status\n", rwnctl)
+	fmt.Fprintf(out, "  %s explain REQUEST-ID    # header %s of the first answer above\n", rwnctl, entry.HeaderRequestID)
 	fmt.Fprintf(out, "  %s withdraw %s\n", rwnctl, ModelOld)
 	fmt.Fprintf(out, "  %s audit\n\n", rwnctl)
 }
