controller: an engine that drains settles loads that it does not show

One cause: a load whose order was lost at a silent engine that was then stopped as planned stayed committed for good, as orders to a leaving engine are not repeated. Change: a report that says the engine drains settles a load that it does not show. Random runs draw planned stops, new versions and adapters.

--- a/controller/cell_test.go
+++ b/controller/cell_test.go
@@ -86,27 +86,28 @@
 // fakeCell is the smallest world that the cores can run in: entry VMs, engines
 // and the object API, with delays and losses from a seeded source.
 type fakeCell struct {
-	t       reporter
-	rng     *rand.Rand
-	now     time.Time
-	seq     int
-	events  eventHeap
-	nodes   []*testNode
-	engines []*fakeEngine
-	store   fakeStore
-	release uint64
-	models  []fleet.Model
-	adapter []fleet.Adapter
-	budget  loadbudget.Settings
-	demand  map[fleet.Target]fleet.Rank
-	keep    time.Duration
-	loss    float64 // of each message or answer
-	cut     map[string]bool
-	unasked *testNode                                       // hears of no demand
-	dead    *testNode                                       // called dead by membership though it lives
-	order   func(n *testNode, o engine.Order) time.Duration // extra delay on the way to the engine
-	faults  []string
-	started []startedLoad // at any engine
+	t        reporter
+	rng      *rand.Rand
+	now      time.Time
+	seq      int
+	events   eventHeap
+	nodes    []*testNode
+	engines  []*fakeEngine
+	store    fakeStore
+	release  uint64
+	models   []fleet.Model
+	adapter  []fleet.Adapter
+	budget   loadbudget.Settings
+	demand   map[fleet.Target]fleet.Rank
+	keep     time.Duration
+	loss     float64 // of each message or answer
+	cut      map[string]bool
+	unasked  *testNode                                       // hears of no demand
+	dead     *testNode                                       // called dead by membership though it lives
+	order    func(n *testNode, o engine.Order) time.Duration // extra delay on the way to the engine
+	faults   []string
+	stopping []fleet.BackendID
+	started  []startedLoad // at any engine
 }
 
 func newCell(t reporter, seed int64, nodes, engines int, fencing bool) *fakeCell {
@@ -263,6 +264,7 @@
 	c.gossip(n)
 	n.ctrl.SetAuthority(c.now, n.auth)
 	n.ctrl.SetRelease(c.now, c.release, c.models, c.adapter)
+	n.ctrl.SetStopping(c.now, c.stopping)
 	n.ctrl.SetBackends(c.now, c.vms(), c.now)
 	demands := c.demands()
 	if n == c.unasked {
@@ -410,6 +412,9 @@
 	start := c.now
 	for !done() {
 		if c.now.Sub(start) > limit {
+			if h := c.holder(); h != nil {
+				c.t.Logf("holder has %+v", h.ctrl.Replicas())
+			}
 			for _, n := range c.nodes {
 				c.t.Logf("%s/%d crashed %t left %t: %+v blocked %v", n.id, n.inc, n.crashed, n.left, n.auth, n.blocked)
 			}
--- a/controller/reports.go
+++ b/controller/reports.go
@@ -129,10 +129,11 @@
 }
 
 // takeAbsence removes a replica that the engine showed before, or whose order
-// the engine says it has carried out, and no longer shows.
+// the engine says it has carried out, and no longer shows. An engine that drains
+// takes no load any more: what it does not show then will not come.
 func (c *Core) takeAbsence(now time.Time, b *backend, row *replica, r engine.Report) {
 	applied := row.orderID != "" && slices.Contains(r.AppliedOrder, row.orderID)
-	if !row.seen && !applied {
+	if !row.seen && !applied && !r.Draining {
 		return
 	}
 	if row.state == fleet.ReplicaReserved || row.state == fleet.ReplicaLoading {
