entry: the list of models is refused while the release is not known

Cause: GET /v1/models did not ask whether the node knows what is in force. A node that had just restarted answered 200 with an empty list, which says that every accepted note had been undone. Change: it refuses with not_ready until the release is known, as chat completions do. Ruled out: a release that falls; the catalog held no version yet. Before: TestAllNodesKilledAtOnceKeepTheRelease saw {"object":"list","data":[]} with status 200 from a daemon just restarted; the new test of package entry fails on the old code with 200 for 503. After: both pass with -race. Conclusion: nothing is said to be in force by a node that does not know it.

--- a/internal/entry/addresses.go
+++ b/internal/entry/addresses.go
@@ -102,7 +102,12 @@
 	Object string `json:"object"`
 }
 
+// serveModels lists what is in force, or refuses while that is not known.
 func (h *Handler) serveModels(w http.ResponseWriter, _ *http.Request) {
+	if h.cfg.Catalog.Version() == 0 {
+		refuseNotReady().write(w)
+		return
+	}
 	list := modelList{Object: "list", Data: []modelRow{}}
 	for _, name := range h.cfg.Catalog.Names() {
 		list.Data = append(list.Data, modelRow{ID: name, Object: "model"})
--- a/internal/entry/chat.go
+++ b/internal/entry/chat.go
@@ -126,7 +126,7 @@
 	model, standing := h.cfg.Catalog.Lookup(req.target)
 	switch {
 	case req.version == 0:
-		return refuse(http.StatusServiceUnavailable, CodeNotReady, "this node does not know the release in force yet").after(time.Second)
+		return refuseNotReady()
 	case standing == StandingUnknown:
 		refused := refuse(http.StatusNotFound, CodeUnknownModel, "%s is not in force", req.target)
 		refused.InForce = h.cfg.Catalog.Names()
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -94,6 +94,18 @@
 	})
 }
 
+func TestWithoutAReleaseNothingIsSaidToBeInForce(t *testing.T) {
+	inRig(t, func(t *testing.T, r *rig) {
+		assert.Assert(t, strings.Contains(r.send(http.MethodGet, "/v1/models", "").body, `"id":"lathe"`))
+		r.catalog.version = 0
+		for _, got := range []reply{r.chat(whole), r.send(http.MethodGet, "/v1/models", "")} {
+			assert.Equal(t, got.status, http.StatusServiceUnavailable, got.body)
+			code, outcome := got.code(t)
+			assert.Equal(t, code+" "+outcome, "not_ready not_run")
+		}
+	})
+}
+
 func TestControllerRefusal(t *testing.T) {
 	inRig(t, func(t *testing.T, r *rig) {
 		r.grants.refusal = &peer.Refusal{Code: "overloaded", Detail: "the queue is full", RetryAfterMs: 1500}
--- a/internal/entry/errors.go
+++ b/internal/entry/errors.go
@@ -57,6 +57,11 @@
 	return &Error{Status: status, Code: code, Outcome: fleet.OutcomeNotRun, Message: fmt.Sprintf(format, args...)}
 }
 
+// refuseNotReady is the refusal of a node that does not know what is in force.
+func refuseNotReady() *Error {
+	return refuse(http.StatusServiceUnavailable, CodeNotReady, "this node does not know the release in force yet").after(time.Second)
+}
+
 func (e *Error) after(d time.Duration) *Error {
 	e.RetryAfter = d
 	return e
--- a/internal/entry/fakes_test.go
+++ b/internal/entry/fakes_test.go
@@ -135,9 +135,9 @@
 
 func (s *fakeStream) Close() error { return nil }
 
-type fakeCatalog struct{}
+type fakeCatalog struct{ version uint64 }
 
-func (fakeCatalog) Lookup(t fleet.Target) (fleet.Model, entry.Standing) {
+func (*fakeCatalog) Lookup(t fleet.Target) (fleet.Model, entry.Standing) {
 	switch t.Model {
 	case "lathe":
 		return fleet.Model{ID: "lathe"}, entry.StandingInForce
@@ -148,8 +148,8 @@
 	}
 	return fleet.Model{}, entry.StandingUnknown
 }
-func (fakeCatalog) Names() []string { return []string{"lathe", "urgent-only"} }
-func (fakeCatalog) Version() uint64 { return 3 }
+func (*fakeCatalog) Names() []string   { return []string{"lathe", "urgent-only"} }
+func (c *fakeCatalog) Version() uint64 { return c.version }
 
 type fakeQuarantine struct {
 	refused   time.Duration
@@ -190,6 +190,7 @@
 
 // rig is a handler with fakes behind an HTTP server in virtual time.
 type rig struct {
+	catalog  *fakeCatalog
 	grants   *fakeGrants
 	engines  map[string]*fakeEngine
 	verdict  *fakeQuarantine
@@ -203,6 +204,7 @@
 	t.Helper()
 	r := &rig{
 		grants:   &fakeGrants{},
+		catalog:  &fakeCatalog{version: 3},
 		engines:  make(map[string]*fakeEngine),
 		verdict:  &fakeQuarantine{},
 		services: &fakeServices{result: idempotency.Result{Answer: idempotency.Answer{Status: 201, Body: []byte("ordered")}}},
@@ -211,7 +213,7 @@
 	assert.NilError(t, err)
 	r.handler = entry.New(entry.Config{
 		Node: "n1", Incarnation: 1, Cell: "c", Zone: "z1",
-		Grants: r.grants, Catalog: fakeCatalog{}, Quarantine: r.verdict,
+		Grants: r.grants, Catalog: r.catalog, Quarantine: r.verdict,
 		Engine: func(address string) engine.Engine { return r.engine(address) },
 		Keys:   r.services, Services: r.services,
 		Addresses: func() []entry.Address {
