standin: a reclaimed engine does not come back from an earlier crash

Cause: reclaimed within the restart delay after a crash, the engine started its next boot all the same, and the soak counted what it did. Change: Reclaim ends pending restarts.

--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -41,6 +41,7 @@
 
 	mu            sync.Mutex
 	boots         int
+	reclaimed     bool // no further boot follows
 	proc          *process // nil between a crash and the next boot
 	counts        Counts
 	near          map[Checkpoint]fleet.Nearness
@@ -80,11 +81,16 @@
 // ID returns the backend server's id.
 func (e *Engine) ID() fleet.BackendID { return e.config.ID }
 
-func (e *Engine) boot() {
+// boot starts the next process and reports whether the VM is still there.
+func (e *Engine) boot() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if e.reclaimed {
+		return false
+	}
 	e.boots++
 	e.proc = newProcess(e, fleet.BootID(fmt.Sprintf("%s-boot-%d", e.config.ID, e.boots)))
+	return true
 }
 
 // Crash ends the process at once: all connections drop and all replicas are
@@ -94,13 +100,19 @@
 		return
 	}
 	time.AfterFunc(e.config.RestartDelay, func() {
-		e.boot()
-		_ = e.Host.Restart()
+		if e.boot() {
+			_ = e.Host.Restart()
+		}
 	})
 }
 
 // Reclaim ends the process at once and for good, as a reclaimed VM does.
-func (e *Engine) Reclaim() { e.kill() }
+func (e *Engine) Reclaim() {
+	e.mu.Lock()
+	e.reclaimed = true
+	e.mu.Unlock()
+	e.kill()
+}
 
 // kill reports whether a process ran. Replicas go before the connections drop.
 func (e *Engine) kill() bool {
--- a/standin/engine/engine_test.go
+++ b/standin/engine/engine_test.go
@@ -183,3 +183,13 @@
 		assert.Assert(t, events.Events[1].Evicted)
 	})
 }
+
+func TestReclaimedEngineDoesNotComeBackFromACrash(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := standin.New(standin.Config{ID: "e", RestartDelay: time.Second})
+		e.Crash()
+		e.Reclaim()
+		time.Sleep(time.Minute)
+		assert.Equal(t, string(e.Report().Boot), "")
+	})
+}
