--- a/controller/api.go
+++ b/controller/api.go
@@ -20,8 +20,7 @@
 type Config struct {
 	Incarnation    fleet.Incarnation // of this node
 	Budget         loadbudget.Settings
-	ReportInterval time.Duration // between reports of one engine in which something changes
-	QuietInterval  time.Duration // between reports of one engine in which nothing does
+	ReportInterval time.Duration // between reports of one engine
 	AnswerTimeout  time.Duration // an unanswered order or report request is sent again
 	OrderLifetime  time.Duration // from making an order to its expiry
 	RosterInterval time.Duration // between two changes of the roster
@@ -31,7 +30,6 @@
 // Defaults of Config.
 const (
 	DefaultReportInterval = 500 * time.Millisecond
-	DefaultQuietInterval  = 2 * time.Second
 	DefaultAnswerTimeout  = 2 * time.Second
 	DefaultOrderLifetime  = 30 * time.Second
 	DefaultRosterInterval = 5 * time.Second
@@ -40,7 +38,6 @@
 
 func (cfg Config) withDefaults() Config {
 	setDefault(&cfg.ReportInterval, DefaultReportInterval)
-	setDefault(&cfg.QuietInterval, max(DefaultQuietInterval, cfg.ReportInterval))
 	setDefault(&cfg.AnswerTimeout, DefaultAnswerTimeout)
 	setDefault(&cfg.OrderLifetime, DefaultOrderLifetime)
 	setDefault(&cfg.RosterInterval, DefaultRosterInterval)
--- a/controller/takeover.go
+++ b/controller/takeover.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"github.com/redwingnotch/redwingnotch/engine"
-	"github.com/redwingnotch/redwingnotch/fleet"
 )
 
 const (
@@ -57,26 +56,7 @@
 }
 
 func (c *Core) reportDue(now time.Time, b *backend) bool {
-	interval := c.cfg.ReportInterval
-	if b.quiet() {
-		interval = c.cfg.QuietInterval
-	}
-	return now.Sub(b.requestAt) >= interval
-}
-
-// quiet reports whether the next report is expected to show nothing new but
-// load: all orders are settled, all replicas are ready, and the last request
-// was answered.
-func (b *backend) quiet() bool {
-	if !b.raised || b.leaving || b.vm.State != fleet.VMLive || len(b.open) > 0 || b.answeredAt.Before(b.requestAt) {
-		return false
-	}
-	for _, r := range b.replicas {
-		if r.state != fleet.ReplicaReady || r.draining {
-			return false
-		}
-	}
-	return true
+	return now.Sub(b.requestAt) >= c.cfg.ReportInterval
 }
 
 // raiseDue reports whether the engine must be raised, or asked again because
