--- a/admission/bench_test.go
+++ b/admission/bench_test.go
@@ -13,7 +13,7 @@
 // BenchmarkDecision measures one Offer that is granted at once, with its Finish,
 // over tables of the given number of replicas of 210 models.
 func BenchmarkDecision(b *testing.B) {
-	for _, replicas := range []int{18, 730, 7300} {
+	for _, replicas := range []int{18, 73, 730, 7300} {
 		b.Run(fmt.Sprintf("replicas=%d", replicas), func(b *testing.B) {
 			q, models := tableOf(replicas)
 			b.ReportAllocs()
@@ -35,7 +35,7 @@
 // BenchmarkDecisionInOverload measures one Offer and one Finish with 10,000
 // requests waiting.
 func BenchmarkDecisionInOverload(b *testing.B) {
-	for _, replicas := range []int{18, 730, 7300} {
+	for _, replicas := range []int{18, 73, 730, 7300} {
 		b.Run(fmt.Sprintf("replicas=%d", replicas), func(b *testing.B) {
 			q, models := tableOf(replicas)
 			var running []admission.Decision
@@ -81,7 +81,7 @@
 
 // BenchmarkSetReplicas measures the replacement of the whole replica table.
 func BenchmarkSetReplicas(b *testing.B) {
-	for _, replicas := range []int{18, 730, 7300} {
+	for _, replicas := range []int{18, 73, 730, 7300} {
 		b.Run(fmt.Sprintf("replicas=%d", replicas), func(b *testing.B) {
 			q, models := tableOf(replicas)
 			rs := make([]fleet.Replica, replicas)
--- a/controller/bench_test.go
+++ b/controller/bench_test.go
@@ -19,9 +19,10 @@
 	replicas, models, adapters int
 }
 
-// Today's larger deployment, a tenth of the plan, one cell of ten, and the
+// Today's larger deployment, one cell of a hundred at the plan's size, a tenth
+// of the plan with a tenth and with all of the adapters, and the
 // plan's whole fleet under one controller.
-var fleetSizes = []fleetSize{{18, 110, 200}, {730, 210, 2700}, {730, 210, 27000}, {7300, 210, 27000}}
+var fleetSizes = []fleetSize{{18, 110, 200}, {73, 210, 2700}, {730, 210, 2700}, {730, 210, 27000}, {7300, 210, 27000}}
 
 func (s fleetSize) String() string {
 	return fmt.Sprintf("replicas=%d/adapters=%d", s.replicas, s.adapters)
