--- a/controller/intents.go
+++ b/controller/intents.go
@@ -65,7 +65,7 @@
 	if b.boot != i.Boot || b.row.Fencing {
 		return true
 	}
-	return c.shows(b, i.Intent)
+	return b.leaving || c.shows(b, i.Intent) // an engine that drains takes no load any more
 }
 
 func (c *Core) shows(b *backend, i lease.Intent) bool {
