lease: successors are told of each new version of the record

Cause: TestPlatformOutageWithColdStartAndCrash, with separate processes, found no successor within two minutes after the object API went down 0.3 s after the cell's first claim and the node in office was killed. Peers heard only of higher epochs, so a node granted as successor after the claim, or by a change within an epoch, never read that it was one; nor did it read newer rosters. Ruled out: the claim itself (the record named both successors), membership (all saw the crash within 5 s). The same outage in virtual time passes, as all nodes had read the record by then. Change: the holder tells the record's version and successors as a small item; those named read it. A new hint is followed at once, not after ReadInterval. An office without a write counts every listed engine that its rosters do not name as a possible holder of each model, as its rosters may be seconds old. TestLaterSuccessorKnowsThatItIsOne fails without the notice.

--- a/controller/count.go
+++ b/controller/count.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"slices"
 	"time"
 
 	"github.com/redwingnotch/redwingnotch/engine"
@@ -14,7 +15,7 @@
 // after target was raised. See "Two writers" in docs/design/authority.md.
 func (c *Core) countReplicas(m fleet.ModelID, target *backend) int {
 	total := 0
-	holders := c.rosters.holders(m)
+	holders := c.possibleHolders(m)
 	for _, id := range holders {
 		total += c.countAt(id, m, target)
 	}
@@ -32,6 +33,23 @@
 	return total
 }
 
+// possibleHolders returns where a replica of the model may have been placed. An
+// office without a write has rosters that may be some seconds old: the one
+// before it may have used any listed engine that they do not name.
+func (c *Core) possibleHolders(m fleet.ModelID) backendSet {
+	holders := c.rosters.holders(m)
+	if c.auth.AdvanceRank == 0 {
+		return holders
+	}
+	all := slices.Clone(holders)
+	for _, b := range c.rows {
+		if b.isEngine() && !all.contains(b.row.ID) && !c.rosters.names(b.row.ID) {
+			all = append(all, b.row.ID)
+		}
+	}
+	return all
+}
+
 func (c *Core) countAt(id fleet.BackendID, m fleet.ModelID, target *backend) int {
 	b := c.backends[id]
 	if b == nil {
@@ -98,7 +116,7 @@
 // scanReplicas counts as countReplicas does, from all rows and without the
 // index of places.
 func (c *Core) scanReplicas(m fleet.ModelID, target *backend) int {
-	holders := c.rosters.holders(m)
+	holders := c.possibleHolders(m)
 	total := 0
 	for id, b := range c.backends {
 		pending, _ := c.inheritedAt(id, m)
--- a/controller/rosters.go
+++ b/controller/rosters.go
@@ -82,6 +82,16 @@
 	return set
 }
 
+// names reports whether any durable roster has the backend server.
+func (t *rosterTable) names(id fleet.BackendID) bool {
+	for _, r := range t.durable {
+		if slices.Contains(r.Backends, id) {
+			return true
+		}
+	}
+	return false
+}
+
 // newest returns the time of the VM list behind the newest roster.
 func (t *rosterTable) newest() time.Time {
 	if len(t.durable) == 0 {
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -102,6 +102,8 @@
 		m.node.releases.announced(item.Version)
 	case membership.ItemQuarantine:
 		m.node.cell.importQuarantine(item)
+	case membership.ItemLease:
+		m.handleLeaseItem(item)
 	case membership.ItemController:
 		holder, ok := parseHolder(string(item.Value))
 		if ok && item.Key == string(m.node.cfg.Cell) {
@@ -123,6 +125,36 @@
 	return lease.Holder{Node: fleet.NodeID(node), Incarnation: fleet.Incarnation(number)}, found && err == nil
 }
 
+// successorSeparator stands between the nodes in the value of a lease's item.
+const successorSeparator = ","
+
+// announceLease tells the successors of the cell that there is a newer version
+// of the lease for them to read.
+func (m *members) announceLease(now time.Time, n lease.Notice) {
+	names := make([]string, len(n.Successors))
+	for i, id := range n.Successors {
+		names[i] = string(id)
+	}
+	// A stale item means that a newer version was told.
+	_ = m.broadcast(now, membership.Item{
+		Kind:    membership.ItemLease,
+		Key:     string(m.node.cfg.Cell),
+		Version: n.Version,
+		Value:   []byte(strings.Join(names, successorSeparator)),
+	})
+}
+
+func (m *members) handleLeaseItem(item membership.Item) {
+	if item.Key != string(m.node.cfg.Cell) {
+		return
+	}
+	notice := lease.Notice{Version: item.Version}
+	for _, name := range strings.Split(string(item.Value), successorSeparator) {
+		notice.Successors = append(notice.Successors, fleet.NodeID(name))
+	}
+	m.node.office.notice(notice)
+}
+
 // announce tells all members that this node controls the cell.
 func (m *members) announce(now time.Time, epoch fleet.Epoch, holder lease.Holder) {
 	// A stale item means that a higher epoch is known, which the lease learns.
--- a/internal/node/office.go
+++ b/internal/node/office.go
@@ -25,6 +25,7 @@
 	mu        sync.Mutex
 	core      *lease.Core
 	announced fleet.Epoch // highest one told to the members; used by tick only
+	noticed   uint64      // newest version of the lease told to them; used by tick only
 	table     watcher     // used by tick only
 }
 
@@ -45,7 +46,12 @@
 	o.mu.Lock()
 	effects := o.core.Tick(now)
 	authority := o.core.Authority(now)
+	notice, holds := o.core.Notice()
 	o.mu.Unlock()
+	if holds && notice.Version > o.noticed {
+		o.noticed = notice.Version
+		o.node.members.announceLease(now, notice)
+	}
 	if authority.Epoch > o.announced {
 		// Also a node that gave the cell away tells who has it now.
 		o.announced = authority.Epoch
@@ -107,6 +113,12 @@
 	o.core.HandleHint(time.Now(), holder, epoch)
 }
 
+func (o *office) notice(n lease.Notice) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.core.HandleNotice(time.Now(), n)
+}
+
 func (o *office) setWanted(now time.Time, w lease.Wanted) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- a/lease/core.go
+++ b/lease/core.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/redwingnotch/redwingnotch/fleet"
@@ -158,6 +159,30 @@
 	}
 	c.hint = Successor{Holder: holder, Epoch: epoch}
 	c.readWanted = true
+	c.lastRead = time.Time{} // at once: the claim may name this node as a successor
+}
+
+// Notice is what the holder tells its successors of each new version of the
+// record: who succeeds without a write acts by the version last read.
+type Notice struct {
+	Version    uint64 // of the lease object
+	Successors []fleet.NodeID
+}
+
+// Notice returns what to tell, and whether this node holds the cell.
+func (c *Core) Notice() (Notice, bool) {
+	n := Notice{Version: c.version}
+	for _, s := range c.record.Successors {
+		n.Successors = append(n.Successors, s.Holder.Node)
+	}
+	return n, c.ownsRecord()
+}
+
+// HandleNotice takes in a holder's notice, as heard from peers.
+func (c *Core) HandleNotice(_ time.Time, n Notice) {
+	if n.Version > c.version && slices.Contains(n.Successors, c.self.Node) {
+		c.readWanted = true
+	}
 }
 
 // HandleDeposed takes in that an engine holds a higher epoch than this node's.
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -248,6 +248,46 @@
 	assert.Equal(t, b.authority(last).Epoch, fleet.Epoch(4))
 }
 
+// TestLaterSuccessorKnowsThatItIsOne replaces a successor after the claim, and
+// then takes the store away.
+func TestLaterSuccessorKnowsThatItIsOne(t *testing.T) {
+	b := newBench(t, "a", "b", "c", "d")
+	h := b.holder("a", "b", "c", "d")
+	record := b.authority(h)
+	assert.Assert(t, record.SuccessorsAlive)
+	var later []fleet.NodeID
+	for _, n := range []fleet.NodeID{"a", "b", "c", "d"} {
+		if n == h {
+			continue
+		}
+		// One after the other dies and comes back as a new run that is granted anew.
+		b.state(n, lease.MemberDead)
+		b.run(time.Second, h)
+		m := b.members[n]
+		m.Incarnation, m.State = 2, lease.MemberAlive
+		b.members[n] = m
+		b.cores[n] = lease.New(lease.Config{}, cell, lease.Holder{Node: n, Incarnation: 2})
+		later = append(later, n)
+		b.run(time.Second, append(later, h)...)
+	}
+	notice, holds := b.cores[h].Notice()
+	assert.Assert(t, holds)
+	for _, n := range later {
+		b.cores[n].HandleNotice(b.now, notice)
+	}
+	b.run(time.Second, append(later, h)...)
+	b.down = true
+	b.state(h, lease.MemberDead)
+	b.run(10*time.Second, later...)
+	acting := 0
+	for _, n := range later {
+		if b.authority(n).InOffice {
+			acting++
+		}
+	}
+	assert.Equal(t, acting, 1)
+}
+
 func TestHandover(t *testing.T) {
 	b := newBench(t, "a", "b", "c")
 	h := b.holder("a", "b", "c")
--- a/membership/item.go
+++ b/membership/item.go
@@ -17,6 +17,7 @@
 	ItemRelease    ItemKind = iota + 1 // key "head", version is the release version
 	ItemController                     // key is the cell, version the epoch, value the node
 	ItemQuarantine                     // key is a content hash
+	ItemLease                          // key is the cell, version that of the lease object, value its successors
 )
 
 // Item is a small value that all members get to know. Of two items with one
