node: after a pause a node serves nothing until its release is confirmed

Cause: after a pause the release core asks again what is in force, but the catalog took its new standing only at the next tick. Until then the node was ready and served by the release from before the pause; then it refused with not_ready for some 80 ms. Change: the standing is taken at once. TestAfterAPause... fails on the old code (version 1 for 0) and passes now. The frozen-controller tests wait until the thawed node has noticed its pause and is ready again, and then demand answers from it as before. Package node as a whole was not run again.

--- a/internal/node/release.go
+++ b/internal/node/release.go
@@ -220,9 +220,11 @@
 	r.core.HandleHeard(version, "")
 }
 
-// reconfirm asks again which version is in force, after a pause.
+// reconfirm asks again which version is in force, after a pause. The node does
+// not serve by what it knew until that is confirmed.
 func (r *releases) reconfirm(now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.core.Reconfirm(now)
+	r.node.catalog.setStanding(r.core.Standing(now))
 }
--- a/internal/node/release_test.go
+++ b/internal/node/release_test.go
@@ -28,3 +28,14 @@
 		}
 	})
 }
+
+func TestAfterAPauseNothingIsServedByAnOldRelease(t *testing.T) {
+	inDeployment(t, 1, 2, func(t *testing.T, d *deployment) {
+		n := d.nodes["n1"]
+		assert.Equal(t, n.ReleaseVersion(), uint64(1))
+		n.Reconfirm(time.Now())
+		assert.Equal(t, n.ReleaseVersion(), uint64(0))
+		time.Sleep(inForceWithin)
+		assert.Equal(t, n.ReleaseVersion(), uint64(1))
+	})
+}
--- a/internal/processes/freeze_test.go
+++ b/internal/processes/freeze_test.go
@@ -102,14 +102,28 @@
 // place and the function has run, and lets it go on.
 func (d *deployment) freeze(n *daemon, rest []*daemon, during func()) {
 	d.t.Helper()
+	before := n.incarnation()
 	n.signal(syscall.SIGSTOP)
 	d.controller(rest)
 	during()
 	n.signal(syscall.SIGCONT)
+	// Until it notices the pause, the node still says that it is ready.
+	waitFor(d.t, n.name+" notices its pause", func() bool { return n.incarnation() > before })
 	d.waitReady(d.nodes)
 	assert.Assert(d.t, n.running(), "%s ended", n.name)
 }
 
+// incarnation returns the node's own incarnation, zero if it does not answer.
+func (n *daemon) incarnation() fleet.Incarnation {
+	s, _ := n.status()
+	for _, m := range s.Members {
+		if m.Node == s.Node {
+			return m.Incarnation
+		}
+	}
+	return 0
+}
+
 // checkMember checks that the node serves as an ordinary member.
 func (d *deployment) checkMember(n *daemon, m fleet.ModelID) {
 	d.t.Helper()
