placement: eight candidates a model in place of four

Cause: the aim for the tail of cold starts (p99 at most 1.3 times the bound) was missed; a trace showed first loads from the weight store although a copy was on the disk of a server outside the model's four candidates. An engine out of a new controller's reach holds back twice as many models.

--- a/placement/candidates.go
+++ b/placement/candidates.go
@@ -10,7 +10,7 @@
 )
 
 // MinCandidates is the least size of a model's candidate set.
-const MinCandidates = 4
+const MinCandidates = 8
 
 // CandidatesPerReplica is the size of a candidate set for each replica that the
 // limit allows.
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -178,6 +178,7 @@
 		assert.Assert(t, n > mean/2 && n < mean*2, "%s is candidate of %d models, mean %d", id, n, mean)
 	}
 	assert.Equal(t, len(NewRoster(ids(2)).Candidates("m", 4)), 2)
-	assert.Equal(t, CandidateCount(1), 4)
+	assert.Equal(t, CandidateCount(1), MinCandidates)
+	assert.Equal(t, CandidateCount(4), 8)
 	assert.Equal(t, CandidateCount(5), 10)
 }
