node: cold estimates from the nearest copy

Cause: a model on a server's disk was estimated at its full load time, so requests with a deadline between the two were refused at arrival as unreachable though they could be met. Change: controller.LeastLoadTime gives the load time from the nearest known copy, told to the queue once a second instead of at each tick; unknown refuses nobody.

--- a/controller/loads.go
+++ b/controller/loads.go
@@ -272,6 +272,27 @@
 	return s
 }
 
+// LeastLoadTime returns how long a load of the model's version in force takes
+// from the nearest copy at a backend server where it may be placed; zero if none
+// of them has reported.
+func (c *Core) LeastLoadTime(id fleet.ModelID) time.Duration {
+	m, ok := c.inForce(id)
+	if !ok {
+		return 0
+	}
+	least := time.Duration(0)
+	for _, candidate := range c.rosters.candidates(m.ID, m.MaxReplicas) {
+		b := c.backends[candidate]
+		if b == nil || !b.raised || b.draining(c.stopping) {
+			continue
+		}
+		if took := b.loadDuration(m); least == 0 || took < least {
+			least = took
+		}
+	}
+	return least
+}
+
 // evictable reports whether a replica runs nothing and is not about to.
 func (c *Core) evictable(t *tick, r *replica) bool {
 	return r.state == fleet.ReplicaReady && r.idle() && !r.draining &&
--- a/internal/node/cell.go
+++ b/internal/node/cell.go
@@ -41,6 +41,7 @@
 
 	blocked       []controller.Blocked // at the last tick
 	blockedLogged time.Time            // used by tick only
+	estimatedAt   time.Time            // when the queue was last told the times of cold loads
 }
 
 func newCell(n *Node) *cell {
@@ -77,7 +78,7 @@
 	effects := c.controller.Tick(now, c.demands(now), c.node.cfg.Retention)
 	if authority.InOffice {
 		c.queue.SetReplicas(now, c.controller.Replicas(), c.replicaLoads())
-		c.queue.SetColdEstimates(c.coldEstimates())
+		c.estimateColdLoads(now)
 		c.deliver(c.queue.Tick(now))
 	}
 	c.mu.Unlock()
@@ -107,6 +108,7 @@
 	level.Info(c.node.cfg.Log).Log("event", "office", "in_office", a.InOffice, "epoch", a.Epoch, "holder", a.Holder.Node)
 	c.queue = c.newQueue(a.Epoch)
 	c.release = 0
+	c.estimatedAt = time.Time{}
 	clear(c.waiting)
 	for id, poll := range c.polls {
 		close(poll)
@@ -202,12 +204,20 @@
 	return loads
 }
 
-// coldEstimates gives the queue the time to load each model with no replica.
-func (c *cell) coldEstimates() []admission.ColdEstimate {
+// estimateInterval is the interval at which the times of loads are estimated.
+const estimateInterval = time.Second
+
+// estimateColdLoads gives the queue the time to load each model with no
+// replica. Nobody is refused because of a model whose nearest copy is not known.
+func (c *cell) estimateColdLoads(now time.Time) {
+	if now.Sub(c.estimatedAt) < estimateInterval {
+		return
+	}
+	c.estimatedAt = now
 	models := c.node.catalog.current.Load().models
 	estimates := make([]admission.ColdEstimate, 0, len(models))
 	for _, m := range models {
-		estimates = append(estimates, admission.ColdEstimate{Model: m.ID, ReadyIn: m.LoadTime})
+		estimates = append(estimates, admission.ColdEstimate{Model: m.ID, ReadyIn: c.controller.LeastLoadTime(m.ID)})
 	}
-	return estimates
+	c.queue.SetColdEstimates(estimates)
 }
