soak: checks in a file of their own

Change: what compares the engines and services with the promises moves to soak_checks_test.go. No check changed. Measured: nothing to measure. Conclusion: faults and checks are read apart.

--- /dev/null
+++ b/internal/node/soak_checks_test.go
@@ -0,0 +1,86 @@
+package node_test
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/redwingnotch/redwingnotch/fleet"
+)
+
+// poisonBound is the number of backend servers that one poison may cost.
+const poisonBound = 2
+
+// checkReleases checks that what was accepted is in force at every node.
+func (s *soak) checkReleases() {
+	s.nodesMu.Lock()
+	defer s.nodesMu.Unlock()
+	for name, n := range s.nodes {
+		if version := n.ReleaseVersion(); version < s.released {
+			s.violate("%s serves by release %d, %d was accepted", name, version, s.released)
+		}
+	}
+}
+
+// watchReplicas records at once when a model has too many replicas.
+func (s *soak) watchReplicas() {
+	for !s.isOver() {
+		for _, m := range s.models {
+			if now := s.ledger.Replicas(m.ID); now > m.MaxReplicas {
+				s.violate("%d replicas of %s now, limit %d: %s", now, m.ID, m.MaxReplicas, s.holdersOf(m.ID))
+			}
+		}
+		time.Sleep(500 * time.Millisecond)
+	}
+}
+
+// holdersOf describes the engines that hold a model.
+func (s *soak) holdersOf(m fleet.ModelID) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var all []string
+	for _, e := range s.engines {
+		report := e.Report()
+		for _, r := range report.Replicas {
+			if r.Model == m {
+				all = append(all, fmt.Sprintf("%s %s epoch %d fencing %t", report.Boot, r.State, report.Epoch, e.fencing))
+			}
+		}
+	}
+	return strings.Join(all, "; ")
+}
+
+// checkEngines compares what the engines did with the promises.
+func (s *soak) checkEngines() {
+	for _, m := range s.models {
+		if most := s.ledger.MaxReplicas(m.ID); most > m.MaxReplicas {
+			s.violate("%d replicas of %s at once, limit %d", most, m.ID, m.MaxReplicas)
+		}
+	}
+	crashes := 0
+	for _, e := range s.engines {
+		counts := e.Counts()
+		crashes += counts.Crashes
+		if counts.RefusedMemory > 0 {
+			s.violate("%s: %d loads ordered beyond its memory", e.name, counts.RefusedMemory)
+		}
+		if late := e.LateArrivals(leavingGrace); late > 0 {
+			s.violate("%s: %d requests arrived %v after it was known to leave", e.name, late, leavingGrace)
+		}
+	}
+	if lost := crashes - s.counts.Crashes - s.counts.Reclaimed - s.counts.Retired; lost > poisonBound*s.poisons {
+		s.violate("%d engines lost to %d poisons", lost, s.poisons)
+	}
+}
+
+// checkOrders checks that no key ran twice.
+func (s *soak) checkOrders() {
+	for _, v := range s.services {
+		if most := v.MaxRuns(); most > 1 {
+			s.violate("%s ran a key %d times", v.name, most)
+		}
+	}
+	assert.Assert(s.t, s.counts.Answered > 0, "no request was answered")
+}
