controller: the fake cell passes on notices, as membership does

Cause: since a new claim is read at once, successors in the fake cell had read the record before its rosters were written, and BenchmarkScaleWithoutAuthority failed with the store down: no candidates, no load. The daemon tells them of the later version; the fake cell did not. Change: the holder's gossip carries its notice.

--- a/controller/cell_test.go
+++ b/controller/cell_test.go
@@ -293,7 +293,13 @@
 	if peer == n || epoch == 0 || c.lost() {
 		return
 	}
-	c.toNode(peer, peer.inc, c.delay(), func() { peer.lease.HandleHint(c.now, holder, epoch) })
+	notice, holds := n.lease.Notice()
+	c.toNode(peer, peer.inc, c.delay(), func() {
+		peer.lease.HandleHint(c.now, holder, epoch)
+		if holds {
+			peer.lease.HandleNotice(c.now, notice)
+		}
+	})
 }
 
 func (c *fakeCell) cutOff(n *testNode, e *fakeEngine) bool {
