--- a/internal/capacity/capacity_test.go
+++ b/internal/capacity/capacity_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"os"
 	"strings"
 	"testing"
 
@@ -56,3 +57,12 @@
 		assert.Equal(t, formatNumber(tc.in), tc.want)
 	}
 }
+
+func TestCommittedPageMatchesItsRun(t *testing.T) {
+	const root = "../../docs/"
+	page, err := build(root+"capacity/bench.txt", root+"capacity/CAPACITY.md.tmpl")
+	assert.NilError(t, err)
+	committed, err := os.ReadFile(root + "CAPACITY.md")
+	assert.NilError(t, err)
+	assert.Equal(t, string(committed), string(page), "run: go run ./internal/capacity")
+}
