node: who knows of two crashes of one content tells so

Two entry nodes, one of them cut off from the others' datagrams, each saw one crash; of the two items the later one won, so nodes that had heard only that one knew of one crash. Change: a node whose table, merged with a heard item, has more crashes than the item tells its own. The stand-in engine crashes by a marked request only once it has got its slot, not when it is cancelled before.

--- a/internal/node/export_test.go
+++ b/internal/node/export_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"github.com/redwingnotch/redwingnotch/internal/entry"
 	"time"
 
 	"github.com/redwingnotch/redwingnotch/fleet"
@@ -13,3 +14,6 @@
 
 // Reconfirm makes the node ask again which release is in force, as a pause does.
 func (n *Node) Reconfirm(now time.Time) { n.releases.reconfirm(now) }
+
+// Quarantine returns what the node's entry tells of crashes and asks.
+func (n *Node) Quarantine() entry.Quarantine { return n.cell }
--- a/internal/node/poison.go
+++ b/internal/node/poison.go
@@ -64,7 +64,9 @@
 	}
 }
 
-// importQuarantine takes in what another node told.
+// importQuarantine takes in what another node told. Two nodes that were cut off
+// from each other may each have seen one crash: the item that wins names only
+// one of them, so whoever knows of both tells so.
 func (c *cell) importQuarantine(message membership.Item) {
 	item, ok := quarantineOf(message)
 	if !ok {
@@ -73,7 +75,10 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.told[message.Key] = max(c.told[message.Key], message.Version)
-	c.quarantine.Import(time.Now(), []quarantine.Item{item})
+	now := time.Now()
+	if c.quarantine.Import(now, []quarantine.Item{item}) {
+		c.tellQuarantine(now)
+	}
 }
 
 func quarantineItem(item quarantine.Item, s quarantine.Settings) membership.Item {
--- a/standin/engine/http.go
+++ b/standin/engine/http.go
@@ -74,8 +74,9 @@
 	s := &eventStream{ctx: r.ctx, w: w, interval: p.engine.config.KeepAlive, flusher: w.(http.Flusher)}
 	s.write(": accepted\n\n")
 	if crash {
-		_ = s.keepAliveUntil(r.waiter.granted)
-		p.engine.Crash()
+		if s.keepAliveUntil(r.waiter.granted) == nil {
+			p.engine.Crash()
+		}
 		panic(http.ErrAbortHandler)
 	}
 	if err := p.generate(r, s); err != nil {
