--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -41,7 +41,7 @@
 
 	mu            sync.Mutex
 	boots         int
-	reclaimed     bool // no further boot follows
+	reclaimed     bool     // no further boot follows
 	proc          *process // nil between a crash and the next boot
 	counts        Counts
 	near          map[Checkpoint]fleet.Nearness
