entry: calls to plain services that got no answer are explained too

Cause: rwnctl explain knew nothing of refused orders, of all requests. Measured: nothing to measure; TestServices asks for one.

--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -294,6 +294,10 @@
 		assert.Assert(t, call.First)
 		assert.Equal(t, r.send(http.MethodPut, "/v1/services/ordering/x", "").status, 201, "PUT needs no key")
 		assert.Equal(t, r.send(http.MethodGet, "/v1/services/nope/x", "").status, 404)
+		r.send(http.MethodPost, "/v1/services/ordering/x", "", "Redwingnotch-Request-Id", "call-7")
+		why, known := r.handler.Explain("call-7")
+		assert.Assert(t, known)
+		assert.Equal(t, why.Target+" "+why.Code+" "+why.Outcome, "service ordering key_required not_run")
 		// A node that has just started may not know the service yet.
 		code, outcome = r.send(http.MethodPost, "/v1/services/nope/x", "", "Idempotency-Key", "k1").code(t)
 		assert.Equal(t, code+" "+outcome, "unknown_service unknown")
--- a/internal/entry/services.go
+++ b/internal/entry/services.go
@@ -9,6 +9,7 @@
 
 	"github.com/go-kit/log/level"
 
+	"github.com/redwingnotch/redwingnotch/admin"
 	"github.com/redwingnotch/redwingnotch/fleet"
 	"github.com/redwingnotch/redwingnotch/idempotency"
 )
@@ -36,6 +37,7 @@
 		refused.admitEarlierSend(env)
 		outcome, code = refused.Outcome, refused.Code
 		refused.RequestID = env.id
+		h.rememberCall(env, call, refused)
 		refused.write(w)
 	}
 	duration := time.Since(env.arrival)
@@ -44,6 +46,23 @@
 		"method", call.Method, "keyed", call.Key != "", "code", code, "outcome", outcome, "duration_ms", duration.Milliseconds())
 }
 
+// rememberCall keeps a call without an answer for operators.
+func (h *Handler) rememberCall(env envelope, call idempotency.Call, failed *Error) {
+	h.recent.put(admin.Explanation{
+		RequestID: env.id,
+		Node:      h.cfg.Node,
+		Target:    "service " + string(call.Service),
+		Rank:      env.rank.String(),
+		Outcome:   failed.Outcome.String(),
+		Code:      string(failed.Code),
+		Reason:    failed.Message,
+		Steps: []admin.Step{
+			{At: env.arrival.UTC(), What: call.Method + " " + call.Path},
+			{At: time.Now().UTC(), What: "ended: " + string(failed.Code)},
+		},
+	})
+}
+
 // admitEarlierSend takes back "not run" if the refusal was made before the fate
 // of the request's key was asked for, and the caller does not state that it
 // never sent the key before.
