entry: nothing goes directly to a server that the VM list shows as leaving

Change: the replicas for direct dispatch are marked by the node's own VM list. Figures: TestNothingGoesDirectlyToALeavingServer fails before and passes after, at 8 phases between two reads.

--- a/internal/node/backends.go
+++ b/internal/node/backends.go
@@ -114,6 +114,22 @@
 	}
 }
 
+// markLeaving returns the replicas with those on backend servers that the VM
+// list does not show as staying marked as draining.
+func (b *backends) markLeaving(rows []fleet.Replica) []fleet.Replica {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	stays := make(map[fleet.BackendID]bool, len(b.records))
+	for _, r := range b.records {
+		stays[r.Backend.ID] = r.VM.State == fleet.VMLive && !r.Backend.Draining
+	}
+	marked := slices.Clone(rows)
+	for i := range marked {
+		marked[i].Draining = marked[i].Draining || !stays[marked[i].Backend]
+	}
+	return marked
+}
+
 // vmGone reports whether the list says that the VM of the node is gone.
 func (b *backends) vmGone(id fleet.NodeID) bool {
 	b.mu.Lock()
--- a/internal/node/grants.go
+++ b/internal/node/grants.go
@@ -154,10 +154,13 @@
 
 // Snapshot implements entry.Grants.
 func (p *peerClients) Snapshot() []fleet.Replica {
-	if rows := p.snapshot.Load(); rows != nil {
-		return *rows
+	rows := p.snapshot.Load()
+	if rows == nil {
+		return nil
 	}
-	return nil
+	// The controller may have told of the replicas before it knew that their
+	// backend server leaves.
+	return p.node.backends.markLeaving(*rows)
 }
 
 // Times of snapshots.
--- a/internal/node/outage_test.go
+++ b/internal/node/outage_test.go
@@ -6,6 +6,9 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/redwingnotch/redwingnotch/fleet"
+	"github.com/redwingnotch/redwingnotch/platform"
 )
 
 // TestSuccessorLoadsWhileTheStoreIsOut kills the node in office during an outage
@@ -39,3 +42,51 @@
 		})
 	}
 }
+
+// longRequest keeps a replica from being unloaded for half a minute.
+const longRequest = `{"model":"lathe","stream":true,"max_tokens":600,"messages":[{"role":"user","content":"The whole history of lathe 7."}]}`
+
+// TestNothingGoesDirectlyToALeavingServer kills the node in office, which was
+// the only one to tell of replicas, right after the VM list said that the
+// server of the only replica leaves, at several times between two reads of its
+// replicas.
+func TestNothingGoesDirectlyToALeavingServer(t *testing.T) {
+	for phase := range 8 {
+		leavesBeforeTheControllerDies(t, time.Duration(phase)*250*time.Millisecond)
+	}
+}
+
+func leavesBeforeTheControllerDies(t *testing.T, phase time.Duration) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		d := newDeployment(t)
+		defer d.close()
+		e := d.addEngine("e1")
+		for _, name := range []string{"n1", "n2"} {
+			d.start(name)
+		}
+		time.Sleep(settleTime)
+		holder, _ := d.holder()
+		other := map[string]string{"n1": "n2", "n2": "n1"}[holder]
+		assert.NilError(t, checkAnswer(d.send(other, "POST", "/v1/chat/completions", latheRequest), "lathe", latheRequest))
+		time.Sleep(5*time.Second + phase)
+		long := make(chan error, 1)
+		go func() {
+			got := d.send(other, "POST", "/v1/chat/completions", longRequest)
+			long <- checkAnswer(got, "lathe", longRequest)
+		}()
+		time.Sleep(time.Second)
+		accepted := e.Counts().Accepted
+		backend := fleet.BackendServer{ID: "e1", VM: "e1", Cell: "c", Address: "e1:90", Fencing: true}
+		d.api.SetVM(platform.VMRecord{VM: fleet.VM{ID: "e1", Zone: "z1", State: fleet.VMLeaving, Memory: engineMemory}, Backend: backend})
+		time.Sleep(1100 * time.Millisecond)
+		d.api.Faults.SetOutage(true)
+		d.nodes[holder].Kill()
+		assert.NilError(t, <-d.nodes[holder].err)
+		delete(d.nodes, holder)
+		d.send(other, "POST", "/v1/chat/completions", latheRequest, "Redwingnotch-Rank", "urgent", "Redwingnotch-Deadline", "5s")
+		assert.Equal(t, e.Counts().Accepted, accepted, "%v", phase)
+		assert.NilError(t, <-long, "what runs there goes on")
+		d.api.Faults.SetOutage(false)
+	})
+}
