Messages between nodes fit small links; loaders do not wait for each other's plans

The loaders of the three cells also counted each other's planned loads from the weight store as running; with room for two at once all of them waited.

Now: light messages to all (requests in flight, changed views), whole ones to the nodes in charge of loads and to the others every 3 s; waiting requests are told to nodes in charge only; messages are paced to a fifth of the VM's link; nodes in charge are placed on the largest VMs; silence is judged by the fleet's interval. Loads side by side are counted while they run, and tried for by doubling.

--- a/internal/front/cells.go
+++ b/internal/front/cells.go
@@ -50,12 +50,12 @@
 }
 
 // rank returns how many live nodes come before this one as the cell's next
-// holder: those of the cell's zone first.
+// holder: those on large VMs first, then those of the cell's zone.
 func (p *peers) rank(now time.Time, zone string) int {
-	own := successorKey{p.settings.Zone != zone, xxhash.Sum64String(p.settings.IP + "/" + zone)}
+	own := successorKey{sizeClass(p.settings), p.settings.Zone != zone, xxhash.Sum64String(p.settings.IP + "/" + zone)}
 	n := 0
 	for ip, other := range p.byIP {
-		key := successorKey{other.Zone != zone, xxhash.Sum64String(ip + "/" + zone)}
+		key := successorKey{other.Class, other.Zone != zone, xxhash.Sum64String(ip + "/" + zone)}
 		if other.alive(now) && !other.Leaving && key.before(own) {
 			n++
 		}
@@ -64,11 +64,15 @@
 }
 
 type successorKey struct {
-	away bool // in another zone
-	hash uint64
+	class int  // of the VM's size
+	away  bool // in another zone
+	hash  uint64
 }
 
 func (k successorKey) before(other successorKey) bool {
+	if k.class != other.class {
+		return k.class > other.class
+	}
 	if k.away != other.away {
 		return other.away
 	}
@@ -111,7 +115,7 @@
 			core.Restart(now)
 		}
 	}
-	n.tell(now, true)
+	n.tell(now, allAtOnce)
 }
 
 // sawStore notes an answer of the store.
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -61,7 +61,11 @@
 	parting   []parting                // servers of which this node learnt that they leave or are gone
 	told      map[string]replicas.View // views as last told to the other nodes
 	toldNext  int
-	lastTell  time.Time
+
+	lastTell    time.Time     // the newest message to any node
+	lastRegular time.Time     // the newest to all that was due
+	tellPause   time.Duration // after lastTell
+	toTell      audience      // whom a change concerns that was not told yet
 }
 
 // New returns a node with the platform's settings.
@@ -197,7 +201,7 @@
 			n.tendTenure(ctx, now, c)
 		}
 		n.tendLoads(ctx, now)
-		n.tell(now, false)
+		n.tell(now, whenDue)
 		n.mu.Unlock()
 	}
 }
@@ -243,7 +247,7 @@
 	answer := make(chan waiting.Decision, 1)
 	n.waiters[r.Key] = answer
 	if r.Ask.Model != "" {
-		n.tell(now, true)
+		n.tell(now, holdersAtOnce)
 	}
 	n.mu.Unlock()
 	select {
--- a/internal/front/loads.go
+++ b/internal/front/loads.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"reflect"
 	"slices"
 	"time"
@@ -46,7 +47,7 @@
 	}
 	if changed {
 		n.pump(now)
-		n.tell(now, true)
+		n.tell(now, allAtOnce)
 	}
 }
 
@@ -158,9 +159,9 @@
 	core.Reported(bootclock.Now(), server.ID, server.Start, r, err)
 }
 
-// viewsToTell returns views that have changed since they were told, and some
-// others in turn. n.mu is held.
-func (n *Node) viewsToTell(now time.Time) []replicas.View {
+// viewsToTell returns views that have changed since they were told, and in
+// regular messages some others in turn. n.mu is held.
+func (n *Node) viewsToTell(now time.Time, regular bool) []replicas.View {
 	var views, unchanged []replicas.View
 	for _, c := range n.cells {
 		if !c.tenure.Holding(now) {
@@ -182,7 +183,11 @@
 			}
 		}
 	}
-	for i := 0; i < len(unchanged) && len(views) < viewsPerTell; i++ {
+	again := 0
+	if regular {
+		again = int(math.Ceil(float64(len(unchanged)) * float64(n.peers.tellEvery()) / float64(viewsRound)))
+	}
+	for range again {
 		n.toldNext++
 		views = append(views, unchanged[n.toldNext%len(unchanged)])
 	}
--- a/internal/front/peers.go
+++ b/internal/front/peers.go
@@ -18,21 +18,13 @@
 	"github.com/redwingnotch/redwingnotch/waiting"
 )
 
-// Terms of the messages between nodes.
+// Terms of what is known of other nodes.
 const (
-	tellEvery       = 200 * time.Millisecond // a node's state, in fleets up to tellFleet nodes
-	tellFleet       = 20                     // nodes; beyond, the interval grows in proportion, so that a node's traffic does not
-	tellAtOnce      = 15 * time.Millisecond  // least pause between messages about what has just changed
-	peerAliveFor    = 1200 * time.Millisecond
-	peerKeptFor     = 30 * time.Second // silent peers are told less often, and then forgotten
-	peerSilentTell  = 2 * time.Second
+	peerAliveFor    = 1200 * time.Millisecond // without a message
+	peerAliveTells  = 3.5                     // messages that may be lost, in fleets where that takes longer
+	peerKeptFor     = 30 * time.Second        // silent peers are told less often, and then forgotten
 	maxDatagram     = 64 << 10
 	storeAfterSlack = 300 * time.Millisecond // the time that a message and a call may take
-	viewsPerTell    = 8                      // views in one datagram
-	countsFor       = 2 * time.Second        // counts that have not changed for this long are not told
-	tellStartedFor  = 700 * time.Millisecond // that a server is new
-	startedPerTell  = 4                      // entries in one datagram
-	tellPartingFor  = 15 * time.Second       // that a server leaves or is gone
 )
 
 // message is what a node tells the others. It holds the sender's state; a later
@@ -41,9 +33,11 @@
 	Node     string                  `json:"n"`
 	IP       string                  `json:"a"`
 	Zone     string                  `json:"z"`
-	Run      int64                   `json:"r"` // start of the sender's process, by the time of day, in nanoseconds
-	Sequence uint64                  `json:"q"` // rises with each message of a run
-	Front    string                  `json:"f"` // address for callers
+	Class    int                     `json:"m,omitempty"` // of the node's VM, see sizeClass
+	Light    bool                    `json:"i,omitempty"` // only what changes often: the rest is as the last whole message told
+	Run      int64                   `json:"r"`           // start of the sender's process, by the time of day, in nanoseconds
+	Sequence uint64                  `json:"q"`           // rises with each message of a run
+	Front    string                  `json:"f"`           // address for callers
 	Ready    bool                    `json:"y,omitempty"`
 	Leaving  bool                    `json:"x,omitempty"`
 	Desired  uint64                  `json:"d,omitempty"` // version of the desired state in force
@@ -56,7 +50,7 @@
 	Down     []string                `json:"u,omitempty"` // servers to which the node could not connect lately
 	Parting  []parting               `json:"g,omitempty"` // servers that leave or are gone
 	Started  []replicas.Entry        `json:"e,omitempty"` // servers that the node learnt of lately
-	Known    []string                `json:"k,omitempty"` // IPs of other nodes
+	Known    []string                `json:"k,omitempty"` // IPs of some other nodes
 }
 
 // holderState is what a node says of its tenure.
@@ -113,8 +107,10 @@
 // peer is what this node knows of another.
 type peer struct {
 	message
+	fleet  *peers
 	heard  time.Time
 	told   time.Time
+	wholly time.Time // when it was last told all
 	wants  []waiting.Want
 	counts map[arrivalKey]int
 }
@@ -128,6 +124,7 @@
 	sequence uint64
 	byIP     map[string]*peer
 	seeds    []string // IPs
+	knownAt  int      // position in the list of nodes that the next message names
 }
 
 func newPeers(now time.Time, s platform.Settings) *peers {
@@ -148,12 +145,29 @@
 		return nil
 	}
 	if p.byIP[ip] == nil {
-		p.byIP[ip] = &peer{message: message{IP: ip}, heard: now.Add(-peerAliveFor), counts: map[arrivalKey]int{}}
+		p.byIP[ip] = &peer{message: message{IP: ip}, fleet: p, heard: now.Add(-p.aliveFor()), counts: map[arrivalKey]int{}}
 	}
 	return p.byIP[ip]
 }
 
-func (p *peer) alive(now time.Time) bool { return p.Node != "" && now.Sub(p.heard) < peerAliveFor }
+func (p *peer) alive(now time.Time) bool {
+	return p.Node != "" && now.Sub(p.heard) < p.fleet.aliveFor()
+}
+
+// aliveFor is for how long a node that is not heard is taken as alive.
+func (p *peers) aliveFor() time.Duration {
+	return max(peerAliveFor, time.Duration(peerAliveTells*float64(p.tellEvery())))
+}
+
+// holds reports whether the node says that it holds the tenure of some cell.
+func (p *peer) holds() bool {
+	for _, h := range p.Holders {
+		if h.Holding {
+			return true
+		}
+	}
+	return false
+}
 
 // alive counts the other nodes that were heard lately.
 func (p *peers) alive(now time.Time) int {
@@ -283,6 +297,9 @@
 	if p.Run != m.Run {
 		p.counts = map[arrivalKey]int{}
 	}
+	if m.Light {
+		p.keepRest(&m)
+	}
 	p.message, p.heard = m, now
 	for _, ip := range m.Known {
 		n.peers.know(now, ip)
@@ -312,6 +329,15 @@
 	n.pump(now)
 }
 
+// keepRest completes a light message by what the last whole one told.
+func (p *peer) keepRest(m *message) {
+	for zone, h := range m.Holders {
+		if before := p.Holders[zone]; before != nil && h.Holding && before.Holding {
+			h.Bids, h.Planned = before.Bids, before.Planned
+		}
+	}
+}
+
 func (n *Node) heardCounts(now time.Time, p *peer, counts []countState) {
 	for _, c := range counts {
 		key := arrivalKey{c.Service, c.Model, c.Adapter, c.Fast}
@@ -335,13 +361,15 @@
 		}
 		c.tenure.HolderReleased(now, h.Token, since)
 	}
-	planned := map[string]time.Time{}
-	for _, h := range m.Holders {
-		for model, ms := range h.Planned {
-			planned[model] = now.Add(time.Duration(ms) * time.Millisecond)
+	if !m.Light {
+		planned := map[string]time.Time{}
+		for _, h := range m.Holders {
+			for model, ms := range h.Planned {
+				planned[model] = now.Add(time.Duration(ms) * time.Millisecond)
+			}
 		}
+		n.table.SetPlanned(now, m.IP, planned)
 	}
-	n.table.SetPlanned(now, m.IP, planned)
 	for _, v := range m.Views {
 		if v.Loading != "" {
 			v.LoadEnds = now.Add(time.Duration(v.LoadInMS) * time.Millisecond)
@@ -349,80 +377,3 @@
 		n.table.SetView(now, v)
 	}
 }
-
-// tell sends this node's state to the others if it is due, or at once if it
-// changed. n.mu is held.
-func (n *Node) tell(now time.Time, changed bool) {
-	p := n.peers
-	every := tellEvery * time.Duration(max(1, (len(p.byIP)+tellFleet-1)/tellFleet))
-	since := now.Sub(n.lastTell)
-	if p.socket == nil || !changed && since < every || since < tellAtOnce {
-		return
-	}
-	n.lastTell = now
-	m := n.message(now)
-	data, err := json.Marshal(m)
-	if err != nil {
-		level.Error(n.log).Log("event", "peer_message_failed", "err", err)
-		return
-	}
-	for ip, other := range p.byIP {
-		if now.Sub(other.heard) > peerKeptFor && !slices.Contains(p.seeds, ip) {
-			delete(p.byIP, ip)
-			continue
-		}
-		if !other.alive(now) && now.Sub(other.told) < peerSilentTell && now.Sub(n.lastTell) > 0 {
-			continue
-		}
-		other.told = now
-		addr := &net.UDPAddr{IP: net.ParseIP(ip), Port: n.settings.PeerPort}
-		if _, err := p.socket.WriteToUDP(data, addr); err != nil {
-			level.Debug(n.log).Log("event", "peer_send_failed", "peer", ip, "err", err)
-		}
-	}
-}
-
-// message returns this node's state. n.mu is held.
-func (n *Node) message(now time.Time) message {
-	p := n.peers
-	p.sequence++
-	m := message{
-		Node: n.settings.Node, IP: n.settings.IP, Zone: n.settings.Zone, Run: p.run, Sequence: p.sequence,
-		Front: n.settings.FrontListen, Ready: n.ready(), Leaving: n.leaving.Load(), InFlight: n.table.InFlight(),
-		Down: n.table.Unreachable(now),
-	}
-	if t := n.desired.Load(); t != nil {
-		m.Desired = t.Version
-	}
-	for _, w := range n.list.Wants(now, n.table) {
-		m.Wants = append(m.Wants, wantState{Service: w.Service, Model: w.Model, Adapter: w.Adapter, Count: w.Count,
-			Priority: w.Priority, LeftMS: w.GiveUp.Sub(now).Milliseconds()})
-	}
-	for key, c := range n.arrivals {
-		if now.Sub(c.at) < countsFor {
-			m.Counts = append(m.Counts, countState{Service: key.service, Model: key.model, Adapter: key.adapter, Fast: key.fast, Count: c.count})
-		}
-	}
-	for ip, other := range p.byIP {
-		if other.alive(now) {
-			m.Known = append(m.Known, ip)
-		}
-	}
-	n.parting = slices.DeleteFunc(n.parting, func(g parting) bool { return now.Sub(g.at) > tellPartingFor })
-	m.Parting = n.parting
-	n.started = slices.DeleteFunc(n.started, func(s startedServer) bool { return now.Sub(s.at) > tellStartedFor })
-	for _, s := range n.started[max(0, len(n.started)-startedPerTell):] {
-		m.Started = append(m.Started, s.entry)
-	}
-	m.StoreMS = now.Sub(n.storeAt).Milliseconds()
-	for _, c := range n.cells {
-		if h := n.holderState(now, c); h != nil {
-			if m.Holders == nil {
-				m.Holders = map[string]*holderState{}
-			}
-			m.Holders[c.zone] = h
-		}
-	}
-	m.Views = n.viewsToTell(now)
-	return m
-}
--- a/internal/front/stop.go
+++ b/internal/front/stop.go
@@ -24,7 +24,7 @@
 	for _, c := range n.cells {
 		c.tenure.Release()
 	}
-	n.tell(began, true)
+	n.tell(began, allAtOnce)
 	n.mu.Unlock()
 	level.Info(n.log).Log("event", "stopping", "running", n.running.Load())
 	time.Sleep(stopServesFor)
--- a/internal/front/watch.go
+++ b/internal/front/watch.go
@@ -260,14 +260,14 @@
 		return
 	}
 	n.started = append(n.started, startedServer{entry: entry, at: bootclock.Now()})
-	n.tell(bootclock.Now(), true)
+	n.tell(bootclock.Now(), allAtOnce)
 }
 
 // part notes that a server leaves or is gone, and tells the other nodes. n.mu is held.
 func (n *Node) part(e replicas.Entry) {
 	now := bootclock.Now()
 	n.parting = append(n.parting, parting{ID: e.ID, Revision: e.Revision, at: now})
-	n.tell(now, true)
+	n.tell(now, allAtOnce)
 }
 
 // afterServers drops connections to servers that are gone.
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -85,6 +85,7 @@
 	demand   demand
 	budget   *loadbudget.Budget
 	atOnce   int                  // loads from the weight store side by side that run at full speed, as learnt
+	slowed   bool                 // a load was slowed by others: atOnce grows slowly from then on
 	planned  map[string]time.Time // when models that wait for the weight store are expected
 	began    time.Time
 	input    Input
@@ -133,6 +134,7 @@
 		c.budget.SetShare(now, 1/float64(max(1, c.settings.Cells)))
 	}
 	c.sync(now, in)
+	c.countBeside(now)
 	for _, s := range c.ordered() {
 		c.expire(now, s)
 	}
@@ -426,7 +428,7 @@
 		reason = "waited_for"
 	}
 	s.plan = nil
-	c.send(s, &sentOrder{order: o, store: store, begun: now, due: due, beside: c.storeLoads()}, reason)
+	c.send(s, &sentOrder{order: o, store: store, begun: now, due: due, counted: now}, reason)
 }
 
 // unloadVictim announces that a model leaves, and orders it once the other
--- a/replicas/table.go
+++ b/replicas/table.go
@@ -11,7 +11,7 @@
 	viewFresh      = 3 * time.Second         // a view that was not told again for this long yields to the entry
 	absentFor      = 700 * time.Millisecond  // a model is not asked for again at a server that said it has none
 	peerLoadFresh  = 1500 * time.Millisecond // another node's requests in flight are forgotten after this silence
-	plannedFresh   = time.Second             // the same for what waits for the weight store
+	plannedFresh   = 2 * time.Second         // the same for what waits for the weight store
 	toldLoadFresh  = 300 * time.Millisecond  // a load told with an answer is used for this long
 	goneKeptFor    = time.Minute             // removed entries are remembered for this long, against older ones that arrive late
 	lapsedEntryFor = 2500 * time.Millisecond // an entry that vanished while the store was away may come back within this
