An adapter in use takes its place until it is gone

A server answers 202 to the order to unload an adapter that requests use, and drops it only later. The loader took it as gone at once and ordered the next adapter: with all places taken that is one too many, and the server crashes (rule LIMIT). Now a report has to show that it is gone.

--- a/loader/loader_test.go
+++ b/loader/loader_test.go
@@ -497,3 +497,43 @@
 	assert.Assert(t, len(ordered) > 0)
 	assert.Assert(t, ordered[0].Unload, "two places are taken: %+v", ordered[0])
 }
+
+// TestAnAdapterInUseTakesAPlaceUntilItIsGone: a server that accepts the order to
+// unload an adapter drops it only when no request uses it any more.
+func TestAnAdapterInUseTakesAPlaceUntilItIsGone(t *testing.T) {
+	c := newCluster([]string{"a"}, 1, 1)
+	s := c.servers[0]
+	s.put("m0")
+	core := c.cores["a"]
+	in := loader.Input{
+		Engine: c.engine, Servers: []replicas.Entry{s.entry}, Live: []string{"a"}, Token: 1, Wants: []waiting.Want{want(c, "m0", "a3")},
+		Views:    func(string) (replicas.View, bool) { return replicas.View{}, false },
+		Bid:      func(string, string) (float64, bool) { return 0, false },
+		MayOrder: func(string) bool { return true },
+	}
+	report := func(orders uint64, adapters ...string) {
+		core.Reported(c.now, s.entry.ID, 1, replicas.Report{Start: 1, Orders: orders, Holds: []replicas.Holding{{Model: "m0", Adapters: adapters}}}, nil)
+	}
+	next := func() (orders []replicas.Order) {
+		for range 30 {
+			c.now = c.now.Add(tick)
+			for _, o := range core.Tick(c.now, in).Orders {
+				orders = append(orders, o.Order)
+			}
+		}
+		return orders
+	}
+	core.Tick(c.now, in)
+	report(2, "a1", "a2")
+	unload := next()
+	assert.Equal(t, len(unload), 1)
+	assert.Assert(t, unload[0].Unload)
+	core.OrderDone(c.now, unload[0], 1, replicas.OrderAccepted)
+	for _, o := range next() {
+		assert.Assert(t, o.Unload, "two places are taken still: %+v", o)
+	}
+	report(3, "a2")
+	load := next()
+	assert.Assert(t, len(load) > 0)
+	assert.Assert(t, !load[0].Unload && load[0].Adapter == "a3", "%+v", load[0])
+}
--- a/loader/plans.go
+++ b/loader/plans.go
@@ -299,21 +299,22 @@
 func (c *Core) adapterDone(now time.Time, s *server, o replicas.Order, result replicas.OrderResult) {
 	r := s.holds[o.Model]
 	// A load that held already may have counted or not: a report tells.
-	done := result == replicas.OrderAccepted || result == replicas.OrderHolds && o.Unload
+	done := result == replicas.OrderAccepted && !o.Unload || result == replicas.OrderHolds && o.Unload
 	switch {
 	case done && r != nil:
 		s.orders = o.After + 1
 		if o.Unload {
 			delete(r.adapters, o.Adapter)
-		} else {
-			r.adapters[o.Adapter] = now
-		}
-		s.order.answered = true
-		if o.Unload {
 			s.order = nil
-		} else {
-			s.order.due = now.Add(adapterTime)
+			return
 		}
+		r.adapters[o.Adapter] = now
+		s.order.answered, s.order.due = true, now.Add(adapterTime)
+	case result == replicas.OrderAccepted:
+		// Requests use the adapter still: it takes its place until a report no
+		// longer lists it.
+		s.orders, s.order = o.After+1, nil
+		s.known, s.reportDue = false, now.Add(conflictPause)
 	case result == replicas.OrderUnknown:
 		s.order = nil
 		s.reportDue = now
