Idle connections are kept shortly once a server dropped one; store calls of large fleets

Servers of the grown deployments forget idle connections without notice; what is sent next on one is reset, and a request that must not run twice is lost. After the first such reset a node keeps the service's idle connections for 250 ms only, for 30 s.

Nodes that do not watch the servers' entries closely read them every 200 ms times the number of nodes, at least 4 s; an entry is told on only by nodes that read it themselves.

--- a/internal/front/attempt.go
+++ b/internal/front/attempt.go
@@ -167,6 +167,10 @@
 	}
 	x.runs++
 	n.observe(server.ID, replicas.Failed, 0)
+	var rested *httpsend.RestedError
+	if errors.As(err, &rested) && context.Cause(x.r.Context()) == nil && !errors.Is(err, errSilent) && n.links.connectionDropped(x.service, rested.Rest) {
+		level.Info(n.log).Log("event", "idle_connection_dropped", "service", x.service, "server", server.ID, "rested", rested.Rest)
+	}
 	if !bootclock.Now().Before(x.limit) {
 		x.giveUp("time_over")
 		return attemptDone
--- a/internal/front/links.go
+++ b/internal/front/links.go
@@ -17,6 +17,8 @@
 const (
 	linkIdle      = 3 * time.Second        // an idle connection is kept, unless the server names a shorter time
 	linkIdleShare = 0.7                    // of the time that a server names
+	linkIdleLeast = 250 * time.Millisecond // while servers of the service drop idle connections without notice
+	linkDropsFor  = 30 * time.Second       // after such a drop, for which idle connections are kept only shortly
 	linkDial      = 400 * time.Millisecond // for a connection to be made; zones are milliseconds apart
 	linkMaxIdle   = 6                      // idle connections to one server: servers accept few from all nodes
 	orderTimeout  = 350 * time.Millisecond // for the answer to an order or report; servers give it in milliseconds
@@ -26,7 +28,8 @@
 type links struct {
 	mu      sync.Mutex
 	clients map[linkKey]*link
-	orders  *http.Client // each order and report uses a connection of its own
+	dropped map[string]time.Time // by service: when a server last dropped an idle connection without notice
+	orders  *http.Client         // each order and report uses a connection of its own
 }
 
 type linkKey struct {
@@ -36,13 +39,15 @@
 }
 
 type link struct {
-	client *http.Client
-	idle   time.Duration
+	client  *http.Client
+	service string
+	idle    time.Duration
 }
 
 func newLinks() *links {
 	return &links{
 		clients: map[linkKey]*link{},
+		dropped: map[string]time.Time{},
 		orders:  httpsend.NewClient(httpsend.Options{SingleUse: true, DialTimeout: linkDial, Dial: dialAbortive}),
 	}
 }
@@ -100,27 +105,62 @@
 	if c := l.clients[key]; c != nil {
 		return c.client
 	}
-	c := &link{client: newLinkClient(linkIdle), idle: linkIdle}
+	idle := l.idle(e.Service, linkIdle)
+	c := &link{client: newLinkClient(idle), service: e.Service, idle: idle}
 	l.clients[key] = c
 	return c.client
 }
 
+// idle returns for how long idle connections to a service's servers are kept.
+// l.mu is held.
+func (l *links) idle(service string, usual time.Duration) time.Duration {
+	if at := l.dropped[service]; !at.IsZero() && bootclock.Now().Sub(at) < linkDropsFor {
+		return min(usual, linkIdleLeast)
+	}
+	return usual
+}
+
+// connectionDropped notes that a connection which had rested for some time did
+// not carry a request to its end. A server that forgets idle connections resets
+// what is sent next on them, and a request that must not run twice is lost then.
+// It reports whether that is news.
+func (l *links) connectionDropped(service string, rest time.Duration) bool {
+	if rest <= linkIdleLeast {
+		return false
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := bootclock.Now()
+	before := l.dropped[service]
+	l.dropped[service] = now
+	for _, c := range l.clients {
+		if c.service == service && c.idle > linkIdleLeast {
+			c.replace(linkIdleLeast)
+		}
+	}
+	return before.IsZero() || now.Sub(before) >= linkDropsFor
+}
+
+// replace lets requests in progress finish on the old client.
+func (c *link) replace(idle time.Duration) {
+	c.client.CloseIdleConnections()
+	c.client, c.idle = newLinkClient(idle), idle
+}
+
 func newLinkClient(idle time.Duration) *http.Client {
 	return httpsend.NewClient(httpsend.Options{DialTimeout: linkDial, IdleTimeout: idle, MaxIdle: linkMaxIdle})
 }
 
 // keepAlive notes for how long a server says it keeps idle connections.
 func (l *links) keepAlive(e replicas.Entry, told time.Duration) {
-	idle := time.Duration(linkIdleShare * float64(told))
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	idle := l.idle(e.Service, time.Duration(linkIdleShare*float64(told)))
 	c := l.clients[keyOf(e)]
 	if c == nil || idle == c.idle {
 		return
 	}
-	// Requests in progress finish on the old client.
-	c.client.CloseIdleConnections()
-	c.client, c.idle = newLinkClient(idle), idle
+	c.replace(idle)
 }
 
 // retain drops the clients of servers that are gone.
--- a/internal/front/tell.go
+++ b/internal/front/tell.go
@@ -16,7 +16,7 @@
 const (
 	tellEvery      = 200 * time.Millisecond  // a node's state, in fleets up to tellFleet nodes
 	tellFleet      = 30                      // nodes; beyond, the interval grows in proportion, so that a node's traffic does not
-	tellAtOnce     = 15 * time.Millisecond   // least pause between messages about what has just changed
+	tellAtOnce     = 15 * time.Millisecond   // least pause between messages about what has just changed, grown as the interval
 	tellLinkShare  = 0.2                     // of the VM's link that messages may take
 	wholeEvery     = 3 * time.Second         // all of a node's state to each other
 	wholeByHolder  = 500 * time.Millisecond  // the same of a node in charge of loads
@@ -56,11 +56,14 @@
 	return int(math.Log2(scarcer))
 }
 
-// tellEvery returns the interval between a node's messages.
-func (p *peers) tellEvery() time.Duration {
-	return tellEvery * time.Duration(max(1, (len(p.byIP)+tellFleet-1)/tellFleet))
+// slower returns by how much messages are rarer than in a small fleet.
+func (p *peers) slower() time.Duration {
+	return time.Duration(max(1, (len(p.byIP)+tellFleet-1)/tellFleet))
 }
 
+// tellEvery returns the interval between a node's messages.
+func (p *peers) tellEvery() time.Duration { return tellEvery * p.slower() }
+
 // tell sends this node's state to the others if it is due, or at once to those
 // whom a change concerns. What comes too soon after the last message goes out
 // with the next. n.mu is held.
@@ -78,7 +81,7 @@
 	}
 	whole := n.message(now, toAll, regular)
 	bytes := n.send(now, whole, toAll)
-	n.tellPause = max(tellAtOnce, n.linkTime(bytes))
+	n.tellPause = max(tellAtOnce*p.slower(), n.linkTime(bytes))
 }
 
 // linkTime returns in which time messages of the size may be sent.
--- a/internal/front/watch.go
+++ b/internal/front/watch.go
@@ -21,7 +21,8 @@
 	desiredWait     = 15 * time.Second        // of one watch for the desired state; peers tell of newer versions too
 	serversWait     = 4 * time.Second         // of one watch for servers
 	serversSpacing  = 500 * time.Millisecond  // between two watches for servers; changes gather meanwhile
-	serversRelaxed  = 4 * time.Second         // the same at nodes that others tell of changes
+	serversRelaxed  = 4 * time.Second         // the same at nodes that others tell of changes, in small fleets
+	serversPerNode  = 200 * time.Millisecond  // the same for each node of larger ones, so that all nodes together keep to one rate
 	serversWatchers = 2                       // nodes that watch closely
 	storeAwayFrom   = 1 * time.Second         // without an answer, after which entries that vanish may come back
 	storeReturnedIn = 3 * time.Second         // after the store's return entries may still vanish and come back
@@ -176,13 +177,16 @@
 }
 
 // serversSpacing returns the pause between two watches for servers. A few nodes
-// watch closely and tell the others which servers leave; a node that hears of no
-// other is one of them.
+// watch closely and tell the others which servers come and leave; a node that
+// hears of no other is one of them.
 func (n *Node) serversSpacing() time.Duration {
-	if n.watchesClosely() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := bootclock.Now()
+	if n.peers.rank(now, "") < serversWatchers {
 		return serversSpacing
 	}
-	return serversRelaxed
+	return max(serversRelaxed, time.Duration(n.peers.alive(now))*serversPerNode)
 }
 
 func (n *Node) watchesClosely() bool {
@@ -223,7 +227,7 @@
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.takeEntry(entry, "store")
+	n.takeEntry(entry, entryFromStore)
 	n.pump(bootclock.Now())
 }
 
@@ -245,6 +249,9 @@
 	level.Info(n.log).Log("event", "server_gone", "server", id, "reason", "entry removed")
 }
 
+// entryFromStore is the source of entries that this node read itself.
+const entryFromStore = "store"
+
 // takeEntry takes over an entry from the store, or as another node had it. n.mu is held.
 func (n *Node) takeEntry(entry replicas.Entry, source string) {
 	before, known := n.table.Entry(entry.ID)
@@ -259,6 +266,9 @@
 		n.part(entry)
 		return
 	}
+	if source != entryFromStore {
+		return // the nodes that watch closely tell all others
+	}
 	n.started = append(n.started, startedServer{entry: entry, at: bootclock.Now()})
 	n.tell(bootclock.Now(), allAtOnce)
 }
--- a/internal/httpsend/httpsend.go
+++ b/internal/httpsend/httpsend.go
@@ -22,6 +22,16 @@
 	ErrReused      = errors.New("an earlier request had used the connection") // beside ErrMaybeSent
 )
 
+// RestedError tells for how long the connection of a request that failed had not
+// been used before. It is an ErrReused.
+type RestedError struct{ Rest time.Duration }
+
+// Error implements error.
+func (e *RestedError) Error() string { return fmt.Sprintf("%v, %v ago", ErrReused, e.Rest) }
+
+// Is reports whether target is ErrReused.
+func (e *RestedError) Is(target error) bool { return target == ErrReused }
+
 // Options says how connections are opened and kept.
 type Options struct {
 	Dial        DialFunc      // nil dials TCP with keepalive and a user timeout
@@ -152,7 +162,7 @@
 	}
 	sent, reused := call.mayHaveSent()
 	if sent && reused {
-		return nil, fmt.Errorf("%w: %w: %w", ErrMaybeSent, ErrReused, cause)
+		return nil, fmt.Errorf("%w: %w: %w", ErrMaybeSent, &RestedError{Rest: call.rest()}, cause)
 	}
 	if sent {
 		return nil, fmt.Errorf("%w: %w", ErrMaybeSent, cause)
--- a/internal/httpsend/track.go
+++ b/internal/httpsend/track.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http/httptrace"
 	"sync"
+	"time"
 )
 
 // DialFunc opens a connection, as http.Transport.DialContext does.
@@ -71,7 +72,8 @@
 	mu        sync.Mutex
 	used      []use
 	untracked bool
-	reused    bool // some connection had carried an earlier request
+	reused    bool          // some connection had carried an earlier request
+	rested    time.Duration // for how long the newest connection had not been used
 }
 
 type use struct {
@@ -92,6 +94,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.reused = c.reused || info.Reused
+	c.rested = info.IdleTime
 	tracked, ok := info.Conn.(*conn)
 	if !ok {
 		c.untracked = true
@@ -107,6 +110,13 @@
 	c.used = append(c.used, use{conn: tracked, start: tracked.writes()})
 }
 
+// rest returns for how long the newest connection had not been used before.
+func (c *call) rest() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.rested
+}
+
 // mayHaveSent reports, after the request failed, whether any byte of it may have
 // left or may still leave. It makes the request's connections useless, so that
 // the answer stays true; call it only once the client has returned an error.
