--- a/loader/loader.go
+++ b/loader/loader.go
@@ -85,7 +85,6 @@
 	demand   demand
 	budget   *loadbudget.Budget
 	atOnce   int                  // loads from the weight store side by side that run at full speed, as learnt
-	slowed   bool                 // a load was slowed by others: atOnce grows slowly from then on
 	planned  map[string]time.Time // when models that wait for the weight store are expected
 	began    time.Time
 	input    Input
@@ -134,7 +133,6 @@
 		c.budget.SetShare(now, 1/float64(max(1, c.settings.Cells)))
 	}
 	c.sync(now, in)
-	c.countBeside(now)
 	for _, s := range c.ordered() {
 		c.expire(now, s)
 	}
@@ -428,7 +426,7 @@
 		reason = "waited_for"
 	}
 	s.plan = nil
-	c.send(s, &sentOrder{order: o, store: store, begun: now, due: due, counted: now}, reason)
+	c.send(s, &sentOrder{order: o, store: store, begun: now, due: due, beside: c.storeLoads()}, reason)
 }
 
 // unloadVictim announces that a model leaves, and orders it once the other
@@ -454,9 +452,23 @@
 }
 
 // storeFree reports whether a load from the weight store may start, those of
-// other cells counted.
+// other cells counted, also planned ones. If none is in progress one may: the
+// cells would wait for each other's plans.
 func (c *Core) storeFree(now time.Time) bool {
-	return c.storeLoads() < c.atOnce && c.budget.CanStartLoad(now)
+	return (c.storeLoads() < c.atOnce || !c.storeBusy()) && c.budget.CanStartLoad(now)
+}
+
+// storeBusy reports whether some load from the weight store is in progress.
+func (c *Core) storeBusy() bool {
+	if n, _ := c.budget.InFlight(); n > 0 {
+		return true
+	}
+	for _, s := range c.servers {
+		if s.foreign != nil && s.foreign.Loading != "" && s.foreign.FromStore && !s.foreign.Planned {
+			return true
+		}
+	}
+	return false
 }
 
 // storeOpen reports whether another load from the weight store may be planned. A
@@ -465,7 +477,8 @@
 	return c.storeLoads()+c.plannedFromStore() < c.atOnce && c.budget.CanStartLoad(now)
 }
 
-// storeLoads counts the loads from the weight store in all cells.
+// storeLoads counts the loads from the weight store in all cells, and those that
+// other cells plan.
 func (c *Core) storeLoads() int {
 	n, _ := c.budget.InFlight()
 	for _, s := range c.servers {
--- a/loader/loader_test.go
+++ b/loader/loader_test.go
@@ -537,3 +537,36 @@
 	assert.Assert(t, len(load) > 0)
 	assert.Assert(t, !load[0].Unload && load[0].Adapter == "a3", "%+v", load[0])
 }
+
+// TestCellsDoNotWaitForEachOthersPlans: each of three cells plans loads from a
+// weight store that carries one at a time, and first has to make room for them.
+func TestCellsDoNotWaitForEachOthersPlans(t *testing.T) {
+	c := newCluster([]string{"a", "b", "c"}, 2, 24)
+	c.storeAtOnce = 1
+	for i, s := range c.servers {
+		for j := range 3 {
+			s.put(c.engine.Models[3*i+j].Name)
+		}
+	}
+	c.run(2 * time.Second)
+	for _, m := range c.engine.Models[18:] {
+		c.wants = append(c.wants, want(c, m.Name, ""))
+	}
+	const usual = 6 * time.Second // of a load, one after the other
+	c.run(10 * usual)
+	assert.Equal(t, c.onDisk(), len(c.engine.Models), "%v", c.orders)
+}
+
+// onDisk counts the models that some server has on its disk.
+func (c *cluster) onDisk() int {
+	n := 0
+	for _, m := range c.engine.Models {
+		for _, s := range c.servers {
+			if s.onDisk[m.Name] {
+				n++
+				break
+			}
+		}
+	}
+	return n
+}
--- a/loader/server.go
+++ b/loader/server.go
@@ -48,8 +48,7 @@
 	order    replicas.Order
 	answered bool      // the server accepted it
 	store    bool      // it draws on the weight store
-	beside   float64   // seconds of loads from the weight store while it ran, its own included
-	counted  time.Time // until when beside is counted
+	beside   int       // loads from the weight store that ran side by side with it, itself included
 	late     bool      // it was not done when it should have been: its end is told by a report only
 	begun    time.Time // when it was sent
 	due      time.Time // when it is expected to be complete
@@ -175,8 +174,8 @@
 	slices.SortFunc(v.Holds, func(a, b replicas.Holding) int { return strings.Compare(a.Model, b.Model) })
 	if v.Loading != "" {
 		v.LoadEnds = s.loadEnds(now, e)
-		// A plan that waits does not count: loaders would wait for each other's.
-		v.FromStore = s.order != nil && s.order.store
+		v.Planned = s.order == nil
+		v.FromStore = s.order != nil && s.order.store || s.order == nil && s.placeOf(v.Loading) == fromStore
 	}
 	return v
 }
--- a/loader/store.go
+++ b/loader/store.go
@@ -8,45 +8,25 @@
 // Terms of the weight store.
 const (
 	atOnceFirst = 3    // loads side by side before anything is learnt
-	atOnceMost  = 48   // loads side by side that are ever tried
+	atOnceMost  = 12   // loads side by side that are ever tried
 	slowedFrom  = 1.15 // a load that takes so many times its usual time was slowed by the others
-	besideSlack = 0.5  // loads fewer than allowed on the mean, as they do not start at one time
 	seenLate    = 200 * time.Millisecond
 )
 
-// countBeside adds up, for each load from the weight store in progress, how many
-// run side by side. The other cells' loads start and end meanwhile.
-func (c *Core) countBeside(now time.Time) {
-	n := float64(c.storeLoads())
-	for _, s := range c.servers {
-		if o := s.order; o != nil && o.store {
-			o.beside += n * max(0, now.Sub(o.counted).Seconds())
-			o.counted = now
-		}
-	}
-}
-
 // learnSpeed takes the time that a load from the weight store took. Beyond some
 // number of loads side by side each takes longer in proportion; the operators do
-// not tell that number. It is tried for by doubling until a load is slowed, and
-// carefully from then on.
+// not tell that number.
 func (c *Core) learnSpeed(now time.Time, o *sentOrder) {
 	m := c.engine.Model(o.order.Model)
-	took := now.Sub(o.begun)
-	if !o.store || !o.answered || m == nil || m.LoadTime <= 0 || took <= 0 {
+	if !o.store || !o.answered || m == nil || m.LoadTime <= 0 {
 		return
 	}
-	beside := o.beside / took.Seconds()
-	ratio := float64(took-seenLate) / float64(m.LoadTime)
+	ratio := float64(now.Sub(o.begun)-seenLate) / float64(m.LoadTime)
 	switch {
 	case ratio > slowedFrom:
-		c.atOnce = max(1, int(math.Round(beside/ratio)))
-		c.slowed = true
-	case beside < float64(c.atOnce)-besideSlack:
-	case c.slowed:
+		c.atOnce = max(1, int(math.Round(float64(o.beside)/ratio)))
+	case o.beside >= c.atOnce:
 		c.atOnce = min(atOnceMost, c.atOnce+1)
-	default:
-		c.atOnce = min(atOnceMost, max(c.atOnce, int(math.Round(2*beside))))
 	}
 }
 
--- a/replicas/types.go
+++ b/replicas/types.go
@@ -80,6 +80,7 @@
 	LoadEnds  time.Time `json:"-"`           // when it is expected to be ready
 	LoadInMS  int64     `json:"e,omitempty"` // the same, from the time of sending
 	FromStore bool      `json:"s,omitempty"` // it comes from the weight store
+	Planned   bool      `json:"p,omitempty"` // the load has not begun
 	Unloading string    `json:"u,omitempty"` // model that no new request may use
 	Running   int       `json:"r,omitempty"` // requests, as last reported
 }
