Metrics at a port named in the deploy file; the wait in the log counts waiting only

waited_ms counted the time at a first server too, and a second wait from the request's arrival: a recorded request waited 8,945 ms of 8,431. The test fails without the mend.

--- a/cmd/redwingnotch/front.go
+++ b/cmd/redwingnotch/front.go
@@ -4,9 +4,11 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"os"
 	"os/signal"
 	"reflect"
+	"strconv"
 	"syscall"
 
 	"github.com/alexflint/go-arg"
@@ -27,6 +29,7 @@
 // platform's settings file.
 type frontArgs struct {
 	Settings string `arg:"--settings,env:REDWINGNOTCH_SETTINGS" help:"path of the platform's settings file"`
+	Metrics  int    `arg:"--metrics-port,env:REDWINGNOTCH_METRICS_PORT" help:"port of the VM's address at which metrics are served besides the control address; 0 is none"`
 	LogLevel string `arg:"--log-level,env:REDWINGNOTCH_LOG_LEVEL" default:"info" help:"least level of log lines: debug, info, warn or error"`
 }
 
@@ -76,7 +79,11 @@
 			reload(logger, a.Settings, s)
 		}
 	}()
-	if err := front.New(s, logger, metrics).Run(ctx); err != nil {
+	node := front.New(s, logger, metrics)
+	if a.Metrics > 0 {
+		node.ServeMetricsAt(net.JoinHostPort(s.IP, strconv.Itoa(a.Metrics)))
+	}
+	if err := node.Run(ctx); err != nil {
 		level.Error(logger).Log("event", "failed", "err", err)
 		return settings.ExitFailure
 	}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -34,11 +34,12 @@
 
 // Node is one entry node.
 type Node struct {
-	settings platform.Settings
-	log      log.Logger
-	metrics  *telemetry.Metrics
-	store    *platform.Client
-	links    *links
+	settings  platform.Settings
+	metricsAt string // address at which the metrics are served besides the control address, or ""
+	log       log.Logger
+	metrics   *telemetry.Metrics
+	store     *platform.Client
+	links     *links
 
 	desired atomic.Pointer[routes.Table]
 	leaving atomic.Bool // a stop was asked for
@@ -95,6 +96,10 @@
 	return n
 }
 
+// ServeMetricsAt serves the metrics also at an address, host:port. It is called
+// before Run.
+func (n *Node) ServeMetricsAt(address string) { n.metricsAt = address }
+
 // Run serves until the context ends, and then stops gracefully.
 func (n *Node) Run(ctx context.Context) error {
 	level.Info(n.log).Log("event", "start", "zone", n.settings.Zone, "address", n.settings.FrontListen, "first_start", n.settings.FirstStart)
@@ -153,13 +158,21 @@
 		{n.settings.ReadyListen, n.serveReadiness},
 		{n.settings.ResolveListen, n.serveAddresses},
 	}
+	admin := telemetry.Admin(n.metrics, n.notReady, false, http.NotFoundHandler())
 	if n.settings.ControlListen != "" {
-		admin := telemetry.Admin(n.metrics, n.notReady, false, http.NotFoundHandler())
 		handlers = append(handlers, listener{n.settings.ControlListen, admin.ServeHTTP})
 	}
+	if n.metricsAt != "" {
+		handlers = append(handlers, listener{n.metricsAt, admin.ServeHTTP})
+	}
 	var servers []*http.Server
 	for _, h := range handlers {
 		l, err := net.Listen("tcp", h.address)
+		if err != nil && h.address == n.metricsAt {
+			// The port is the same on all days, and the platform's may be the same.
+			level.Error(n.log).Log("event", "metrics_not_served", "address", h.address, "err", err)
+			continue
+		}
 		if err != nil {
 			return nil, errors.Join(fmt.Errorf("listen on %s: %w", h.address, err), closeAll(servers))
 		}
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -378,6 +379,59 @@
 	let()
 }
 
+// TestTheTimeAtAServerIsNoWait: the log tells how long a request waited for
+// servers, without the time that a first server took.
+func TestTheTimeAtAServerIsNoWait(t *testing.T) {
+	w := newWorld(t)
+	const hangs = 300 * time.Millisecond
+	w.backend("s1", "plain", func(rw http.ResponseWriter, r *http.Request) {
+		time.Sleep(hangs)
+		abort(rw, r)
+	})
+	w.backend("s2", "plain", text("b"))
+	n := w.node("127.0.0.1", 0)
+	id := ""
+	for i := 0; !strings.Contains(w.text(), "event=attempt_failed"); i++ {
+		id = fmt.Sprint("r", i)
+		assert.Equal(t, w.call(n, http.MethodGet, "/safe/x", id).body, "b")
+	}
+	w.eventually(func() bool { return strings.Contains(w.text(), "event=request id="+id+" ") })
+	_, line, _ := strings.Cut(w.text(), "event=request id="+id+" ")
+	_, line, _ = strings.Cut(line, "waited_ms=")
+	value, _, _ := strings.Cut(line, " ")
+	waited, err := strconv.Atoi(value)
+	assert.NilError(t, err)
+	assert.Assert(t, time.Duration(waited)*time.Millisecond < hangs, "%d ms", waited)
+}
+
+// TestMetricsAtAPortOfTheProject: if another process has the port, the node
+// serves all the same.
+func TestMetricsAtAPortOfTheProject(t *testing.T) {
+	taken, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer taken.Close()
+	for _, tc := range []struct {
+		name, address string
+		want          int
+	}{
+		{"free", fmt.Sprint("127.0.0.1:", freePort(t, "127.0.0.1")), http.StatusOK},
+		{"taken", taken.Addr().String(), 0},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			w := newWorld(t)
+			w.metricsAt = tc.address
+			w.backend("s1", "plain", text("a"))
+			n := w.node("127.0.0.1", 0)
+			assert.Equal(t, w.call(n, http.MethodGet, "/safe/x", "r").status, http.StatusOK)
+			if tc.want != 0 {
+				assert.Equal(t, w.status("http://"+tc.address+"/metrics"), tc.want)
+			} else {
+				assert.Assert(t, strings.Contains(w.text(), "event=metrics_not_served"))
+			}
+		})
+	}
+}
+
 // TestAStopRefusesWhatWaits: a request that was not sent to any server is told so
 // while there is time, and is not cut when the process ends.
 func TestAStopRefusesWhatWaits(t *testing.T) {
--- a/internal/front/harness_test.go
+++ b/internal/front/harness_test.go
@@ -70,6 +70,8 @@
 	nodes    map[string]*node
 	logs     *bytes.Buffer
 	logsMu   sync.Mutex
+
+	metricsAt string // of nodes started from now on
 }
 
 // Write implements io.Writer for the nodes' logs.
@@ -203,7 +205,9 @@
 	n.stop = stop
 	metrics, err := telemetry.NewMetrics()
 	assert.NilError(w.t, err)
-	go func() { n.done <- front.New(n.settings, log.NewLogfmtLogger(w), metrics).Run(ctx) }()
+	node := front.New(n.settings, log.NewLogfmtLogger(w), metrics)
+	node.ServeMetricsAt(w.metricsAt)
+	go func() { n.done <- node.Run(ctx) }()
 	w.nodes[ip] = n
 	return n
 }
--- a/internal/front/serve.go
+++ b/internal/front/serve.go
@@ -179,8 +179,9 @@
 	defer cancel()
 	n.countArrival(x)
 	for {
+		began := bootclock.Now()
 		d, err := n.acquire(ctx, x.request())
-		x.waited += d.Waited
+		x.waited += bootclock.Now().Sub(began)
 		if err != nil {
 			x.gaveUpWaiting()
 			return
