--- a/internal/httpsend/httpsend_test.go
+++ b/internal/httpsend/httpsend_test.go
@@ -137,15 +137,28 @@
 // keptConns hands on the connections of a listener and keeps the newest.
 type keptConns struct {
 	net.Listener
+	mu     sync.Mutex
 	newest net.Conn
 }
 
+// Accept implements net.Listener.
 func (k *keptConns) Accept() (net.Conn, error) {
 	conn, err := k.Listener.Accept()
-	k.newest = conn
+	if err == nil {
+		k.mu.Lock()
+		defer k.mu.Unlock()
+		k.newest = conn
+	}
 	return conn, err
 }
 
+// closeNewest ends the newest connection from the server's side.
+func (k *keptConns) closeNewest() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.newest.Close()
+}
+
 // TestAKeptConnectionThatHadEndedIsReplaced: the server ends a kept connection
 // just when a request is given to it. Nothing was sent, so the request goes over
 // another connection, and if there is none the server is told unreachable.
@@ -184,7 +197,7 @@
 		if !listens {
 			l.Close()
 		}
-		kept.newest.Close()
+		kept.closeNewest()
 		synctest.Wait() // the client has seen the end
 	})
 	ctx := httptrace.WithClientTrace(t.Context(), &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { end() }})
