--- a/internal/front/tell.go
+++ b/internal/front/tell.go
@@ -56,7 +56,7 @@
 	return int(math.Log2(scarcer))
 }
 
-// slower returns by how much messages are rarer than in a small fleet.
+// slower returns the factor by which messages are rarer than in a small fleet.
 func (p *peers) slower() time.Duration {
 	return time.Duration(max(1, (len(p.byIP)+tellFleet-1)/tellFleet))
 }
