front: log the writes, resignations and orders of a leadership

After two nodes had ordered one server, the logs told when a leadership began and ended, but not which write's response made or ended it, which resignation was published or believed, and how long an order was on its way. tenure_written, tenure_resigned and tenure_resignation tell these; tenure gets valid_ms, order gets took_ms and send_limit_ms.

--- a/internal/front/cells.go
+++ b/internal/front/cells.go
@@ -35,6 +35,7 @@
 	token          uint64               // fencing token of the newest order; zero if there was none
 	ordersInFlight int                  // orders without a response yet
 	lastOrderDone  map[string]time.Time // by server: when this node's newest order ended
+	resignedToken  uint64               // token of the newest published resignation; zero if there was none
 	// writesFailingSince is when the first of the consecutive failed writes of the
 	// leadership record was sent; zero if the newest write succeeded.
 	writesFailingSince time.Time
@@ -113,7 +114,7 @@
 		return
 	}
 	c.leading = leading
-	level.Info(n.log).Log("event", "tenure", "cell", c.zone, "holding", leading, "token", c.leadership.Token())
+	level.Info(n.log).Log("event", "tenure", "cell", c.zone, "holding", leading, "token", c.leadership.Token(), "valid_ms", c.leadership.ValidFor(now).Milliseconds())
 	if leading {
 		// The demand is retained. The servers' state is read again, because another
 		// node may have sent orders since.
@@ -178,12 +179,17 @@
 	default:
 		result = leadership.Failed
 	}
+	now := bootclock.Now()
+	tookMS := now.Sub(sent).Milliseconds()
 	if err != nil {
-		level.Warn(n.log).Log("event", "tenure_unwritten", "cell", c.zone, "token", a.Record.Token, "err", err)
+		level.Warn(n.log).Log("event", "tenure_unwritten", "cell", c.zone, "token", a.Record.Token, "renewal", a.Record.Renewal, "took_ms", tookMS, "err", err)
 	}
-	now := bootclock.Now()
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	if err == nil {
+		level.Info(n.log).Log("event", "tenure_written", "cell", c.zone, "token", a.Record.Token, "renewal", a.Record.Renewal, "revision", version,
+			"took_ms", tookMS, "holding", c.leadership.Leading(now))
+	}
 	switch {
 	case result == leadership.Written || result == leadership.Conflict:
 		n.lastStoreContact, c.writesFailingSince = now, time.Time{}
@@ -212,6 +218,10 @@
 	if c.token == 0 || c.ordersInFlight > 0 || !c.leadership.OrderTimesKnown(now) {
 		return nil
 	}
+	if c.resignedToken != c.token {
+		c.resignedToken = c.token
+		level.Info(n.log).Log("event", "tenure_resigned", "cell", c.zone, "token", c.token, "valid_ms", c.leadership.ValidFor(now).Milliseconds())
+	}
 	s := &leaderState{Token: c.token, OrderAgeMS: map[string]int64{}}
 	lastOrderDone := maps.Clone(c.leadership.LastOrders())
 	if lastOrderDone == nil {
--- a/internal/front/loads.go
+++ b/internal/front/loads.go
@@ -125,14 +125,15 @@
 
 // sendOrder sends an order. No part of it leaves this node after the time until.
 func (n *Node) sendOrder(ctx context.Context, c *cell, core *loader.Core, o loader.OutgoingOrder, until time.Time) {
-	ctx, cancel := context.WithTimeout(withWriteDeadline(ctx, until), until.Sub(bootclock.Now()))
+	sent := bootclock.Now()
+	ctx, cancel := context.WithTimeout(withWriteDeadline(ctx, until), until.Sub(sent))
 	defer cancel()
 	result, err := platform.SendOrder(ctx, n.serverClients.orderClient, o.Server.Address, o.Order)
+	now := bootclock.Now()
 	level.Info(n.log).Log("event", "order", "cell", c.zone, "server", o.Order.ServerID, "unload", o.Order.Unload, "model", o.Order.Model,
 		"adapter", o.Order.Adapter, "after", o.Order.After, "token", o.Order.Token, "reason", o.Reason, "from_store", o.UsesStore,
-		"result", result, "err", err)
+		"result", result, "took_ms", now.Sub(sent).Milliseconds(), "send_limit_ms", until.Sub(sent).Milliseconds(), "err", err)
 	n.metrics.Order(orderKind(o.Order), result.String())
-	now := bootclock.Now()
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	c.ordersInFlight--
--- a/internal/front/peers.go
+++ b/internal/front/peers.go
@@ -373,7 +373,9 @@
 		for server, ms := range leader.OrderAgeMS {
 			since[server] = time.Duration(ms) * time.Millisecond
 		}
-		c.leadership.LeaderResigned(now, leader.Token, since)
+		if c.leadership.LeaderResigned(now, leader.Token, since) {
+			level.Info(n.log).Log("event", "tenure_resignation", "cell", c.zone, "token", leader.Token, "peer", m.Node, "run", m.Incarnation)
+		}
 	}
 	if !m.Partial {
 		planned := map[string]time.Time{}
--- a/leadership/leadership.go
+++ b/leadership/leadership.go
@@ -157,11 +157,13 @@
 
 // LeaderResigned records the report of the former leader with the token that it
 // will send no more orders with it. since gives, by server, the time since its last
-// order ended.
-func (c *Core) LeaderResigned(now time.Time, token uint64, since map[string]time.Duration) {
+// order ended. It returns whether no resignation of this token or a newer one was
+// known before.
+func (c *Core) LeaderResigned(now time.Time, token uint64, since map[string]time.Duration) bool {
 	if token < c.resigned.token || token == 0 {
-		return
+		return false
 	}
+	isNew := token > c.resigned.token
 	c.resigned.token = token
 	if c.resigned.lastOrder == nil {
 		c.resigned.lastOrder = map[string]time.Time{}
@@ -173,6 +175,7 @@
 			c.resigned.lastOrder[server] = at
 		}
 	}
+	return isNew
 }
 
 // Tick returns the store call to make now.
