--- /dev/null
+++ b/leadership/resignation_test.go
@@ -0,0 +1,72 @@
+package leadership_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/redwingnotch/redwingnotch/leadership"
+)
+
+// nextWrite ticks the core every 20 ms until it returns a write, which is left
+// pending, and returns the write and the time of its tick.
+func nextWrite(t *testing.T, c *leadership.Core, now time.Time, s *store) (leadership.Action, time.Time) {
+	t.Helper()
+	for end := now.Add(time.Minute); now.Before(end); now = now.Add(20 * time.Millisecond) {
+		action := c.Tick(now, eligible)
+		if action.Kind == leadership.Write {
+			return action, now
+		}
+		perform(c, now, s, action)
+	}
+	t.Fatal("no write within a minute")
+	return leadership.Action{}, now
+}
+
+// TestLateRenewalResponseDoesNotRestoreExpiredLeadership guards against two leaders: a
+// node that was suspended until its leadership had expired reports so to others, and
+// the response of a renewal from before must not make it leader again under that token.
+func TestLateRenewalResponseDoesNotRestoreExpiredLeadership(t *testing.T) {
+	settings := leadership.DefaultSettings(orderLease)
+	a, b, s := newCore("a"), newCore("b"), &store{}
+	now := run(a, start, time.Second, s, eligible)
+	confirmed := now
+	renewal, now := nextWrite(t, a, now, s)
+	version, result := s.write(renewal)
+	assert.Equal(t, result, leadership.Written)
+
+	now = confirmed.Add(settings.Validity) // suspended with the response pending
+	assert.Equal(t, a.Tick(now, eligible).Kind, leadership.NoCall)
+	assert.Assert(t, !a.Leading(now)) // seen by others as a resignation
+	b.LeaderResigned(now, renewal.Record.Token, nil)
+	now = run(b, now, 100*time.Millisecond, s, eligible)
+	a.WriteDone(now, renewal.Record, version, result)
+	assert.Assert(t, !a.Leading(now), "leader again with token %d", a.Token())
+
+	now = run(b, now, time.Second, s, eligible)
+	token, ok := b.Authority(now)
+	assert.Assert(t, ok)
+	assert.Equal(t, token, renewal.Record.Token+1)
+}
+
+// TestLateRenewalResponseDoesNotRestoreResignedLeadership guards against two leaders:
+// the response of a renewal that arrives after the leader stepped down must not make
+// it leader again under the token that a successor takes as given up.
+func TestLateRenewalResponseDoesNotRestoreResignedLeadership(t *testing.T) {
+	a, b, s := newCore("a"), newCore("b"), &store{}
+	now := run(a, start, time.Second, s, eligible)
+	renewal, now := nextWrite(t, a, now, s)
+	version, result := s.write(renewal)
+	assert.Equal(t, result, leadership.Written)
+
+	a.StepDown(now)
+	b.LeaderResigned(now, renewal.Record.Token, nil)
+	now = run(b, now, time.Second, s, eligible)
+	token, ok := b.Authority(now)
+	assert.Assert(t, ok)
+	assert.Equal(t, token, renewal.Record.Token+1)
+
+	a.WriteDone(now, renewal.Record, version, result)
+	assert.Assert(t, !a.Leading(now), "leader again with token %d", a.Token())
+}
