leadership: a token that was given up is never led with again

Cause: a node published the resignation of its token as soon as Leading was false, by time or after StepDown, while a renewal was pending. Tick returned because of the pending call before it ended the expired leadership. The late response then set the leadership again, with a validity that counts from the sending. A successor that trusted the resignation had acquired the next token meanwhile.

Change: Core keeps the highest token with which it has led. Once the leadership ended, a response can only begin one with a higher token. ResignedToken, Tick and the handling of a write end an expired leadership as a change of state, not only by comparing times, so a response that is handled with an earlier time does not restore it either. The published resignation names the token that was given up instead of that of the newest order, so a leader that has sent no order is also succeeded at once.

--- a/internal/front/cells.go
+++ b/internal/front/cells.go
@@ -32,7 +32,6 @@
 	loaders    map[string]*loader.Core // by service
 	leading    bool                    // this node led the cell when last checked
 
-	token          uint64               // fencing token of the newest order; zero if there was none
 	ordersInFlight int                  // orders without a response yet
 	lastOrderDone  map[string]time.Time // by server: when this node's newest order ended
 	resignedToken  uint64               // token of the newest published resignation; zero if there was none
@@ -215,14 +214,15 @@
 		}
 		return s
 	}
-	if c.token == 0 || c.ordersInFlight > 0 || !c.leadership.OrderTimesKnown(now) {
+	token, resigned := c.leadership.ResignedToken(now)
+	if !resigned || c.ordersInFlight > 0 || !c.leadership.OrderTimesKnown(now) {
 		return nil
 	}
-	if c.resignedToken != c.token {
-		c.resignedToken = c.token
-		level.Info(n.log).Log("event", "tenure_resigned", "cell", c.zone, "token", c.token, "valid_ms", c.leadership.ValidFor(now).Milliseconds())
+	if c.resignedToken != token {
+		c.resignedToken = token
+		level.Info(n.log).Log("event", "tenure_resigned", "cell", c.zone, "token", token, "valid_ms", c.leadership.ValidFor(now).Milliseconds())
 	}
-	s := &leaderState{Token: c.token, OrderAgeMS: map[string]int64{}}
+	s := &leaderState{Token: token, OrderAgeMS: map[string]int64{}}
 	lastOrderDone := maps.Clone(c.leadership.LastOrders())
 	if lastOrderDone == nil {
 		lastOrderDone = map[string]time.Time{}
--- a/internal/front/loads.go
+++ b/internal/front/loads.go
@@ -69,7 +69,6 @@
 		MayOrder:       func(id string) bool { return c.leadership.MayOrder(now, id) },
 	})
 	for _, o := range effects.Orders {
-		c.token = o.Order.Token
 		c.ordersInFlight++
 		go n.sendOrder(ctx, c, core, o, now.Add(min(orderTimeout, c.leadership.ValidFor(now))))
 	}
--- a/internal/front/peers.go
+++ b/internal/front/peers.go
@@ -55,7 +55,7 @@
 
 // leaderState is what a node publishes about its leadership of a cell.
 type leaderState struct {
-	Token         uint64                        `json:"t"`           // fencing token; of the newest order if the node does not lead the cell now
+	Token         uint64                        `json:"t"`           // fencing token; the highest one given up if the node does not lead the cell now
 	Leading       bool                          `json:"h,omitempty"` // the node leads the cell now
 	ExpectedReady map[string]int64              `json:"p,omitempty"` // milliseconds until a model that waits for the weight store is expected to be ready, by model
 	LoadCosts     map[string]map[string]float64 `json:"b,omitempty"` // estimated load costs by service, and by model or model/adapter
--- a/leadership/leadership.go
+++ b/leadership/leadership.go
@@ -6,6 +6,11 @@
 // ended at the leader and the servers' minimum time between orders of two nodes,
 // Settings.OrderLease, has passed as well.
 //
+// Each leadership has a fencing token of its own. Once a node has given up a token,
+// because it expired, on request or because it is about to stop, it never leads with
+// that token again, whatever response arrives later. Its resignation may therefore be
+// trusted by a successor, which then acquires the leadership at once.
+//
 // Core does no I/O and is not safe for concurrent use. All times must come from
 // one clock of this machine that also advances while the machine is suspended.
 package leadership
@@ -85,8 +90,9 @@
 	version        uint64    // zero if the object does not exist
 	unchangedSince time.Time // since when record and version are known to be unchanged
 
-	leading             bool // this node has acquired the leadership; it expires at validUntil
-	validUntil          time.Time
+	token               uint64               // highest token with which this node has led since its start; zero if none
+	leading             bool                 // this node leads with token until validUntil; once false, the token is given up for good
+	validUntil          time.Time            // when the leadership expires unless a renewal is confirmed
 	orderNotBefore      map[string]time.Time // by server: no order to it before this time
 	noOrderBefore       time.Time            // no order to any server before this time
 	orderTimesKnownFrom time.Time            // from this time on, all orders that this node sent before a restart are older than OrderLease; before it, their times are unknown
@@ -115,7 +121,7 @@
 // Authority returns the fencing token of this node's leadership and whether the
 // node may order servers now. Before ordering a server, MayOrder must be checked
 // too.
-func (c *Core) Authority(now time.Time) (uint64, bool) { return c.record.Token, c.Leading(now) }
+func (c *Core) Authority(now time.Time) (uint64, bool) { return c.token, c.Leading(now) }
 
 // MayOrder reports whether enough time has passed since other nodes' orders to the
 // server that this node may order it, if it is the leader.
@@ -134,27 +140,35 @@
 
 // Leading reports whether this node is the leader, even if it may not order some
 // servers yet.
-func (c *Core) Leading(now time.Time) bool {
-	return c.leading && !c.stopping && now.Before(c.validUntil)
-}
+func (c *Core) Leading(now time.Time) bool { return c.leading && now.Before(c.validUntil) }
 
 // ValidFor returns how long the leadership remains valid without another renewal.
 func (c *Core) ValidFor(now time.Time) time.Duration { return c.validUntil.Sub(now) }
 
-// Token returns the fencing token of the last known record.
-func (c *Core) Token() uint64 { return c.record.Token }
+// Token returns the highest fencing token with which this node has led since its
+// start; zero if it has not led.
+func (c *Core) Token() uint64 { return c.token }
 
-// Resign gives up the leadership permanently because this node is about to stop.
-func (c *Core) Resign() { c.stopping = true }
+// Resign gives up the leadership because this node is about to stop. The node does
+// not acquire it again.
+func (c *Core) Resign() { c.stopping, c.leading = true, false }
 
-// StepDown gives up the leadership temporarily because other nodes reach the store
-// and this node does not.
+// StepDown gives up the leadership because other nodes reach the store and this node
+// does not. The node may acquire it again with a new token.
 func (c *Core) StepDown(now time.Time) {
 	if c.leading {
-		c.stopLeading(now)
+		c.giveUp(now)
 	}
 }
 
+// ResignedToken returns the highest token that this node has given up, and false if
+// it has not led yet or leads now. An expired leadership is given up by the call: what
+// others are told about it must stay true.
+func (c *Core) ResignedToken(now time.Time) (uint64, bool) {
+	c.giveUpExpired(now)
+	return c.token, !c.leading && c.token > 0
+}
+
 // LeaderResigned records the report of the former leader with the token that it
 // will send no more orders with it. since gives, by server, the time since its last
 // order ended. It returns whether no resignation of this token or a newer one was
@@ -180,12 +194,10 @@
 
 // Tick returns the store call to make now.
 func (c *Core) Tick(now time.Time, p Peers) Action {
+	c.giveUpExpired(now)
 	if c.callPending {
 		return Action{}
 	}
-	if c.leading && !now.Before(c.validUntil) {
-		c.stopLeading(now)
-	}
 	if c.leading {
 		return c.renew(now, p)
 	}
@@ -249,8 +261,8 @@
 // renew returns the next call of the leader: a write that renews the record, or a
 // read if the outcome of the last write is unknown.
 func (c *Core) renew(now time.Time, p Peers) Action {
-	if !p.Eligible || c.stopping {
-		c.stopping = true
+	if !p.Eligible {
+		c.Resign()
 		return Action{}
 	}
 	pause := c.settings.RenewEvery
@@ -292,10 +304,10 @@
 		// from a leader that reported its last orders. Those reports are lost.
 		c.noOrderBefore = now.Add(c.settings.OrderLease + c.settings.MaxOrderDelay)
 	}
-	stillLeader := c.leading && r.Holder == c.self && r.Token == c.record.Token
+	stillLeader := r.Holder == c.self && r.Token == c.token
 	c.recordKnown, c.record, c.version, c.outcomeUnknown, c.readOnStart = true, r, version, false, false
 	if c.leading && !stillLeader {
-		c.stopLeading(now)
+		c.giveUp(now)
 	}
 }
 
@@ -314,17 +326,12 @@
 // version is the object's new version.
 func (c *Core) WriteDone(now time.Time, r Record, version uint64, result WriteResult) {
 	c.callPending = false
+	c.giveUpExpired(now)
 	switch result {
 	case Written:
-		if !c.leading {
-			c.setOrderNotBefore()
-		}
-		c.leading, c.recordKnown, c.outcomeUnknown = true, true, false
+		c.recordKnown, c.outcomeUnknown = true, false
 		c.record, c.version, c.unchangedSince = r, version, now
-		// No successor acquires the leadership before validUntil: it has to read
-		// this record, which was written after callSent, and then wait for longer
-		// than Validity.
-		c.validUntil = c.callSent.Add(c.settings.Validity)
+		c.confirmToken(now, r.Token)
 	case Conflict:
 		c.recordKnown = false
 		if c.leading {
@@ -338,6 +345,25 @@
 	}
 }
 
+// confirmToken begins the leadership with a new token or extends the present one,
+// after the store has confirmed a write with the token. A token that was given up
+// while the write was pending stays given up.
+func (c *Core) confirmToken(now time.Time, token uint64) {
+	isNew := token > c.token
+	if !isNew && !c.leading {
+		return
+	}
+	if isNew {
+		c.setOrderNotBefore()
+	}
+	c.token, c.leading = token, !c.stopping
+	// No successor acquires the leadership before validUntil: it has to read this
+	// record, which was written after callSent, and then wait for longer than
+	// Validity.
+	c.validUntil = c.callSent.Add(c.settings.Validity)
+	c.giveUpExpired(now)
+}
+
 // setOrderNotBefore delays orders to the servers that former leaders reported to
 // have ordered recently. This holds even if the last record was this node's own: a
 // write whose response was lost may have made it the leader before.
@@ -348,10 +374,18 @@
 	}
 }
 
-// stopLeading ends the leadership; this node may acquire it again.
-func (c *Core) stopLeading(now time.Time) {
+// giveUpExpired gives up the leadership if it has expired.
+func (c *Core) giveUpExpired(now time.Time) {
+	if c.leading && !now.Before(c.validUntil) {
+		c.giveUp(now)
+	}
+}
+
+// giveUp ends the leadership for good; this node may acquire it again with a new
+// token. The record may have changed since it was known, which a conditional write
+// finds out.
+func (c *Core) giveUp(now time.Time) {
 	c.leading, c.recordKnown = false, true
-	c.validUntil = now
 	c.noLeaderSince = now
 }
 
