leadership: a new token waits for this node's orders with the old one

Cause: a node that lost the leadership and acquired it again at once resets its loaders, which forget the orders in flight. An order with the new token could then overtake one with the old token that had been decided but not yet sent.

TestNextTokenWaitsForOrdersInFlight fails without the new check in MayOrder.

Change: the times of orders and the resignation, which internal/front kept beside Core, are now in Core, so that one place holds the invariant and tests of Core reach it: OrderSent and OrderEnded record orders in flight, MayOrder refuses a server while an order with another token is in flight to it, and Resignation is given only without any. TestRestartedLeaderDoesNotReportOrderTimes checks the resignation itself now, with the same times. The simulation of TestNoTwoLeadersOrderOneServer uses Resignation in place of its own copy of that logic.

--- a/internal/front/cells.go
+++ b/internal/front/cells.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"maps"
 	"strconv"
 	"time"
 
@@ -32,9 +31,7 @@
 	loaders    map[string]*loader.Core // by service
 	leading    bool                    // this node led the cell when last checked
 
-	ordersInFlight int                  // orders without a response yet
-	lastOrderDone  map[string]time.Time // by server: when this node's newest order ended
-	resignedToken  uint64               // token of the newest published resignation; zero if there was none
+	resignedToken uint64 // token of the newest published resignation; zero if there was none
 	// writesFailingSince is when the first of the consecutive failed writes of the
 	// leadership record was sent; zero if the newest write succeeded.
 	writesFailingSince time.Time
@@ -42,10 +39,9 @@
 
 func newCell(now time.Time, zone string, s platform.Settings) *cell {
 	return &cell{
-		zone:          zone,
-		leadership:    leadership.New(now, s.IP, !s.FirstStart, leadership.DefaultSettings(s.Bounds.OrderLease)),
-		loaders:       map[string]*loader.Core{},
-		lastOrderDone: map[string]time.Time{},
+		zone:       zone,
+		leadership: leadership.New(now, s.IP, !s.FirstStart, leadership.DefaultSettings(s.Bounds.OrderLease)),
+		loaders:    map[string]*loader.Core{},
 	}
 }
 
@@ -199,8 +195,8 @@
 }
 
 // leaderState returns what this node publishes about a cell's leadership, or nil.
-// A leader publishes its plans; a former leader without orders in flight
-// publishes the time since its last order to each server. The caller holds n.mu.
+// A leader publishes its plans; a former leader publishes its resignation. The caller
+// holds n.mu.
 func (n *Node) leaderState(now time.Time, c *cell) *leaderState {
 	if c.leadership.Leading(now) {
 		s := &leaderState{Token: c.leadership.Token(), Leading: true, LoadCosts: map[string]map[string]float64{}, ExpectedReady: map[string]int64{}}
@@ -214,27 +210,18 @@
 		}
 		return s
 	}
-	token, resigned := c.leadership.ResignedToken(now)
-	if !resigned || c.ordersInFlight > 0 || !c.leadership.OrderTimesKnown(now) {
+	resignation, resigned := c.leadership.Resignation(now)
+	if !resigned {
 		return nil
 	}
-	if c.resignedToken != token {
-		c.resignedToken = token
-		level.Info(n.log).Log("event", "tenure_resigned", "cell", c.zone, "token", token, "valid_ms", c.leadership.ValidFor(now).Milliseconds())
-	}
-	s := &leaderState{Token: token, OrderAgeMS: map[string]int64{}}
-	lastOrderDone := maps.Clone(c.leadership.LastOrders())
-	if lastOrderDone == nil {
-		lastOrderDone = map[string]time.Time{}
-	}
-	for server, at := range c.lastOrderDone {
-		if at.After(lastOrderDone[server]) {
-			lastOrderDone[server] = at
-		}
+	if c.resignedToken != resignation.Token {
+		c.resignedToken = resignation.Token
+		level.Info(n.log).Log("event", "tenure_resigned", "cell", c.zone, "token", resignation.Token, "valid_ms", c.leadership.ValidFor(now).Milliseconds())
 	}
-	for server, at := range lastOrderDone {
-		if since := now.Sub(at); since < orderAgesPublishedFor {
-			s.OrderAgeMS[server] = since.Milliseconds()
+	s := &leaderState{Token: resignation.Token, OrderAgeMS: map[string]int64{}}
+	for server, age := range resignation.OrderAges {
+		if age < orderAgesPublishedFor {
+			s.OrderAgeMS[server] = age.Milliseconds()
 		}
 	}
 	return s
--- a/internal/front/loads.go
+++ b/internal/front/loads.go
@@ -69,7 +69,7 @@
 		MayOrder:       func(id string) bool { return c.leadership.MayOrder(now, id) },
 	})
 	for _, o := range effects.Orders {
-		c.ordersInFlight++
+		c.leadership.OrderSent(o.Order.ServerID, o.Order.Token)
 		go n.sendOrder(ctx, c, core, o, now.Add(min(orderTimeout, c.leadership.ValidFor(now))))
 	}
 	for _, server := range effects.ReportRequests {
@@ -135,8 +135,7 @@
 	n.metrics.Order(orderKind(o.Order), result.String())
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	c.ordersInFlight--
-	c.lastOrderDone[o.Order.ServerID] = now
+	c.leadership.OrderEnded(now, o.Order.ServerID, o.Order.Token)
 	core.HandleOrderResult(now, o.Order, o.Server.Start, result)
 }
 
--- a/internal/front/peers.go
+++ b/internal/front/peers.go
@@ -13,6 +13,7 @@
 	"github.com/go-kit/log/level"
 
 	"github.com/redwingnotch/redwingnotch/internal/bootclock"
+	"github.com/redwingnotch/redwingnotch/leadership"
 	"github.com/redwingnotch/redwingnotch/platform"
 	"github.com/redwingnotch/redwingnotch/replicas"
 	"github.com/redwingnotch/redwingnotch/waiting"
@@ -369,11 +370,11 @@
 		if leader == nil || leader.Leading {
 			continue
 		}
-		since := map[string]time.Duration{}
+		resignation := leadership.Resignation{Token: leader.Token, OrderAges: map[string]time.Duration{}}
 		for server, ms := range leader.OrderAgeMS {
-			since[server] = time.Duration(ms) * time.Millisecond
+			resignation.OrderAges[server] = time.Duration(ms) * time.Millisecond
 		}
-		if c.leadership.LeaderResigned(now, leader.Token, since) {
+		if c.leadership.LeaderResigned(now, resignation) {
 			level.Info(n.log).Log("event", "tenure_resignation", "cell", c.zone, "token", leader.Token, "peer", m.Node, "run", m.Incarnation)
 		}
 	}
--- a/leadership/leadership.go
+++ b/leadership/leadership.go
@@ -90,32 +90,21 @@
 	version        uint64    // zero if the object does not exist
 	unchangedSince time.Time // since when record and version are known to be unchanged
 
-	token               uint64               // highest token with which this node has led since its start; zero if none
-	leading             bool                 // this node leads with token until validUntil; once false, the token is given up for good
-	validUntil          time.Time            // when the leadership expires unless a renewal is confirmed
-	orderNotBefore      map[string]time.Time // by server: no order to it before this time
-	noOrderBefore       time.Time            // no order to any server before this time
-	orderTimesKnownFrom time.Time            // from this time on, all orders that this node sent before a restart are older than OrderLease; before it, their times are unknown
-	stopping            bool                 // this node is about to stop and must not lead again
-	outcomeUnknown      bool                 // a write's outcome is unknown
+	token          uint64    // highest token with which this node has led since its start; zero if none
+	leading        bool      // this node leads with token until validUntil; once false, the token is given up for good
+	validUntil     time.Time // when the leadership expires unless a renewal is confirmed
+	stopping       bool      // this node is about to stop and must not lead again
+	outcomeUnknown bool      // a write's outcome is unknown
+	orders         orderTimes
 
 	noLeaderSince time.Time
 	readOnStart   bool // this node has restarted and has not read the record since
-	resigned      resignation
-}
-
-// resignation is the last report of a leader that gave up the leadership. It is
-// final for its token: to lead again, that node has to acquire the leadership with
-// a new token.
-type resignation struct {
-	token     uint64               // token of the former leader
-	lastOrder map[string]time.Time // by server: latest time at which an order of a former leader can have arrived
 }
 
 // New returns the core of a node that is reached at the address self. If restarted
 // is set, the node may be the leader already, from before a restart.
 func New(now time.Time, self string, restarted bool, s Settings) *Core {
-	return &Core{settings: s, self: self, noLeaderSince: now, readOnStart: restarted}
+	return &Core{settings: s, self: self, noLeaderSince: now, readOnStart: restarted, orders: newOrderTimes()}
 }
 
 // Authority returns the fencing token of this node's leadership and whether the
@@ -123,21 +112,6 @@
 // too.
 func (c *Core) Authority(now time.Time) (uint64, bool) { return c.token, c.Leading(now) }
 
-// MayOrder reports whether enough time has passed since other nodes' orders to the
-// server that this node may order it, if it is the leader.
-func (c *Core) MayOrder(now time.Time, server string) bool {
-	return !now.Before(c.noOrderBefore) && !now.Before(c.orderNotBefore[server])
-}
-
-// OrderTimesKnown reports whether this node knows when it last ordered each server. It
-// does not for some time after a restart, as it may have sent orders before.
-func (c *Core) OrderTimesKnown(now time.Time) bool { return !now.Before(c.orderTimesKnownFrom) }
-
-// LastOrders returns the latest times at which orders of former leaders can have
-// arrived, by server, as far as they were reported. A leader that gives up the
-// leadership passes them on.
-func (c *Core) LastOrders() map[string]time.Time { return c.resigned.lastOrder }
-
 // Leading reports whether this node is the leader, even if it may not order some
 // servers yet.
 func (c *Core) Leading(now time.Time) bool { return c.leading && now.Before(c.validUntil) }
@@ -161,37 +135,6 @@
 	}
 }
 
-// ResignedToken returns the highest token that this node has given up, and false if
-// it has not led yet or leads now. An expired leadership is given up by the call: what
-// others are told about it must stay true.
-func (c *Core) ResignedToken(now time.Time) (uint64, bool) {
-	c.giveUpExpired(now)
-	return c.token, !c.leading && c.token > 0
-}
-
-// LeaderResigned records the report of the former leader with the token that it
-// will send no more orders with it. since gives, by server, the time since its last
-// order ended. It returns whether no resignation of this token or a newer one was
-// known before.
-func (c *Core) LeaderResigned(now time.Time, token uint64, since map[string]time.Duration) bool {
-	if token < c.resigned.token || token == 0 {
-		return false
-	}
-	isNew := token > c.resigned.token
-	c.resigned.token = token
-	if c.resigned.lastOrder == nil {
-		c.resigned.lastOrder = map[string]time.Time{}
-	}
-	for server, d := range since {
-		// The delay of the message makes this time later, never earlier, than the
-		// actual one.
-		if at := now.Add(-d); at.After(c.resigned.lastOrder[server]) {
-			c.resigned.lastOrder[server] = at
-		}
-	}
-	return isNew
-}
-
 // Tick returns the store call to make now.
 func (c *Core) Tick(now time.Time, p Peers) Action {
 	c.giveUpExpired(now)
@@ -239,10 +182,6 @@
 	return c.unchangedSince.Add(c.settings.Validity + c.settings.OrderLease + c.settings.MaxOrderDelay)
 }
 
-// hasResigned reports whether the leader in the record has reported that it gave up
-// the leadership.
-func (c *Core) hasResigned() bool { return c.resigned.token >= c.record.Token && c.record.Token > 0 }
-
 // nextRecord returns the record that makes this node the leader.
 func (c *Core) nextRecord() Record {
 	r := Record{Holder: c.self, Token: c.record.Token + 1, Renewal: c.record.Renewal + 1, AcquiredRenewal: c.record.AcquiredRenewal}
@@ -297,12 +236,12 @@
 		c.unchangedSince = now
 	}
 	if c.readOnStart && r.Holder == c.self {
-		c.orderTimesKnownFrom = now.Add(c.settings.OrderLease + c.settings.MaxOrderDelay)
+		c.orders.knownFrom = now.Add(c.settings.OrderLease + c.settings.MaxOrderDelay)
 	}
 	if c.readOnStart && r.Holder == c.self && r.Renewal < r.AcquiredRenewal+c.renewalsPastOrderLease() {
 		// Before the restart this node acquired the leadership recently, perhaps
 		// from a leader that reported its last orders. Those reports are lost.
-		c.noOrderBefore = now.Add(c.settings.OrderLease + c.settings.MaxOrderDelay)
+		c.orders.noneBefore = now.Add(c.settings.OrderLease + c.settings.MaxOrderDelay)
 	}
 	stillLeader := r.Holder == c.self && r.Token == c.token
 	c.recordKnown, c.record, c.version, c.outcomeUnknown, c.readOnStart = true, r, version, false, false
@@ -354,7 +293,7 @@
 		return
 	}
 	if isNew {
-		c.setOrderNotBefore()
+		c.delayOrders()
 	}
 	c.token, c.leading = token, !c.stopping
 	// No successor acquires the leadership before validUntil: it has to read this
@@ -364,16 +303,6 @@
 	c.giveUpExpired(now)
 }
 
-// setOrderNotBefore delays orders to the servers that former leaders reported to
-// have ordered recently. This holds even if the last record was this node's own: a
-// write whose response was lost may have made it the leader before.
-func (c *Core) setOrderNotBefore() {
-	c.orderNotBefore = map[string]time.Time{}
-	for server, lastOrder := range c.resigned.lastOrder {
-		c.orderNotBefore[server] = lastOrder.Add(c.settings.OrderLease + c.settings.MaxOrderDelay)
-	}
-}
-
 // giveUpExpired gives up the leadership if it has expired.
 func (c *Core) giveUpExpired(now time.Time) {
 	if c.leading && !now.Before(c.validUntil) {
--- a/leadership/leadership_test.go
+++ b/leadership/leadership_test.go
@@ -140,7 +140,7 @@
 	now := run(a, start, time.Second, s, eligible)
 	a.Resign()
 	assert.Assert(t, !a.Leading(now))
-	b.LeaderResigned(now, 1, map[string]time.Duration{"s1": time.Second})
+	b.LeaderResigned(now, leadership.Resignation{Token: 1, OrderAges: map[string]time.Duration{"s1": time.Second}})
 	now = run(b, now, time.Second, s, eligible)
 	_, ok := b.Authority(now)
 	assert.Assert(t, ok)
@@ -156,7 +156,7 @@
 	now = run(a, now, time.Second, s, eligible) // becomes leader again, with token 2
 	_, ok := a.Authority(now)
 	assert.Assert(t, ok)
-	b.LeaderResigned(now, 1, nil)
+	b.LeaderResigned(now, leadership.Resignation{Token: 1})
 	now = run(b, now, 2*time.Second, s, eligible)
 	assert.Assert(t, !b.Leading(now))
 }
@@ -204,10 +204,8 @@
 
 type simulatedNode struct {
 	core           *leadership.Core
-	partitioned    bool                 // reaches neither the store nor other nodes
-	suspendedUntil time.Time            // the node does nothing until then
-	ordered        map[string]time.Time // time of the last order by server
-	token          uint64               // token of its last order; zero if none
+	partitioned    bool      // reaches neither the store nor other nodes
+	suspendedUntil time.Time // the node does nothing until then
 }
 
 type sentOrder struct {
@@ -251,7 +249,6 @@
 	case 2:
 		r.logf("node %d restarts", i)
 		n.core = leadership.New(r.now, fmt.Sprint("n", i), true, leadership.DefaultSettings(orderLease))
-		n.ordered, n.token = map[string]time.Time{}, 0 // a restart loses all state in memory
 	case 3:
 		n.core.StepDown(r.now)
 		r.logf("node %d steps down", i)
@@ -263,22 +260,14 @@
 // all reachable nodes.
 func (r *simulation) publishResignation(i int) {
 	n := r.nodes[i]
-	if n.core.Leading(r.now) || n.token == 0 || !n.core.OrderTimesKnown(r.now) {
+	resignation, resigned := n.core.Resignation(r.now)
+	if !resigned {
 		return
 	}
-	since := map[string]time.Duration{}
-	for server, at := range n.core.LastOrders() {
-		since[server] = r.now.Sub(at)
-	}
-	for server, at := range n.ordered {
-		if d, known := since[server]; !known || r.now.Sub(at) < d {
-			since[server] = r.now.Sub(at)
-		}
-	}
 	for j, other := range r.nodes {
 		if j != i && !n.partitioned && !other.partitioned && !r.now.Before(other.suspendedUntil) {
-			other.core.LeaderResigned(r.now, n.token, since)
-			r.logf("node %d reports its resignation to node %d: token %d, last orders %v ago", i, j, n.token, since)
+			other.core.LeaderResigned(r.now, resignation)
+			r.logf("node %d reports its resignation to node %d: %+v", i, j, resignation)
 		}
 	}
 }
@@ -323,7 +312,8 @@
 	}
 	r.logf("node %d orders %s, token %d", i, server, token)
 	r.orders[server] = sentOrder{i, token, r.now}
-	n.ordered[server], n.token = r.now, token
+	n.core.OrderSent(server, token)
+	n.core.OrderEnded(r.now, server, token)
 }
 
 // TestNoTwoLeadersOrderOneServer checks under random faults that no two nodes order
@@ -333,7 +323,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		r := &simulation{t: t, now: start, orders: map[string]sentOrder{}}
 		for i := range 3 {
-			r.nodes = append(r.nodes, &simulatedNode{core: newCore(fmt.Sprint("n", i)), ordered: map[string]time.Time{}})
+			r.nodes = append(r.nodes, &simulatedNode{core: newCore(fmt.Sprint("n", i))})
 		}
 		for range 400 {
 			r.now = r.now.Add(100 * time.Millisecond)
@@ -360,8 +350,14 @@
 	restarted := leadership.New(now, "a", true, settings)
 	restartedAt := now
 	now = run(restarted, now, time.Second, s, eligible)
-	assert.Assert(t, !restarted.OrderTimesKnown(now))
-	assert.Assert(t, restarted.OrderTimesKnown(restartedAt.Add(settings.OrderLease+settings.MaxOrderDelay+time.Second)))
+	assert.Assert(t, restarted.Leading(now))
+	restarted.StepDown(now)
+	_, resigned := restarted.Resignation(now)
+	assert.Assert(t, !resigned)
+	_, resigned = restarted.Resignation(restartedAt.Add(settings.OrderLease + settings.MaxOrderDelay - time.Millisecond))
+	assert.Assert(t, !resigned)
+	_, resigned = restarted.Resignation(restartedAt.Add(settings.OrderLease + settings.MaxOrderDelay + time.Second))
+	assert.Assert(t, resigned)
 }
 
 func TestRecordEncodeDecode(t *testing.T) {
--- a/leadership/resignation_test.go
+++ b/leadership/resignation_test.go
@@ -39,7 +39,7 @@
 	now = confirmed.Add(settings.Validity) // suspended with the response pending
 	assert.Equal(t, a.Tick(now, eligible).Kind, leadership.NoCall)
 	assert.Assert(t, !a.Leading(now)) // seen by others as a resignation
-	b.LeaderResigned(now, renewal.Record.Token, nil)
+	b.LeaderResigned(now, leadership.Resignation{Token: renewal.Record.Token})
 	now = run(b, now, 100*time.Millisecond, s, eligible)
 	a.WriteDone(now, renewal.Record, version, result)
 	assert.Assert(t, !a.Leading(now), "leader again with token %d", a.Token())
@@ -61,7 +61,7 @@
 	assert.Equal(t, result, leadership.Written)
 
 	a.StepDown(now)
-	b.LeaderResigned(now, renewal.Record.Token, nil)
+	b.LeaderResigned(now, leadership.Resignation{Token: renewal.Record.Token})
 	now = run(b, now, time.Second, s, eligible)
 	token, ok := b.Authority(now)
 	assert.Assert(t, ok)
@@ -70,3 +70,38 @@
 	a.WriteDone(now, renewal.Record, version, result)
 	assert.Assert(t, !a.Leading(now), "leader again with token %d", a.Token())
 }
+
+// TestNextTokenWaitsForOrdersInFlight guards against a lower token after a higher one
+// from the same node: it loses the leadership and acquires it again while an order with
+// the old token is still in flight, which could arrive after one with the new token.
+func TestNextTokenWaitsForOrdersInFlight(t *testing.T) {
+	c, s := newCore("a"), &store{}
+	now := run(c, start, time.Second, s, eligible)
+	c.OrderSent("s1", 1)
+	assert.Assert(t, c.MayOrder(now, "s1"))
+	c.StepDown(now)
+	now = run(c, now, time.Second, s, eligible)
+	token, ok := c.Authority(now)
+	assert.Assert(t, ok)
+	assert.Equal(t, token, uint64(2))
+	assert.Assert(t, !c.MayOrder(now, "s1"))
+	assert.Assert(t, c.MayOrder(now, "s2"))
+	c.OrderEnded(now, "s1", 1)
+	assert.Assert(t, c.MayOrder(now, "s1"))
+}
+
+// TestResignationWaitsForOrdersInFlight guards against a successor that orders a server
+// at which an order of the former leader has yet to arrive.
+func TestResignationWaitsForOrdersInFlight(t *testing.T) {
+	c, s := newCore("a"), &store{}
+	now := run(c, start, time.Second, s, eligible)
+	c.OrderSent("s1", 1)
+	c.Resign()
+	_, resigned := c.Resignation(now)
+	assert.Assert(t, !resigned)
+	now = now.Add(200 * time.Millisecond)
+	c.OrderEnded(now, "s1", 1)
+	resignation, resigned := c.Resignation(now.Add(time.Second))
+	assert.Assert(t, resigned)
+	assert.DeepEqual(t, resignation, leadership.Resignation{Token: 1, OrderAges: map[string]time.Duration{"s1": time.Second}})
+}
