leadership: a takeover by an earlier run that is found late delays orders too

Cause: a node that acquires the leadership after a resignation knows when the former leader last ordered each server. If it is killed while that write is on its way, the next run of the node may read the record before the store applies the write. It then took the record, once it was its own, for one that it had acquired itself, and ordered at once, without the order times that were lost with the earlier run.

Evidence: found by reading. TestOrdersWaitAfterTakeoverByEarlierRun failed before: "may order after 2s", with a bound of 3.5 s.

Change: Core recognises a takeover that this run neither tried nor accounted for by the renewal number in the record, on any read, not only on the first after a restart.

--- a/leadership/leadership.go
+++ b/leadership/leadership.go
@@ -90,6 +90,7 @@
 	version        uint64    // zero if the object does not exist
 	unchangedSince time.Time // since when record and version are known to be unchanged
 
+	takeover       uint64    // highest AcquiredRenewal of a record that this run tried to write or has seen as its node's own
 	token          uint64    // highest token with which this node has led since its start; zero if none
 	leading        bool      // this node leads with token until validUntil; once false, the token is given up for good
 	validUntil     time.Time // when the leadership expires unless a renewal is confirmed
@@ -188,6 +189,7 @@
 	if c.record.Holder != c.self {
 		r.AcquiredRenewal = r.Renewal
 	}
+	c.takeover = max(c.takeover, r.AcquiredRenewal)
 	return r
 }
 
@@ -235,13 +237,8 @@
 	if !c.recordKnown || version != c.version {
 		c.unchangedSince = now
 	}
-	if c.readOnStart && r.Holder == c.self {
-		c.orders.knownFrom = now.Add(c.settings.OrderLease + c.settings.MaxOrderDelay)
-	}
-	if c.readOnStart && r.Holder == c.self && r.Renewal < r.AcquiredRenewal+c.renewalsPastOrderLease() {
-		// Before the restart this node acquired the leadership recently, perhaps
-		// from a leader that reported its last orders. Those reports are lost.
-		c.orders.noneBefore = now.Add(c.settings.OrderLease + c.settings.MaxOrderDelay)
+	if r.Holder == c.self && r.AcquiredRenewal > c.takeover {
+		c.delayAfterEarlierRun(now, r)
 	}
 	stillLeader := r.Holder == c.self && r.Token == c.token
 	c.recordKnown, c.record, c.version, c.outcomeUnknown, c.readOnStart = true, r, version, false, false
@@ -250,6 +247,19 @@
 	}
 }
 
+// delayAfterEarlierRun handles a record that an earlier run of this node wrote: what
+// that run knew of order times, of its own and of former leaders, is lost.
+func (c *Core) delayAfterEarlierRun(now time.Time, r Record) {
+	c.takeover = r.AcquiredRenewal
+	ordersEnded := now.Add(c.settings.OrderLease + c.settings.MaxOrderDelay)
+	c.orders.knownFrom = ordersEnded
+	if r.Renewal < r.AcquiredRenewal+c.renewalsPastOrderLease() {
+		// The earlier run acquired the leadership recently, perhaps from a leader
+		// that had reported its last orders.
+		c.orders.noneBefore = ordersEnded
+	}
+}
+
 // WriteResult is the outcome of a write.
 type WriteResult uint8
 
--- a/leadership/resignation_test.go
+++ b/leadership/resignation_test.go
@@ -105,3 +105,36 @@
 	assert.Assert(t, resigned)
 	assert.DeepEqual(t, resignation, leadership.Resignation{Token: 1, OrderAges: map[string]time.Duration{"s1": time.Second}})
 }
+
+// TestOrdersWaitAfterTakeoverByEarlierRun guards against orders right after those of a
+// former leader: an earlier run of this node acquired the leadership, knowing the former
+// leader's order times, by a write that the store applied only after the restart and
+// after the record was read once.
+func TestOrdersWaitAfterTakeoverByEarlierRun(t *testing.T) {
+	settings := leadership.DefaultSettings(orderLease)
+	b, s := newCore("b"), &store{}
+	now := run(b, start, time.Second, s, eligible)
+	b.OrderSent("s1", 1)
+	b.OrderEnded(now, "s1", 1)
+	lastOrder := now
+	b.Resign()
+	resignation, resigned := b.Resignation(now)
+	assert.Assert(t, resigned)
+	earlier := newCore("a")
+	earlier.LeaderResigned(now, resignation)
+	takeover, now := nextWrite(t, earlier, now, s)
+
+	a := leadership.New(now, "a", true, settings)
+	perform(a, now, s, a.Tick(now, eligible))
+	assert.Equal(t, s.record.Holder, "b")
+	_, result := s.write(takeover)
+	assert.Equal(t, result, leadership.Written)
+	now = now.Add(settings.CallPause)
+	a.Tick(now, leadership.Peers{Eligible: true, LeaderAlive: true})
+	now = run(a, now, time.Second, s, eligible)
+	_, ok := a.Authority(now)
+	assert.Assert(t, ok)
+	for ; !a.MayOrder(now, "s1"); now = now.Add(100 * time.Millisecond) {
+	}
+	assert.Assert(t, now.Sub(lastOrder) >= settings.OrderLease+settings.MaxOrderDelay, "may order after %v", now.Sub(lastOrder))
+}
