leadership: acquisitions in a row do not count as time since the takeover

Cause: a restarted leader tells by the number of renewals since the takeover whether the orders of the leader before it are older than OrderLease. A node that lost and acquired the leadership several times raises that number every CallPause, not every RenewEvery.

Evidence: found by reading. TestAcquisitionsInARowDoNotCountAsTime failed before: "may order after 3.12s", with a bound of 3.5 s.

Change: an acquisition by the node that is already in the record keeps the distance to the takeover until the distance shows that the orders are old enough.

--- a/leadership/leadership.go
+++ b/leadership/leadership.go
@@ -26,7 +26,7 @@
 	Holder          string `json:"holder"`  // address of the leader's VM
 	Token           uint64 `json:"token"`   // fencing token; increases each time the leadership is acquired, also by the same node
 	Renewal         uint64 `json:"renewal"` // increases with each write
-	AcquiredRenewal uint64 `json:"taken"`   // Renewal of the write by which the leader replaced another node
+	AcquiredRenewal uint64 `json:"taken"`   // Renewal of the write by which the leader replaced another node, plus the number of its own acquisitions soon after
 }
 
 // Settings are the intervals and time limits of the leadership.
@@ -186,8 +186,13 @@
 // nextRecord returns the record that makes this node the leader.
 func (c *Core) nextRecord() Record {
 	r := Record{Holder: c.self, Token: c.record.Token + 1, Renewal: c.record.Renewal + 1, AcquiredRenewal: c.record.AcquiredRenewal}
-	if c.record.Holder != c.self {
+	switch {
+	case c.record.Holder != c.self:
 		r.AcquiredRenewal = r.Renewal
+	case c.record.Renewal < c.record.AcquiredRenewal+c.renewalsPastOrderLease():
+		// This write can follow the one before sooner than RenewEvery, so it must
+		// not count as a renewal since the takeover.
+		r.AcquiredRenewal++
 	}
 	c.takeover = max(c.takeover, r.AcquiredRenewal)
 	return r
--- a/leadership/resignation_test.go
+++ b/leadership/resignation_test.go
@@ -138,3 +138,33 @@
 	}
 	assert.Assert(t, now.Sub(lastOrder) >= settings.OrderLease+settings.MaxOrderDelay, "may order after %v", now.Sub(lastOrder))
 }
+
+// TestAcquisitionsInARowDoNotCountAsTime guards against orders right after those of a
+// former leader: each acquisition raises the record's renewal number, so a few in a row
+// must not look like renewals, RenewEvery apart, to the next run of this node.
+func TestAcquisitionsInARowDoNotCountAsTime(t *testing.T) {
+	settings := leadership.DefaultSettings(orderLease)
+	b, s := newCore("b"), &store{}
+	now := run(b, start, time.Second, s, eligible)
+	b.OrderSent("s1", 1)
+	b.OrderEnded(now, "s1", 1)
+	lastOrder := now
+	b.Resign()
+	resignation, resigned := b.Resignation(now)
+	assert.Assert(t, resigned)
+	a := newCore("a")
+	a.LeaderResigned(now, resignation)
+	for range 5 {
+		for ; !a.Leading(now); now = now.Add(20 * time.Millisecond) {
+			perform(a, now, s, a.Tick(now, eligible))
+		}
+		a.StepDown(now)
+	}
+	a = leadership.New(now, "a", true, settings)
+	now = run(a, now, settings.CallPause+100*time.Millisecond, s, eligible)
+	_, ok := a.Authority(now)
+	assert.Assert(t, ok)
+	for ; !a.MayOrder(now, "s1"); now = now.Add(100 * time.Millisecond) {
+	}
+	assert.Assert(t, now.Sub(lastOrder) >= settings.OrderLease+settings.MaxOrderDelay, "may order after %v", now.Sub(lastOrder))
+}
