front: an order is not retransmitted after its deadline

Cause: a connection for orders rejects writes after the deadline and discards undelivered data when it is closed, but a suspended process can't close it. The kernel went on to retransmit an order for up to 5 s, the user timeout of all connections, also after a silenced link healed. That exceeds MaxOrderDelay.

Evidence: found by reading. Before, TestOrderIsNotRetransmittedAfterDeadline fails: the user timeout is 5000 ms whatever time the order has left.

Change: each write sets the user timeout to the time left until the deadline.

--- a/internal/front/links.go
+++ b/internal/front/links.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/redwingnotch/redwingnotch/internal/bootclock"
@@ -61,16 +63,22 @@
 	if err != nil {
 		return nil, err
 	}
-	if tcp, ok := conn.(*net.TCPConn); ok {
-		if err := tcp.SetLinger(0); err != nil {
-			return nil, err
-		}
+	tcp, ok := conn.(*net.TCPConn)
+	if !ok {
+		return nil, errors.Join(fmt.Errorf("dial %s: not a TCP connection", network), conn.Close())
+	}
+	if err := tcp.SetLinger(0); err != nil {
+		return nil, errors.Join(err, conn.Close())
 	}
 	deadline, limited := ctx.Value(writeDeadlineKey{}).(time.Time)
 	if !limited {
 		return conn, nil
 	}
-	return &deadlineConn{Conn: conn, deadline: deadline}, nil
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return nil, errors.Join(err, conn.Close())
+	}
+	return &deadlineConn{Conn: tcp, raw: raw, deadline: deadline}, nil
 }
 
 // writeDeadlineKey is the context key of withWriteDeadline.
@@ -86,17 +94,25 @@
 // errWriteDeadline is returned by writes after the connection's deadline.
 var errWriteDeadline = errors.New("write after the deadline of the order")
 
-// deadlineConn is a connection that rejects writes after its deadline.
+// deadlineConn is a connection that rejects writes after its deadline, and on which
+// nothing is sent again after it.
 type deadlineConn struct {
-	net.Conn
+	net.Conn // no wider type: its other methods would write past the deadline
+	raw      syscall.RawConn
 	deadline time.Time
 }
 
 // Write implements net.Conn.
 func (c *deadlineConn) Write(p []byte) (int, error) {
-	if !bootclock.Now().Before(c.deadline) {
+	left := c.deadline.Sub(bootclock.Now())
+	if left <= 0 {
 		return 0, errWriteDeadline
 	}
+	// The kernel sends unacknowledged data again on its own. This process can't close
+	// the connection while it is suspended.
+	if err := httpsend.SetUserTimeout(c.raw, left); err != nil {
+		return 0, err
+	}
 	return c.Conn.Write(p)
 }
 
--- a/internal/front/links_test.go
+++ b/internal/front/links_test.go
@@ -1,11 +1,14 @@
 package front
 
 import (
+	"net"
 	"testing"
 	"time"
 
+	"golang.org/x/sys/unix"
 	"gotest.tools/v3/assert"
 
+	"github.com/redwingnotch/redwingnotch/internal/bootclock"
 	"github.com/redwingnotch/redwingnotch/replicas"
 )
 
@@ -31,3 +34,31 @@
 	}
 	assert.Equal(t, l.byServer[keyOf(other)].idle, serverIdleTimeout)
 }
+
+// TestOrderIsNotRetransmittedAfterDeadline guards against an order that reaches a server
+// after its deadline: the kernel of a suspended node must not retransmit it once a
+// network partition ends.
+func TestOrderIsNotRetransmittedAfterDeadline(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer l.Close()
+	deadline := bootclock.Now().Add(time.Minute)
+	conn, err := dialWithReset(withWriteDeadline(t.Context(), deadline), "tcp", l.Addr().String())
+	assert.NilError(t, err)
+	defer conn.Close()
+	_, err = conn.Write([]byte("order"))
+	assert.NilError(t, err)
+	limited := conn.(*deadlineConn)
+	var timeoutMS int
+	var optErr error
+	assert.NilError(t, limited.raw.Control(func(fd uintptr) {
+		timeoutMS, optErr = unix.GetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT)
+	}))
+	assert.NilError(t, optErr)
+	timeout, left := time.Duration(timeoutMS)*time.Millisecond, deadline.Sub(bootclock.Now())
+	assert.Assert(t, timeout <= time.Minute && timeout >= left-time.Millisecond, "user timeout %v, %v left", timeout, left)
+
+	limited.deadline = bootclock.Now()
+	_, err = conn.Write([]byte("order"))
+	assert.ErrorIs(t, err, errWriteDeadline)
+}
--- a/internal/httpsend/tcp.go
+++ b/internal/httpsend/tcp.go
@@ -32,11 +32,18 @@
 	return dialer.DialContext(ctx, network, address)
 }
 
-// setUserTimeout sets TCP_USER_TIMEOUT on a socket.
+// setUserTimeout sets the user timeout of a socket that is being opened.
 func setUserTimeout(_, _ string, raw syscall.RawConn) error {
+	return SetUserTimeout(raw, userTimeout)
+}
+
+// SetUserTimeout sets TCP_USER_TIMEOUT: the kernel discards what it has sent and closes
+// the connection once data has been unacknowledged for this time, also while this
+// process is suspended. Times below a millisecond count as one.
+func SetUserTimeout(raw syscall.RawConn, timeout time.Duration) error {
 	var setErr error
 	err := raw.Control(func(fd uintptr) {
-		setErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
+		setErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(max(1, timeout.Milliseconds())))
 	})
 	if err != nil {
 		return err
