front: a leadership record that can't be encoded ends the call

writeLeadership returned without WriteDone, after which Core waited for the result of that call for good: the node neither renewed nor acquired the leadership again. The encoding of today's record can't fail, so no run shows it. The function is split, and an encoding error is a write that failed.

--- a/internal/front/cells.go
+++ b/internal/front/cells.go
@@ -156,42 +156,55 @@
 
 // writeLeadership writes the cell's leadership record.
 func (n *Node) writeLeadership(ctx context.Context, c *cell, a leadership.Action) {
+	sent := bootclock.Now()
+	version, err := n.putLeadership(ctx, c, a)
+	result := writeResult(err)
+	now := bootclock.Now()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.logWrite(now, sent, c, a.Record, version, err)
+	switch {
+	case result == leadership.Written || result == leadership.Conflict:
+		n.lastStoreContact, c.writesFailingSince = now, time.Time{}
+	case c.writesFailingSince.IsZero():
+		c.writesFailingSince = sent
+	}
+	c.leadership.WriteDone(now, a.Record, version, result)
+}
+
+// putLeadership sends the write of a leadership record and returns the object's new
+// version.
+func (n *Node) putLeadership(ctx context.Context, c *cell, a leadership.Action) (uint64, error) {
 	value, err := a.Record.Encode()
 	if err != nil {
-		level.Error(n.log).Log("event", "tenure_unwritten", "cell", c.zone, "err", err)
-		return
+		return 0, err
 	}
-	sent := bootclock.Now()
 	writer := n.settings.IP + "/" + strconv.FormatUint(a.Record.Renewal, 10)
-	version, err := n.store.Put(ctx, platform.KindLease, leadershipPrefix+c.zone, value, a.Version, writer)
-	result := leadership.Written
+	return n.store.Put(ctx, platform.KindLease, leadershipPrefix+c.zone, value, a.Version, writer)
+}
+
+// writeResult returns the outcome of a write that ended with the error.
+func writeResult(err error) leadership.WriteResult {
 	switch {
 	case err == nil:
+		return leadership.Written
 	case errors.Is(err, platform.ErrConflict):
-		result = leadership.Conflict
+		return leadership.Conflict
 	case errors.Is(err, platform.ErrUnknown):
-		result = leadership.Unknown
-	default:
-		result = leadership.Failed
+		return leadership.Unknown
 	}
-	now := bootclock.Now()
+	return leadership.Failed
+}
+
+// logWrite logs the end of a write of the leadership record. The caller holds n.mu.
+func (n *Node) logWrite(now, sent time.Time, c *cell, r leadership.Record, version uint64, err error) {
 	tookMS := now.Sub(sent).Milliseconds()
 	if err != nil {
-		level.Warn(n.log).Log("event", "tenure_unwritten", "cell", c.zone, "token", a.Record.Token, "renewal", a.Record.Renewal, "took_ms", tookMS, "err", err)
-	}
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if err == nil {
-		level.Info(n.log).Log("event", "tenure_written", "cell", c.zone, "token", a.Record.Token, "renewal", a.Record.Renewal, "revision", version,
-			"took_ms", tookMS, "holding", c.leadership.Leading(now))
-	}
-	switch {
-	case result == leadership.Written || result == leadership.Conflict:
-		n.lastStoreContact, c.writesFailingSince = now, time.Time{}
-	case c.writesFailingSince.IsZero():
-		c.writesFailingSince = sent
+		level.Warn(n.log).Log("event", "tenure_unwritten", "cell", c.zone, "token", r.Token, "renewal", r.Renewal, "took_ms", tookMS, "err", err)
+		return
 	}
-	c.leadership.WriteDone(now, a.Record, version, result)
+	level.Info(n.log).Log("event", "tenure_written", "cell", c.zone, "token", r.Token, "renewal", r.Renewal, "revision", version,
+		"took_ms", tookMS, "holding", c.leadership.Leading(now))
 }
 
 // leaderState returns what this node publishes about a cell's leadership, or nil.
