--- a/internal/front/tell_test.go
+++ b/internal/front/tell_test.go
@@ -151,3 +151,21 @@
 	n.received(message{Node: "large", IP: "127.0.0.2", Zone: "other", Incarnation: 1, Sequence: 3, VMClass: vmClass(small)})
 	assert.Equal(t, n.peers.successorPosition(now, "z"), 0)
 }
+
+// TestLateMessageOfEarlierRunIsIgnored: a message that a node sent before its
+// restart, received after one of the new run, must not bring back the leadership
+// and the state of the ended run.
+func TestLateMessageOfEarlierRunIsIgnored(t *testing.T) {
+	n := newTestNode(t, platform.Settings{}, "127.0.0.2")
+	n.received(message{Node: "peer", IP: "127.0.0.2", Zone: "z", Incarnation: 5, Sequence: 1})
+	late := message{Node: "peer", IP: "127.0.0.2", Zone: "z", Incarnation: 4, Sequence: 900, Leaders: map[string]*leaderState{"z": {Token: 1, Leading: true}}}
+	n.received(late)
+	p := n.peers.byIP["127.0.0.2"]
+	assert.Equal(t, p.Incarnation, int64(5))
+	assert.Assert(t, !n.peers.leaderAlive(bootclock.Now(), "z"))
+	// A node whose clock was set back before its restart is accepted once its
+	// earlier run is silent.
+	p.received = p.received.Add(-n.peers.aliveTimeout())
+	n.received(late)
+	assert.Equal(t, p.Incarnation, int64(4))
+}
