front: requests from before a restart are no longer counted as new demand

What callers saw: after the restart of a node, or after a time in which nodes did not reach each other, a leader took all requests that another node had received since its start for requests of this moment. The rates, which decay over 8 s, were too high for more than a minute, and with them the number of copies that models seemed to need: copies that nobody waited for were loaded and models in use were unloaded for them.

Cause: counts of requests are sent as totals since the sender's start. The first total that a node received was taken as an increase from zero.

Evidence: with the former rule TestRequestsFromBeforeContactAreNotNewDemand fails: 1000 requests are counted instead of one.

One request is counted, as counts are sent only after an arrival. The counts of a node that restarts while in contact are still counted from zero, as they are recent.

--- a/internal/front/peers.go
+++ b/internal/front/peers.go
@@ -118,6 +118,7 @@
 	lastFullSent time.Time             // when the last full message was sent to it
 	demand       []waiting.ModelDemand // demand in the last message
 	arrivals     map[arrivalKey]int    // newest counts of the peer's incarnation
+	fromStart    bool                  // arrivals hold the counts since the start of the incarnation; a missing one was zero
 }
 
 // peers are the other nodes. Guarded by Node.mu, except for the socket.
@@ -308,9 +309,7 @@
 	if !p.alive(now) || p.Incarnation != m.Incarnation {
 		level.Info(n.log).Log("event", "peer", "peer", m.Node, "address", m.IP, "zone", m.Zone, "run", m.Incarnation)
 	}
-	if p.Incarnation != m.Incarnation {
-		p.arrivals = map[arrivalKey]int{}
-	}
+	p.startCounts(now, m)
 	if m.Partial {
 		p.completePartial(&m)
 	}
@@ -353,15 +352,36 @@
 	}
 }
 
+// startCounts discards the counts of the peer's requests if the message is the
+// first of a run or the first after a time without messages.
+func (p *peer) startCounts(now time.Time, m message) {
+	followed := p.Node != "" && now.Sub(p.received) < arrivalsPublishedFor
+	if followed && p.Incarnation == m.Incarnation {
+		return
+	}
+	p.arrivals, p.fromStart = map[arrivalKey]int{}, followed
+}
+
+// newArrivals returns how many requests have arrived at the peer since its last
+// count. The first count may include requests from long before this node received
+// the peer's messages; only one is then known to be recent.
+func (p *peer) newArrivals(key arrivalKey, count int) int {
+	before, known := p.arrivals[key]
+	p.arrivals[key] = max(before, count)
+	if !known && !p.fromStart {
+		return min(1, count)
+	}
+	return max(0, count-before)
+}
+
 // applyArrivals passes the requests that arrived at a peer since its last counts to
 // the loaders.
 func (n *Node) applyArrivals(now time.Time, p *peer, arrivals []arrivalState) {
 	for _, c := range arrivals {
 		key := arrivalKey{c.Service, c.Model, c.Adapter, c.Fast}
-		if more := c.Count - p.arrivals[key]; more > 0 {
+		if more := p.newArrivals(key, c.Count); more > 0 {
 			n.arrived(now, key, more)
 		}
-		p.arrivals[key] = max(p.arrivals[key], c.Count)
 	}
 }
 
--- a/internal/front/tell_test.go
+++ b/internal/front/tell_test.go
@@ -169,3 +169,25 @@
 	n.received(late)
 	assert.Equal(t, p.Incarnation, int64(4))
 }
+
+// TestRequestsFromBeforeContactAreNotNewDemand: a node that has restarted, or that
+// was cut off, must not take all requests that arrived at another node in the
+// meantime for demand of this moment.
+func TestRequestsFromBeforeContactAreNotNewDemand(t *testing.T) {
+	now := bootclock.Now()
+	p := newPeers(now, platform.Settings{}).add(now, "127.0.0.2")
+	key := arrivalKey{service: "s", model: "m"}
+	received := func(incarnation int64, count int) int {
+		m := message{Node: "peer", IP: p.IP, Incarnation: incarnation}
+		p.startCounts(now, m)
+		p.message, p.received = m, now
+		return p.newArrivals(key, count)
+	}
+	assert.Equal(t, received(1, 1000), 1, "requests from before the first message")
+	assert.Equal(t, received(1, 1004), 4, "requests that arrived since")
+	now = now.Add(arrivalsPublishedFor)
+	assert.Equal(t, received(1, 5000), 1, "requests from a time without messages")
+	now = now.Add(time.Second)
+	assert.Equal(t, received(2, 40), 40, "requests since the restart of a node that was in contact")
+	assert.Equal(t, received(2, 40), 0)
+}
