front: an older entry no longer brings back a server that a list lacked

What callers saw: requests could go to a backend server that was gone until the removal was sent to the nodes again; at the node that had read the list, the server stayed in the table, as the watch that follows a list does not report what was removed before it.

Cause: a server that is missing from a list was removed as of the revision of its known entry. An entry that was written after that one and before the list, or the same entry at a node that had only received the removal, counted as newer or as new as the removal, however late it arrived.

Evidence: TestListedRemovalIsNotUndoneByOlderEntry failed before (the removed server is known again).

Change: the removal has the revision of the list. All entries up to it are outdated then, and an entry that the server writes again has a higher one.

--- a/internal/front/tell_test.go
+++ b/internal/front/tell_test.go
@@ -191,3 +191,30 @@
 	assert.Equal(t, received(2, 40), 40, "requests since the restart of a node that was in contact")
 	assert.Equal(t, received(2, 40), 0)
 }
+
+// TestListedRemovalIsNotUndoneByOlderEntry: an entry that was written before the
+// list from which its server is missing, and that another node sends late, must
+// not bring the removed server back. No later watch would report its removal.
+func TestListedRemovalIsNotUndoneByOlderEntry(t *testing.T) {
+	const id, listed = "s1", 12
+	entry := replicas.Entry{ID: id, Address: "127.0.0.1:1", Service: "s", Start: 1, Revision: 10}
+	rewritten := entry
+	rewritten.Revision = 11
+	late := message{Node: "peer", IP: "127.0.0.2", Zone: "z", Incarnation: 1, Sequence: 2, NewServers: []replicas.Entry{rewritten}}
+
+	n := newTestNode(t, platform.Settings{}, late.IP)
+	n.applyEntry(entry, entrySourceStore)
+	n.setServers(nil, listed, false)
+	departures := n.message(bootclock.Now(), true, true).Departing
+	n.received(late)
+	_, known := n.table.Entry(id)
+	assert.Assert(t, !known)
+
+	// Another node that learns of the removal from this one.
+	other := newTestNode(t, platform.Settings{}, late.IP, "127.0.0.3")
+	other.applyEntry(entry, entrySourceStore)
+	other.received(message{Node: "lister", IP: "127.0.0.3", Zone: "z", Incarnation: 1, Sequence: 2, Departing: departures})
+	other.received(late)
+	left, _ := other.table.Entry(id)
+	assert.Assert(t, left.Draining)
+}
--- a/internal/front/watch.go
+++ b/internal/front/watch.go
@@ -202,8 +202,9 @@
 	return n.peers.successorPosition(bootclock.Now(), "") < frequentWatchers
 }
 
-// setServers applies the complete list of entries as of a revision of the store.
-// afterOutage says that missing entries may return.
+// setServers applies the complete list of entries as of a revision of the store: a
+// missing entry is removed as of that revision. afterOutage says that missing
+// entries may return.
 func (n *Node) setServers(objects []platform.Object, revision uint64, afterOutage bool) {
 	listed := map[string]bool{}
 	for _, o := range objects {
@@ -215,7 +216,7 @@
 	n.mu.Unlock()
 	for _, e := range entries {
 		if !listed[e.ID] && e.Revision <= revision {
-			n.removeServer(e.ID, e.Revision, afterOutage)
+			n.removeServer(e.ID, revision, afterOutage)
 		}
 	}
 	n.closeUnlistedClients()
