front: the outcome of a request sent before a server restarted no longer counts for its new start

What callers saw: after the restart of a backend server, the failures of requests that had been sent to its earlier start made the new start count as unreachable for 0.8 s or as without the model for 0.7 s. The end of such a request was taken for that of one sent since, so that more requests than the server has slots could be sent to it.

Cause: outcomes were recorded by the ID of the server, while its row, with the requests in flight, begins anew at each start.

Change: an outcome is recorded only if the server has the start and address to which the request was sent.

--- a/internal/front/attempt.go
+++ b/internal/front/attempt.go
@@ -55,12 +55,12 @@
 // attempt sends the request to one server and passes its response on.
 func (x *exchange) attempt(ctx context.Context, server replicas.Entry) attemptResult {
 	n := x.node
-	defer n.attemptEnded(server.ID)
+	defer n.attemptEnded(server)
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	timeout := time.AfterFunc(x.responseTimeout(), func() { cancel(errResponseTimeout) })
 	defer timeout.Stop()
-	slow := time.AfterFunc(x.slowAfter(), func() { n.observe(server.ID, replicas.Failed, 0) })
+	slow := time.AfterFunc(x.slowAfter(), func() { n.observe(server, replicas.Failed, 0) })
 	defer slow.Stop()
 	x.sends++
 	x.server = server.ID
@@ -75,7 +75,7 @@
 		n.serverClients.setKeepAlive(server, keepAlive)
 	}
 	if load, ok := platform.ParseServerLoad(resp.Header); ok {
-		n.setReportedLoad(server.ID, load)
+		n.setReportedLoad(server, load)
 	}
 	if platform.NotRun(resp) {
 		return x.requestNotRun(server, resp)
@@ -167,14 +167,14 @@
 		if errors.Is(err, httpsend.ErrNotSent) {
 			observation = replicas.Failed
 		}
-		n.observe(server.ID, observation, 0)
+		n.observe(server, observation, 0)
 		if x.sends < maxSends {
 			return x.retryElsewhere(server, "unreachable", err) // nothing was sent, so no retry budget is used
 		}
 		return x.retryWithinBudget(server, "unreachable", err)
 	}
 	x.runs++
-	n.observe(server.ID, replicas.Failed, 0)
+	n.observe(server, replicas.Failed, 0)
 	var reused *httpsend.IdleConnError
 	if errors.As(err, &reused) && context.Cause(x.r.Context()) == nil && !errors.Is(err, errResponseTimeout) && n.serverClients.recordIdleDrop(x.service, reused.IdleTime) {
 		level.Info(n.log).Log("event", "idle_connection_dropped", "service", x.service, "server", server.ID, "rested", reused.IdleTime)
@@ -194,13 +194,13 @@
 	}
 	// A server that is full, or is carrying out an order for the model, is
 	// avoided like one that does not hold the model.
-	x.node.markAbsent(server.ID, x.params.Model, x.params.Adapter)
+	x.node.markAbsent(server, x.params.Model, x.params.Adapter)
 	return x.retryWithinBudget(server, reason, nil)
 }
 
 // badResponse handles a response that can't be passed on.
 func (x *exchange) badResponse(server replicas.Entry, reason string) attemptResult {
-	x.node.observe(server.ID, replicas.Failed, 0)
+	x.node.observe(server, replicas.Failed, 0)
 	return x.attemptFailed(server, reason, nil)
 }
 
@@ -257,14 +257,14 @@
 		return x.attemptFailed(server, "answer_cut", err)
 	}
 	if resp.StatusCode >= http.StatusInternalServerError {
-		x.node.observe(server.ID, replicas.Failed, 0)
+		x.node.observe(server, replicas.Failed, 0)
 		if x.route.Idempotent() && x.runs < x.route.MaxAttempts && x.tryRetry() {
 			// This response is dropped: if the next attempt gets none, the
 			// caller receives an error of this node.
 			return x.retryElsewhere(server, "server_error", nil)
 		}
 	} else {
-		x.node.observe(server.ID, replicas.Answered, bootclock.Now().Sub(sent))
+		x.node.observe(server, replicas.Answered, bootclock.Now().Sub(sent))
 	}
 	platform.CopyResponseHeaders(x.w.Header(), resp.Header)
 	x.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
@@ -295,32 +295,40 @@
 
 // attemptEnded records the end of an attempt at the server, which may free a slot
 // for a waiting request.
-func (n *Node) attemptEnded(server string) {
+func (n *Node) attemptEnded(server replicas.Entry) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.table.End(server)
+	if n.table.SameStart(server) {
+		n.table.End(server.ID)
+	}
 	n.dispatchWaiting(bootclock.Now())
 }
 
 // observe records the outcome of an attempt at the server; the latency is zero if
 // unknown.
-func (n *Node) observe(server string, o replicas.Observation, latency time.Duration) {
+func (n *Node) observe(server replicas.Entry, o replicas.Observation, latency time.Duration) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.table.Observe(bootclock.Now(), server, o, latency)
+	if n.table.SameStart(server) {
+		n.table.Observe(bootclock.Now(), server.ID, o, latency)
+	}
 }
 
 // markAbsent records that the server did not accept requests for the model or
 // adapter.
-func (n *Node) markAbsent(server, model, adapter string) {
+func (n *Node) markAbsent(server replicas.Entry, model, adapter string) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.table.MarkAbsent(bootclock.Now(), server, model, adapter)
+	if n.table.SameStart(server) {
+		n.table.MarkAbsent(bootclock.Now(), server.ID, model, adapter)
+	}
 }
 
 // setReportedLoad records the load that the server reported with a response.
-func (n *Node) setReportedLoad(server string, l platform.ServerLoad) {
+func (n *Node) setReportedLoad(server replicas.Entry, l platform.ServerLoad) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.table.SetReportedLoad(bootclock.Now(), server, l.Running+l.Waiting)
+	if n.table.SameStart(server) {
+		n.table.SetReportedLoad(bootclock.Now(), server.ID, l.Running+l.Waiting)
+	}
 }
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -281,7 +281,7 @@
 	delete(n.waiters, r.Key)
 	select {
 	case d := <-decided: // decided just before ctx ended
-		if d.Refused == "" {
+		if d.Refused == "" && n.table.SameStart(d.Server) {
 			n.table.End(d.Server.ID)
 		}
 	default:
--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -46,7 +46,7 @@
 			gap.Reset(x.gapTimeout())
 		}
 		if !x.responseStarted {
-			x.node.observe(server.ID, replicas.Answered, bootclock.Now().Sub(sent))
+			x.node.observe(server, replicas.Answered, bootclock.Now().Sub(sent))
 			platform.CopyResponseHeaders(x.w.Header(), resp.Header)
 			x.closeIfStopping()
 			x.writeStatus(resp.StatusCode)
@@ -91,7 +91,7 @@
 		x.abort("caller_left")
 		return attemptDone
 	}
-	x.node.observe(server.ID, replicas.Failed, 0)
+	x.node.observe(server, replicas.Failed, 0)
 	if !bootclock.Now().Before(x.deadline) {
 		x.endUnanswered("time_over")
 		return attemptDone
--- a/replicas/table.go
+++ b/replicas/table.go
@@ -73,7 +73,7 @@
 		return false
 	}
 	delete(t.removed, e.ID)
-	if row == nil || row.Start != e.Start || row.Address != e.Address {
+	if !t.SameStart(e) {
 		t.rows[e.ID] = &Server{Entry: e, absentUntil: map[string]time.Time{}}
 		return true
 	}
@@ -149,6 +149,14 @@
 	return row.Entry, true
 }
 
+// SameStart reports whether the server is known and has neither restarted nor moved
+// since it had the entry. The outcome of a request that was sent before says nothing
+// about a later start.
+func (t *Table) SameStart(e Entry) bool {
+	row := t.rows[e.ID]
+	return row != nil && row.Start == e.Start && row.Address == e.Address
+}
+
 // SetServerStatus stores a server status that the cell's leader published. It is ignored
 // if the server is unknown or the status is of another start of the server.
 func (t *Table) SetServerStatus(now time.Time, s ServerStatus) {
