lease: news that arrives during a read is read again

What callers saw: a node to which the cell was handed over might not learn of it. The cell had no active controller until the leaving holder had ended all its requests and left; nothing was loaded and grants were redirected to a node that did not act. A successor might miss a version of the record in the same way, and take over during an outage without the intents and server sets that had been written to it.

Cause: the news sets a mark that a read is needed, and any response to a read removed the mark, also that of a read that had been sent before the news. Each news is sent once.

Evidence: TestNewsDuringReadIsReadAgain failed before (no node is active).

Change: news that arrives while a read is in flight keeps the mark, so that another read is sent after it.

--- a/lease/core.go
+++ b/lease/core.go
@@ -105,6 +105,7 @@
 	stale        bool          // a write conflicted; this node is not active until the next read
 	readInFlight bool          // a response to a read is outstanding
 	readNeeded   bool          // a read must be sent
+	readAgain    bool          // a read became needed while another was in flight, whose response may be older
 	lastReadSent time.Time     // time of the latest read request
 	lastContact  time.Time     // time of the latest response of the object API
 	pending      *pendingWrite // write not yet resolved; nil if none
@@ -161,7 +162,7 @@
 		return
 	}
 	c.holderHint = Successor{Holder: holder, Epoch: epoch}
-	c.readNeeded = true
+	c.requestRead()
 	c.lastReadSent = time.Time{} // read immediately: the claim may name this node as a successor
 }
 
@@ -186,10 +187,16 @@
 // HandleVersionUpdate processes a holder's VersionUpdate. A successor then reads the record.
 func (c *Core) HandleVersionUpdate(_ time.Time, u VersionUpdate) {
 	if u.Version > c.version && slices.Contains(u.Successors, c.self.Node) {
-		c.readNeeded = true
+		c.requestRead()
 	}
 }
 
+// requestRead makes Tick send a read that begins after this call.
+func (c *Core) requestRead() {
+	c.readNeeded = true
+	c.readAgain = c.readInFlight
+}
+
 // HandleHigherEpoch processes the report that an engine has seen the given epoch. If
 // it is higher than this node's, the node stops being active immediately.
 func (c *Core) HandleHigherEpoch(now time.Time, epoch fleet.Epoch) {
@@ -198,13 +205,14 @@
 	}
 	c.fencedBy = epoch
 	c.fencedAt = now
-	c.readNeeded = true
+	c.requestRead()
 }
 
 // HandleRead processes the response to a read. platform.ErrNotFound counts as a
 // response: the lease object does not exist.
 func (c *Core) HandleRead(now time.Time, obj platform.Object, err error) {
-	c.readInFlight = false
+	again := c.readAgain
+	c.readInFlight, c.readAgain = false, false
 	absent := errors.Is(err, platform.ErrNotFound)
 	if err != nil && !absent {
 		c.recordStoreFailure(c.lastReadSent)
@@ -214,7 +222,7 @@
 		obj = platform.Object{}
 	}
 	c.recordContact(now)
-	c.readNeeded = false
+	c.readNeeded = again
 	if c.loaded && obj.Version < c.version {
 		c.readNeeded = true // stale response: a newer version was seen before
 		return
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -309,6 +309,31 @@
 	assert.Assert(t, got.Active && got.PredecessorsStopped, "%+v", got)
 }
 
+// TestNewsDuringReadIsReadAgain: the response of a read that was sent before the cell
+// was handed over must not count as the read that the news of it requires. No other
+// news would follow.
+func TestNewsDuringReadIsReadAgain(t *testing.T) {
+	tc := newTestCell(t, "a", "b", "c")
+	holder := tc.activeNode("a", "b", "c")
+	tc.run(time.Second, "a", "b", "c")
+	before, _ := tc.cores[holder].VersionUpdate()
+	successor := tc.cores[before.Successors[0]]
+	before.Version++ // a version whose read is on its way when the cell is handed over
+	successor.HandleVersionUpdate(tc.now, before)
+	assert.Assert(t, successor.Tick(tc.now).Read)
+	late := tc.obj
+
+	tc.cores[holder].SetLeaving(tc.now)
+	tc.setState(holder, lease.MemberLeaving)
+	tc.run(time.Second, holder)
+	a := tc.authority(holder)
+	assert.Equal(t, a.Holder.Node, before.Successors[0])
+	successor.HandleHolderHint(tc.now, a.Holder, a.Epoch)
+	successor.HandleRead(tc.now, late, nil)
+	tc.run(time.Second, a.Holder.Node)
+	assert.Assert(t, tc.authority(a.Holder.Node).Active)
+}
+
 func TestFencedHolderBecomesInactiveAndReclaims(t *testing.T) {
 	tc := newTestCell(t, "a", "b", "c")
 	holder := tc.activeNode("a", "b", "c")
