release: a response from before a pause no longer confirms the version

What callers saw: after a pause of a node (a suspended VM, a stopped process), the node could serve by the version that it had before the pause, for example a model withdrawn meanwhile, until it learned of the version in force.

Cause: a pause makes the node confirm anew which version is in force. A response to a fetch or watch that it had sent before the pause, and that lay in its socket meanwhile, counted as that confirmation.

Evidence: without the check TestResponseFromBeforePauseDoesNotConfirm fails ("current" instead of "unknown").

Change: a response confirms only if the call was made after the start or the last pause. The update itself is still applied, as versions only rise.

--- a/internal/node/release.go
+++ b/internal/node/release.go
@@ -93,6 +93,7 @@
 	defer cancel()
 	var update release.Update
 	var err error
+	requestedAt := time.Now()
 	if from.Peer == "" {
 		update, err = release.LoadUpdate(ctx, r.node.cfg.Store, after)
 	} else {
@@ -101,7 +102,7 @@
 	if err != nil {
 		level.Debug(r.node.cfg.Log).Log("event", "release_fetch_failed", "from", from.Peer, "after", after, "err", err)
 	}
-	r.applyUpdate(from, update, err)
+	r.applyUpdate(requestedAt, from, update, err)
 }
 
 func (r *releaseLoop) fetchFromPeer(ctx context.Context, id fleet.NodeID, after uint64) (release.Update, error) {
@@ -119,9 +120,9 @@
 
 // applyUpdate passes the result of a fetch or watch to the core and puts a newer
 // version in force.
-func (r *releaseLoop) applyUpdate(from release.Source, update release.Update, err error) {
+func (r *releaseLoop) applyUpdate(requestedAt time.Time, from release.Source, update release.Update, err error) {
 	r.mu.Lock()
-	raised := r.core.HandleUpdate(time.Now(), from, update, err)
+	raised := r.core.HandleUpdate(time.Now(), requestedAt, from, update, err)
 	version := r.core.Version()
 	if raised {
 		state := r.core.State()
@@ -137,10 +138,11 @@
 // watch follows the head object until ctx ends.
 func (r *releaseLoop) watch(ctx context.Context) {
 	for ctx.Err() == nil {
+		requestedAt := time.Now()
 		objects, position, err := r.node.cfg.Store.List(ctx, platform.KindRelease, release.HeadName)
 		if err == nil {
 			// The list includes changes made before the watch starts.
-			r.handleHeads(ctx, objects)
+			r.handleHeads(ctx, requestedAt, objects)
 			err = r.watchFrom(ctx, position)
 		}
 		if err != nil && ctx.Err() == nil {
@@ -154,6 +156,7 @@
 // watchFrom watches from a position in the store's history until a watch call fails.
 func (r *releaseLoop) watchFrom(ctx context.Context, position uint64) error {
 	for {
+		requestedAt := time.Now()
 		callCtx, cancel := context.WithTimeout(ctx, releaseWatchWait+registerTimeout)
 		events, reached, err := r.node.cfg.Store.Watch(callCtx, platform.KindRelease, position, releaseWatchWait)
 		cancel()
@@ -161,7 +164,7 @@
 			return err
 		}
 		position = reached
-		r.handleHeads(ctx, existingObjects(events))
+		r.handleHeads(ctx, requestedAt, existingObjects(events))
 	}
 }
 
@@ -176,8 +179,9 @@
 	return objects
 }
 
-// handleHeads processes the head object among the objects of a list or watch call.
-func (r *releaseLoop) handleHeads(ctx context.Context, objects []platform.Object) {
+// handleHeads processes the head object among the objects of a list or watch call
+// that was made at requestedAt.
+func (r *releaseLoop) handleHeads(ctx context.Context, requestedAt time.Time, objects []platform.Object) {
 	newest := release.Head{}
 	for _, object := range objects {
 		if object.Name != release.HeadName {
@@ -198,7 +202,7 @@
 		return
 	}
 	update, err := newest.Update(ctx, r.node.cfg.Store, after)
-	r.applyUpdate(release.Source{}, update, err)
+	r.applyUpdate(requestedAt, release.Source{}, update, err)
 }
 
 // Fetch implements peer.Release.
--- a/release/follower.go
+++ b/release/follower.go
@@ -189,9 +189,10 @@
 }
 
 // HandleUpdate applies the result of a fetch or watch; err is its error. An update
-// to a version that the node already has changes nothing. It reports whether the
-// version in force increased.
-func (f *Follower) HandleUpdate(now time.Time, from Source, u Update, err error) bool {
+// to a version that the node already has changes nothing. The response to a call made
+// before the last Reconfirm does not show which version is in force. It reports
+// whether the version in force increased.
+func (f *Follower) HandleUpdate(now, requestedAt time.Time, from Source, u Update, err error) bool {
 	if f.fetch.running && f.fetch.source == from {
 		f.fetch.running = false
 	}
@@ -205,7 +206,7 @@
 	before := f.state.Version
 	raised, applyErr := u.applyTo(&f.state)
 	invariant.Check(f.state.Version >= before, invariant.VersionMonotonic, "version %d after %d", f.state.Version, before)
-	f.recordResponse(from, u, applyErr)
+	f.recordResponse(requestedAt, from, u, applyErr)
 	if raised {
 		f.inForceSince = now
 		f.fetch.attempts = 0
@@ -219,17 +220,19 @@
 }
 
 // recordResponse records what a response shows about the version in force.
-func (f *Follower) recordResponse(from Source, u Update, applyErr error) {
+func (f *Follower) recordResponse(requestedAt time.Time, from Source, u Update, applyErr error) {
 	if applyErr != nil {
 		f.fetch.attempts++
 		return
 	}
 	f.latestKnown = max(f.latestKnown, u.Version)
-	if from.store() {
+	switch {
+	case requestedAt.Before(f.startedAt):
+	case from.store():
 		f.storeRead = true
-		return
+	default:
+		f.peerResponded = true
 	}
-	f.peerResponded = true
 }
 
 // tryConfirm confirms the version if it is at least the highest version that the
--- a/release/follower_test.go
+++ b/release/follower_test.go
@@ -134,7 +134,7 @@
 	if e.From.store() {
 		s.storeReads++
 		u, err := LoadUpdate(context.Background(), s.store, e.After)
-		n.release.HandleUpdate(s.now, e.From, u, err)
+		n.release.HandleUpdate(s.now, s.now, e.From, u, err)
 		return
 	}
 	for _, peer := range s.nodes {
@@ -143,11 +143,11 @@
 		}
 		if a, ok := peer.release.EncodedUpdate(e.After); ok {
 			u, err := a.Update()
-			n.release.HandleUpdate(s.now, e.From, u, err)
+			n.release.HandleUpdate(s.now, s.now, e.From, u, err)
 			return
 		}
 	}
-	n.release.HandleUpdate(s.now, e.From, Update{}, errNoResponse)
+	n.release.HandleUpdate(s.now, s.now, e.From, Update{}, errNoResponse)
 }
 
 // watch completes one watch call of the node.
@@ -165,7 +165,7 @@
 	assert.NilError(s.t, err)
 	n.release.HandleWatch(s.now, head.Version)
 	u, err := head.Update(context.Background(), s.store, n.release.Version())
-	n.release.HandleUpdate(s.now, Source{}, u, err)
+	n.release.HandleUpdate(s.now, s.now, Source{}, u, err)
 }
 
 // waitFor runs until the condition holds on all nodes, and returns the time that it
@@ -284,17 +284,17 @@
 	r := NewFollower(now, "entry-000", "zone-0", DefaultFollowerSettings(), rand.New(rand.NewPCG(1, 1)))
 	r.SetPeers(now, []Peer{{ID: "entry-001", Zone: "zone-0", Version: 3, LastContact: now}})
 	old := stateAfter(t, modelNote("m", 1), modelNote("m", 2))
-	assert.Assert(t, r.HandleUpdate(now, Source{}, Update{Version: 2, State: old.Clone()}, nil))
+	assert.Assert(t, r.HandleUpdate(now, now, Source{}, Update{Version: 2, State: old.Clone()}, nil))
 	assert.Equal(t, r.SyncState(now), SyncUnknown, "the store has an older version than a peer")
 	newer := stateAfter(t, modelNote("m", 1), modelNote("m", 2), modelNote("m", 3))
-	assert.Assert(t, r.HandleUpdate(now, Source{Peer: "entry-001"}, Update{Version: 3, State: newer}, nil))
+	assert.Assert(t, r.HandleUpdate(now, now, Source{Peer: "entry-001"}, Update{Version: 3, State: newer}, nil))
 	assert.Equal(t, r.SyncState(now), SyncCurrent)
-	assert.Assert(t, !r.HandleUpdate(now, Source{}, Update{Version: 2, State: old}, nil))
+	assert.Assert(t, !r.HandleUpdate(now, now, Source{}, Update{Version: 2, State: old}, nil))
 	r.HandleWatch(now, 1)
 	r.HandleAnnouncement(2, "entry-001")
 	assert.Equal(t, r.Version(), uint64(3))
 	gap := &Difference{Version: 9}
-	assert.Assert(t, !r.HandleUpdate(now, Source{}, Update{Version: 9, Differences: []*Difference{gap}}, nil))
+	assert.Assert(t, !r.HandleUpdate(now, now, Source{}, Update{Version: 9, Differences: []*Difference{gap}}, nil))
 	assert.Equal(t, r.Version(), uint64(3))
 	r.Reconfirm(now)
 	assert.Equal(t, r.SyncState(now), SyncUnknown)
@@ -399,3 +399,23 @@
 		})
 	}
 }
+
+// TestResponseFromBeforePauseDoesNotConfirm: a response to a fetch that was made
+// before the process was paused must not let the node serve by the version that it
+// had then.
+func TestResponseFromBeforePauseDoesNotConfirm(t *testing.T) {
+	start := time.Unix(1_700_000_000, 0)
+	for _, from := range []Source{{Peer: "entry-001"}, {}} {
+		r := NewFollower(start, "entry-000", "zone-0", DefaultFollowerSettings(), rand.New(rand.NewPCG(1, 1)))
+		r.SetPeers(start, []Peer{{ID: "entry-001", Zone: "zone-0", Version: 2, LastContact: start}})
+		state := stateAfter(t, modelNote("m", 1), modelNote("m", 2))
+		assert.Assert(t, r.HandleUpdate(start, start, from, Update{Version: 2, State: state}, nil))
+		assert.Equal(t, r.SyncState(start), SyncCurrent)
+		resumed := start.Add(time.Minute)
+		r.Reconfirm(resumed)
+		r.HandleUpdate(resumed, start, from, Update{Version: 2}, nil)
+		assert.Equal(t, r.SyncState(resumed), SyncUnknown, "from %q", from.Peer)
+		r.HandleUpdate(resumed, resumed, from, Update{Version: 2}, nil)
+		assert.Equal(t, r.SyncState(resumed), SyncCurrent, "from %q", from.Peer)
+	}
+}
--- a/release/random_test.go
+++ b/release/random_test.go
@@ -89,7 +89,7 @@
 // if its state differs from the published one.
 func (h *history) applyUpdate(t *rapid.T, n *Follower, from Source, u Update) {
 	before := n.Version()
-	n.HandleUpdate(h.now, from, u, nil)
+	n.HandleUpdate(h.now, h.now, from, u, nil)
 	if n.Version() < before {
 		t.Fatalf("version %d after %d", n.Version(), before)
 	}
