node: a sync state from before a pause no longer replaces the one after it

What callers saw: nothing known; found by reading. For up to 0.1 s after a pause a node could serve by the version that it had before, although it had to confirm first which one is in force.

Cause: the loop read the sync state under the lock of the core and stored it after releasing the lock. The handling of a pause, which stores the state as unknown, could run in between and its result be replaced.

Evidence: by reading. There is no test: the two goroutines cannot be ordered from outside.

Change: the sync state is stored under the lock, as the handling of a pause does already.

--- a/internal/node/release.go
+++ b/internal/node/release.go
@@ -54,9 +54,8 @@
 	}
 	r.mu.Lock()
 	effects := r.core.Tick(now)
-	syncState := r.core.SyncState(now)
+	r.node.catalog.setSyncState(r.core.SyncState(now))
 	r.mu.Unlock()
-	r.node.catalog.setSyncState(syncState)
 	if effects.Fetch {
 		r.node.background.Go(func() { r.fetch(ctx, effects.From, effects.After) })
 	}
