membership: the published release version does not decrease

What callers saw: the status of a node could show an older release version than the one in force.

Cause: the node reports each version to membership after it has put it in force, without a lock. Of two versions from a watch and a fetch, the older one could be reported last.

Evidence: TestReleaseVersionDoesNotDecrease failed before ("5 != 6").

Change: a lower version than the last is ignored, as versions only rise.

--- a/membership/core.go
+++ b/membership/core.go
@@ -135,8 +135,9 @@
 }
 
 // SetReleaseVersion sets the release version in force at this node. It is
-// published in each packet of this node.
-func (c *Core) SetReleaseVersion(v uint64) { c.self.ReleaseVersion = v }
+// published in each packet of this node. A lower version than the last is ignored:
+// callers of different goroutines may arrive out of order.
+func (c *Core) SetReleaseVersion(v uint64) { c.self.ReleaseVersion = max(c.self.ReleaseVersion, v) }
 
 // Self returns the node's own member row.
 func (c *Core) Self() Member { return c.self }
--- a/membership/membership_test.go
+++ b/membership/membership_test.go
@@ -317,3 +317,12 @@
 		}
 	})
 }
+
+// TestReleaseVersionDoesNotDecrease: two updates may be reported out of order, and a
+// node must not publish the older version as the one in force.
+func TestReleaseVersionDoesNotDecrease(t *testing.T) {
+	core := newNetwork(t, 1).start(0, addrOf(0)).core
+	core.SetReleaseVersion(6)
+	core.SetReleaseVersion(5)
+	assert.Equal(t, core.Self().ReleaseVersion, uint64(6))
+}
