controller: the late expiry of an earlier attempt no longer cancels an order

What callers saw: nothing known; found by reading. An engine could be ordered to load more than it has memory for, or a model more often than its limit.

Cause: an order without a response is sent again with a later expiry. If the response to the first attempt, that it had expired, arrived after the second attempt was sent (the order was held up for 30 s, as by a pause of this process), the order was taken as never to be carried out, and its memory and replica were no longer counted, while the second attempt was on its way.

Evidence: TestLateExpiryOfEarlierAttemptDoesNotCancelOrder fails without the check (the replica is gone).

Change: an expiry ends the order only if the newest attempt has expired. That of an earlier one leaves the order open until its newest attempt or a report resolves it.

--- a/controller/failures_test.go
+++ b/controller/failures_test.go
@@ -6,6 +6,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/redwingnotch/redwingnotch/controller"
 	"github.com/redwingnotch/redwingnotch/engine"
 	"github.com/redwingnotch/redwingnotch/fleet"
 )
@@ -466,3 +467,31 @@
 		assert.Equal(t, c.loadCount("m0"), 1)
 	})
 }
+
+// TestLateExpiryOfEarlierAttemptDoesNotCancelOrder: that the first attempt of an order
+// expired says nothing about a later one, which expires later. The memory and the
+// replica of an order that may still be carried out must stay counted.
+func TestLateExpiryOfEarlierAttemptDoesNotCancelOrder(t *testing.T) {
+	c := newCell(t, 1, 3, 6, true)
+	n := c.waitForActive()
+	n.ctrl.ForceLoad(c.now, c.engines[0].id, c.models[0], fleet.LocalityMemory)
+	loadOrder := func(now time.Time) controller.SendOrder {
+		for _, o := range n.ctrl.Tick(now, nil, c).Orders {
+			if o.Order.Kind == engine.OrderLoad {
+				return o
+			}
+		}
+		t.Fatal("no load order was sent")
+		return controller.SendOrder{}
+	}
+	first := c.now
+	order := loadOrder(first)
+	second := first.Add(controller.DefaultResponseTimeout)
+	assert.Equal(t, loadOrder(second).Order.ID, order.Order.ID)
+	expired := controller.OrderResult{OrderID: order.Order.ID, Backend: order.Backend, SentAt: first, Err: engine.ErrExpired}
+	n.ctrl.HandleOrderResult(second, expired)
+	assert.Equal(t, len(n.ctrl.Replicas()), 1)
+	expired.SentAt = second
+	n.ctrl.HandleOrderResult(second, expired)
+	assert.Equal(t, len(n.ctrl.Replicas()), 0)
+}
--- a/controller/orders.go
+++ b/controller/orders.go
@@ -215,7 +215,7 @@
 		c.handleAccepted(o)
 		return
 	}
-	c.handleOrderError(now, o, res.Err)
+	c.handleOrderError(now, o, res)
 }
 
 // handleAccepted closes an order that an engine accepted. A load stays open
@@ -228,8 +228,9 @@
 	c.closeOrder(o.order.ID)
 }
 
-func (c *Core) handleOrderError(now time.Time, o *openOrder, err error) {
-	b := c.backends[o.backend]
+func (c *Core) handleOrderError(now time.Time, o *openOrder, res OrderResult) {
+	b, err := c.backends[o.backend], res.Err
+	newestAttempt := !res.SentAt.Before(o.sentAt)
 	switch {
 	case errors.Is(err, engine.ErrFenced):
 		// The engine has seen a higher epoch, whose value the error does not give.
@@ -237,7 +238,7 @@
 	case errors.Is(err, engine.ErrWrongBoot):
 		c.rollBack(o)
 		b.reportRequestedAt = time.Time{} // requests a report of the new boot at the next tick
-	case errors.Is(err, engine.ErrExpired) && !errors.Is(err, engine.ErrNotSent):
+	case errors.Is(err, engine.ErrExpired) && !errors.Is(err, engine.ErrNotSent) && newestAttempt:
 		c.rollBack(o) // earlier attempts expired before this one
 	case isNotApplied(err) && !(o.mayHaveArrived && o.isLoad()):
 		if o.order.Kind == engine.OrderLoad {
