front: a late status of a former leader no longer replaces that of its successor

What callers saw: for up to 1.2 s after a change of a cell's leader, a node could send requests to a backend server for a model that the new leader had unloaded, or keep them waiting for one that it had loaded.

Cause: messages are ordered for each sender only. A message that the former leader had sent before the change, and that arrived after one of the new leader, replaced the statuses of the cell's servers.

Evidence: without the check TestLateStatusOfFormerLeaderIsIgnored fails (the status names the unloaded model).

Change: a status is used only if its sender leads the cell of the server and no live node, this one included, leads it with a higher fencing token.

--- a/internal/front/peers.go
+++ b/internal/front/peers.go
@@ -410,10 +410,41 @@
 		}
 		n.table.SetPlanned(now, m.IP, planned)
 	}
+	leads := n.leadsNow(now, m)
 	for _, status := range m.Statuses {
+		if server, known := n.table.Entry(status.ID); !known || !leads[server.Zone] {
+			continue
+		}
 		if status.Loading != "" {
 			status.LoadEnds = now.Add(time.Duration(status.LoadInMS) * time.Millisecond)
 		}
 		n.table.SetServerStatus(now, status)
 	}
 }
+
+// leadsNow returns the cells that the sender leads, without those of which a leader
+// with a higher token is known: the message was sent before that one took over.
+func (n *Node) leadsNow(now time.Time, m message) map[string]bool {
+	leads := map[string]bool{}
+	for zone, leader := range m.Leaders {
+		leads[zone] = leader.Leading && leader.Token >= n.peers.leaderToken(now, zone)
+	}
+	for _, c := range n.cells {
+		if c.leadership.Leading(now) {
+			leads[c.zone] = false
+		}
+	}
+	return leads
+}
+
+// leaderToken returns the highest token with which a live node publishes that it leads
+// the cell; zero if none does.
+func (p *peers) leaderToken(now time.Time, zone string) uint64 {
+	highest := uint64(0)
+	for _, other := range p.byIP {
+		if leader := other.Leaders[zone]; leader != nil && leader.Leading && other.alive(now) {
+			highest = max(highest, leader.Token)
+		}
+	}
+	return highest
+}
--- a/internal/front/tell_test.go
+++ b/internal/front/tell_test.go
@@ -218,3 +218,28 @@
 	left, _ := other.table.Entry(id)
 	assert.Assert(t, left.Draining)
 }
+
+// TestLateStatusOfFormerLeaderIsIgnored: what a former leader sent of a server, and what
+// arrives after its successor's message, must not replace the successor's status. The
+// model that the former leader names may have been unloaded since.
+func TestLateStatusOfFormerLeaderIsIgnored(t *testing.T) {
+	const former, successor = "127.0.0.2", "127.0.0.3"
+	n := newTestNode(t, platform.Settings{}, former, successor)
+	n.table.SetEntry(bootclock.Now(), replicas.Entry{ID: "s1", Address: "127.0.0.1:1", Service: "s", Zone: "z", Slots: 4, Start: 1, Revision: 1})
+	receive := func(ip string, sequence, token uint64, model string) {
+		n.received(message{Node: "n" + ip, IP: ip, Zone: "z", Incarnation: 1, Sequence: sequence,
+			Leaders:  map[string]*leaderState{"z": {Token: token, Leading: true}},
+			Statuses: []replicas.ServerStatus{{ID: "s1", Start: 1, Holds: []replicas.Holding{{Model: model}}}}})
+	}
+	held := func(model string) bool {
+		status, known := n.table.ServerStatus(bootclock.Now(), "s1")
+		return known && status.Has(model, "")
+	}
+	receive(former, 2, 1, "unloaded")
+	assert.Assert(t, held("unloaded"))
+	receive(successor, 2, 2, "loaded")
+	receive(former, 3, 1, "unloaded")
+	assert.Assert(t, held("loaded"))
+	receive(former, 4, 3, "again")
+	assert.Assert(t, held("again"), "the former leader took over again")
+}
