front: a node that leads a cell again sends all server statuses at once

What callers saw: after a node had taken the leadership of a cell back, other nodes could go on for up to 1.2 s by the statuses of the leader between, for example that a model was being unloaded, and keep requests for it waiting.

Cause: a status is sent at once only if it differs from what this node sent last. What was sent in an earlier leadership counted as known to the others.

Evidence: without the change TestStatusesAreSentAnewByNewLeadership fails (no status is sent).

Change: a status counts as sent only for the leadership, known by its fencing token, with which it was sent.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -56,12 +56,12 @@
 	arrivals         map[arrivalKey]*arrivalCount
 	peers            *peers
 	cells            []*cell
-	lastStoreContact time.Time                        // when the store last responded
-	fetchingDesired  bool                             // a newer desired state, in force at another node, is being fetched
-	newServers       []newServer                      // servers that this node learned of from the store and still publishes
-	departing        []departing                      // servers that this node learned are draining or removed, and still publishes
-	publishedStatus  map[string]replicas.ServerStatus // server statuses as last sent to the other nodes
-	nextRepublished  int                              // position of the next unchanged server status to send again
+	lastStoreContact time.Time                  // when the store last responded
+	fetchingDesired  bool                       // a newer desired state, in force at another node, is being fetched
+	newServers       []newServer                // servers that this node learned of from the store and still publishes
+	departing        []departing                // servers that this node learned are draining or removed, and still publishes
+	publishedStatus  map[string]publishedStatus // server statuses as last sent to the other nodes
+	nextRepublished  int                        // position of the next unchanged server status to send again
 
 	lastSent         time.Time     // when the last message was sent to any node
 	lastPeriodicSent time.Time     // when the last periodic message was sent to all nodes
@@ -87,7 +87,7 @@
 		waiters:         map[uint64]chan waiting.Decision{},
 		retryBudgets:    map[string]*dispatch.RetryBudget{},
 		arrivals:        map[arrivalKey]*arrivalCount{},
-		publishedStatus: map[string]replicas.ServerStatus{},
+		publishedStatus: map[string]publishedStatus{},
 	}
 	n.peers = newPeers(now, s)
 	for _, zone := range s.Zones {
--- a/internal/front/loads.go
+++ b/internal/front/loads.go
@@ -165,8 +165,15 @@
 	core.HandleReport(bootclock.Now(), server.ID, server.Start, r, err)
 }
 
+// publishedStatus is a server status as this node last sent it.
+type publishedStatus struct {
+	token  uint64 // fencing token of the leadership with which it was sent
+	status replicas.ServerStatus
+}
+
 // statusesToPublish returns the server statuses that have changed since they were
-// last sent. In periodic messages it adds some unchanged ones in rotation, so
+// last sent, and those not sent since this node acquired the leadership, as another
+// leader may have sent others. In periodic messages it adds some unchanged ones in rotation, so
 // that each is sent once per statusRepublishPeriod. The caller holds n.mu.
 func (n *Node) statusesToPublish(now time.Time, periodic bool) []replicas.ServerStatus {
 	var statuses, unchanged []replicas.ServerStatus
@@ -179,13 +186,14 @@
 				if status.Loading != "" {
 					status.LoadInMS = status.LoadEnds.Sub(now).Milliseconds()
 				}
+				sent := publishedStatus{token: c.leadership.Token(), status: status}
 				before := n.publishedStatus[status.ID]
-				before.LoadEnds, before.LoadInMS = status.LoadEnds, status.LoadInMS
-				if reflect.DeepEqual(before, status) {
+				before.status.LoadEnds, before.status.LoadInMS = status.LoadEnds, status.LoadInMS
+				if reflect.DeepEqual(before, sent) {
 					unchanged = append(unchanged, status)
 					continue
 				}
-				n.publishedStatus[status.ID] = status
+				n.publishedStatus[status.ID] = sent
 				statuses = append(statuses, status)
 			}
 		}
