leadership: a model of nodes, store and network at millisecond granularity

Callers saw two nodes order one server in turn, the second with a lower token. TestNoTwoLeadersOrderOneServer does not find this: it moves in steps of 100 ms and completes a store call within the step that starts it, so nothing falls between a call, its effect and its response.

The model is a discrete-event simulation of what internal/front does around Core: ticks, store calls with separate times of effect and response, messages, orders with deadlines, freezes, kills, stops and cuts.

--- /dev/null
+++ b/leadership/model_faults_test.go
@@ -0,0 +1,207 @@
+package leadership_test
+
+import "time"
+
+const (
+	modelGracePeriod  = 6 * time.Second // most time from a stop signal to the exit
+	modelRestartDelay = time.Second     // least time from a process's end to its restart
+)
+
+// modelFault is a kind of fault. Each run has some of them, at its own rates.
+type modelFault struct {
+	name   string
+	inject func(r *modelRun)
+}
+
+// modelFaults are the faults that occur at random times.
+var modelFaults = []modelFault{
+	{"stop", func(r *modelRun) { r.victim().stop() }},
+	{"kill", func(r *modelRun) { r.victim().kill() }},
+	{"freeze", func(r *modelRun) { r.victim().freeze(r.freezeTime()) }},
+	{"isolate", func(r *modelRun) { r.isolate(r.victim()) }},
+	{"cut", func(r *modelRun) { r.cutLink(r.victim().index, r.random.IntN(len(r.nodes)), r.faultTime()) }},
+	{"unserved", func(r *modelRun) { r.keepFromStore(r.victim(), r.faultTime()) }},
+	{"few served", (*modelRun).serveFew},
+	{"down", func(r *modelRun) { r.during("store is down", r.faultTime(), &r.store.down) }},
+	{"refusing", func(r *modelRun) { r.during("store rejects calls", r.faultTime(), &r.store.refusing) }},
+	{"slow", (*modelRun).slowStore},
+}
+
+// scheduleFaults chooses the kinds of faults of the run and their rates.
+func (r *modelRun) scheduleFaults() {
+	for _, f := range modelFaults {
+		if !r.chance(0.5) {
+			continue
+		}
+		interval := r.between(2*time.Second, 30*time.Second)
+		var next func()
+		next = func() {
+			f.inject(r)
+			r.after(r.upTo(2*interval), next)
+		}
+		r.after(time.Second+r.upTo(2*interval), next)
+	}
+	for _, p := range []*float64{&r.store.losing, &r.store.late, &r.store.stale, &r.lossRate, &r.delayRate, &r.writeFaultRate} {
+		if r.chance(0.4) {
+			*p = 0.02 + 0.25*r.random.Float64()
+		}
+	}
+}
+
+// victim returns the node of a fault, more often than not a leader.
+func (r *modelRun) victim() *modelNode {
+	for _, i := range r.random.Perm(len(r.nodes)) {
+		n := r.nodes[i]
+		if n.process != nil && n.process.cell.core.Leading(r.now) && r.chance(0.6) {
+			return n
+		}
+	}
+	return r.nodes[r.random.IntN(len(r.nodes))]
+}
+
+// faultTime returns the random duration of a fault.
+func (r *modelRun) faultTime() time.Duration {
+	if r.chance(0.5) {
+		return r.between(100*time.Millisecond, 4*time.Second)
+	}
+	return r.between(time.Second, 18*time.Second)
+}
+
+// freezeTime returns the random duration of a freeze. Those that end about when
+// the leadership expires are frequent.
+func (r *modelRun) freezeTime() time.Duration {
+	if r.chance(0.4) {
+		return r.between(6*time.Second, 13*time.Second)
+	}
+	return r.faultTime()
+}
+
+// faultOnWrite may inject a fault while the node's write is on its way.
+func (r *modelRun) faultOnWrite(n *modelNode) {
+	if !r.chance(r.writeFaultRate) {
+		return
+	}
+	p, fault := n.process, r.random.IntN(3)
+	p.after(r.upTo(4*r.store.delay), func() {
+		switch fault {
+		case 0:
+			n.freeze(r.freezeTime())
+		case 1:
+			n.kill()
+		case 2:
+			r.keepFromStore(n, r.faultTime())
+		}
+	})
+}
+
+// stop stops the node's process gracefully and restarts it after its exit.
+func (n *modelNode) stop() {
+	p, r := n.process, n.run
+	if p == nil || p.stopping || n.frozen {
+		return
+	}
+	r.logf("%s: is told to stop", n.name)
+	p.stopping = true
+	p.cell.core.Resign()
+	p.sendToAll = true
+	p.publish()
+	r.after(r.between(3300*time.Millisecond, modelGracePeriod), func() {
+		if n.process == p {
+			n.kill()
+		}
+	})
+}
+
+// kill ends the node's process at once and restarts it later, now and then only to
+// be killed again.
+func (n *modelNode) kill() {
+	if n.process == nil {
+		return
+	}
+	r := n.run
+	r.logf("%s: process ends", n.name)
+	n.exit()
+	down := modelRestartDelay
+	if r.chance(0.5) {
+		down += r.upTo(4 * time.Second)
+	}
+	r.after(down, n.start)
+	if r.chance(0.3) {
+		r.after(down+r.upTo(4*time.Second), n.kill)
+	}
+}
+
+// during puts a fault in force for a time.
+func (r *modelRun) during(name string, d time.Duration, count *int) {
+	r.logf("%s for %v", name, d)
+	*count++
+	r.after(d, func() { *count-- })
+}
+
+// keepFromStore cuts the node from the store for a time.
+func (r *modelRun) keepFromStore(n *modelNode, d time.Duration) {
+	r.logf("%s: is cut from the store for %v", n.name, d)
+	r.store.unserved[n.index]++
+	r.after(d, func() { r.store.unserved[n.index]-- })
+}
+
+// serveFew cuts some of the nodes from the store.
+func (r *modelRun) serveFew() {
+	d := r.faultTime()
+	for _, n := range r.nodes {
+		if r.chance(0.5) {
+			r.keepFromStore(n, d)
+		}
+	}
+}
+
+// slowStore makes the store slow for a time.
+func (r *modelRun) slowStore() {
+	if r.store.delay > time.Millisecond {
+		return
+	}
+	d := r.faultTime()
+	r.logf("store is slow for %v", d)
+	r.store.delay *= modelSlowFactor
+	r.after(d, func() { r.store.delay = time.Millisecond })
+}
+
+// isolate cuts the node from all others and, more often than not, from the store.
+func (r *modelRun) isolate(n *modelNode) {
+	d := r.faultTime()
+	for _, other := range r.nodes {
+		r.cutLink(n.index, other.index, d)
+	}
+	if r.chance(0.7) {
+		r.keepFromStore(n, d)
+	}
+}
+
+// pair returns the key of a link.
+func pair(a, b int) [2]int { return [2]int{min(a, b), max(a, b)} }
+
+// cutLink cuts the link between two nodes for a time.
+func (r *modelRun) cutLink(a, b int, d time.Duration) {
+	if a == b {
+		return
+	}
+	r.logf("link between %s and %s is cut for %v", r.nodes[a].name, r.nodes[b].name, d)
+	r.cut[pair(a, b)]++
+	r.after(d, func() { r.cut[pair(a, b)]-- })
+}
+
+// transmit carries a message to another node. It may be lost or delayed.
+func (r *modelRun) transmit(from, to int, m modelMessage) {
+	if r.cut[pair(from, to)] > 0 || r.chance(r.lossRate) {
+		return
+	}
+	delay := r.upTo(2 * time.Millisecond)
+	if r.chance(r.delayRate) {
+		delay = r.upTo(800 * time.Millisecond)
+	}
+	r.after(delay, func() {
+		if p := r.nodes[to].process; p != nil {
+			p.do(func() { p.receive(m) })
+		}
+	})
+}
--- /dev/null
+++ b/leadership/model_store_test.go
@@ -0,0 +1,126 @@
+package leadership_test
+
+import (
+	"errors"
+	"time"
+
+	"github.com/redwingnotch/redwingnotch/leadership"
+)
+
+const (
+	modelCallTimeout = 700 * time.Millisecond // timeout of a store call
+	modelLateFrom    = time.Second            // least time after which a delayed write is applied
+	modelLateTo      = 6 * time.Second        // most time after which a delayed write is applied
+	modelStaleTo     = 4 * time.Second        // most time by which a stale read is behind
+	modelSlowFactor  = 50                     // how many times longer the calls of a slow store take
+)
+
+var errModelStore = errors.New("store call failed")
+
+// modelVersion is a state of the record.
+type modelVersion struct {
+	at      time.Time
+	record  leadership.Record
+	version uint64
+}
+
+// modelStore is the platform's store with the leadership record of one cell.
+type modelStore struct {
+	run      *modelRun
+	delay    time.Duration // usual time between a request and its effect, and between that and the response
+	down     int           // number of faults in force that make the store unavailable
+	refusing int           // number of faults in force that make the store reject calls without effect
+	unserved map[int]int   // by node: number of faults in force that keep it from the store
+	losing   float64       // probability that a response is lost
+	late     float64       // probability that a write is delayed by more than the timeout
+	stale    float64       // probability that a read is stale
+	versions []modelVersion
+}
+
+// current returns the newest state of the record.
+func (s *modelStore) current() modelVersion {
+	if len(s.versions) == 0 {
+		return modelVersion{}
+	}
+	return s.versions[len(s.versions)-1]
+}
+
+// asOf returns the state of the record at an earlier time.
+func (s *modelStore) asOf(at time.Time) modelVersion {
+	for i := len(s.versions) - 1; i >= 0; i-- {
+		if !s.versions[i].at.After(at) {
+			return s.versions[i]
+		}
+	}
+	return modelVersion{}
+}
+
+// serves reports whether the node's calls reach the store.
+func (s *modelStore) serves(node int) bool { return s.down == 0 && s.unserved[node] == 0 }
+
+// oneWay returns a random time that a request or a response takes.
+func (s *modelStore) oneWay() time.Duration {
+	return s.run.between(s.delay/2, 3*s.delay)
+}
+
+// apply applies a write to the record.
+func (s *modelStore) apply(node *modelNode, a leadership.Action) (uint64, leadership.WriteResult) {
+	if a.Version != s.current().version {
+		s.run.logf("store: write of %s conflicts: token %d, renewal %d", node.name, a.Record.Token, a.Record.Renewal)
+		return 0, leadership.Conflict
+	}
+	s.versions = append(s.versions, modelVersion{s.run.now, a.Record, a.Version + 1})
+	s.run.logf("store: write of %s applied: token %d, renewal %d", node.name, a.Record.Token, a.Record.Renewal)
+	return a.Version + 1, leadership.Written
+}
+
+// write sends a write of the process. done is called at the process with its
+// outcome, at the latest after modelCallTimeout.
+func (s *modelStore) write(p *modelProcess, a leadership.Action, done func(uint64, leadership.WriteResult)) {
+	r := s.run
+	switch {
+	case s.refusing > 0:
+		p.after(s.oneWay(), func() { done(0, leadership.Failed) })
+		return
+	case !s.serves(p.node.index):
+		// A request on its way when the connection broke may still be delivered.
+		if r.chance(s.late) {
+			r.after(r.between(modelLateFrom, modelLateTo), func() { s.apply(p.node, a) })
+		}
+		p.after(modelCallTimeout, func() { done(0, leadership.Unknown) })
+		return
+	case r.chance(s.late):
+		r.after(r.between(modelLateFrom, modelLateTo), func() { s.apply(p.node, a) })
+		p.after(modelCallTimeout, func() { done(0, leadership.Unknown) })
+		return
+	}
+	p.after(modelCallTimeout, func() { done(0, leadership.Unknown) })
+	r.after(s.oneWay(), func() {
+		version, result := s.apply(p.node, a)
+		if s.serves(p.node.index) && !r.chance(s.losing) {
+			p.after(s.oneWay(), func() { done(version, result) })
+		}
+	})
+}
+
+// read sends a read of the process. done is called like that of write.
+func (s *modelStore) read(p *modelProcess, done func(modelVersion, error)) {
+	r := s.run
+	if s.refusing > 0 {
+		p.after(s.oneWay(), func() { done(modelVersion{}, errModelStore) })
+		return
+	}
+	p.after(modelCallTimeout, func() { done(modelVersion{}, errModelStore) })
+	if !s.serves(p.node.index) {
+		return
+	}
+	r.after(s.oneWay(), func() {
+		v := s.current()
+		if r.chance(s.stale) {
+			v = s.asOf(r.now.Add(-r.upTo(modelStaleTo)))
+		}
+		if s.serves(p.node.index) && !r.chance(s.losing) {
+			p.after(s.oneWay(), func() { done(v, nil) })
+		}
+	})
+}
