leadership: the model aims faults at handovers, pending writes and resumptions

Few runs reached the cases in which a pending store call straddles the end of a leadership, a node ends right after it acquired it, or a resumed node is isolated. Runs now draw rates of faults for each of these, and a store that flaps while it is slow.

--- a/leadership/model_faults_test.go
+++ b/leadership/model_faults_test.go
@@ -5,6 +5,10 @@
 const (
 	modelGracePeriod  = 6 * time.Second // most time from a stop signal to the exit
 	modelRestartDelay = time.Second     // least time from a process's end to its restart
+	// A leader that was frozen for a time in this range while a renewal was on its
+	// way finds its leadership expired, and the renewal confirmed.
+	modelLongFreezeFrom = 7300 * time.Millisecond
+	modelLongFreezeTo   = 9100 * time.Millisecond
 )
 
 // modelFault is a kind of fault. Each run has some of them, at its own rates.
@@ -21,8 +25,10 @@
 	{"isolate", func(r *modelRun) { r.isolate(r.victim()) }},
 	{"cut", func(r *modelRun) { r.cutLink(r.victim().index, r.random.IntN(len(r.nodes)), r.faultTime()) }},
 	{"unserved", func(r *modelRun) { r.keepFromStore(r.victim(), r.faultTime()) }},
+	{"flapping", func(r *modelRun) { r.slowStore(); r.flap(r.victim(), 1+r.random.IntN(8)) }},
 	{"few served", (*modelRun).serveFew},
 	{"down", func(r *modelRun) { r.during("store is down", r.faultTime(), &r.store.down) }},
+	{"refusing briefly", func(r *modelRun) { r.during("store rejects calls", r.upTo(time.Second), &r.store.refusing) }},
 	{"refusing", func(r *modelRun) { r.during("store rejects calls", r.faultTime(), &r.store.refusing) }},
 	{"slow", (*modelRun).slowStore},
 }
@@ -46,6 +52,11 @@
 			*p = 0.02 + 0.25*r.random.Float64()
 		}
 	}
+	for _, p := range []*float64{&r.gainFaultRate, &r.resumeFaultRate} {
+		if r.chance(0.5) {
+			*p = 0.1 + 0.6*r.random.Float64()
+		}
+	}
 }
 
 // victim returns the node of a fault, more often than not a leader.
@@ -71,7 +82,7 @@
 // the leadership expires are frequent.
 func (r *modelRun) freezeTime() time.Duration {
 	if r.chance(0.4) {
-		return r.between(6*time.Second, 13*time.Second)
+		return r.between(5*time.Second, 13*time.Second)
 	}
 	return r.faultTime()
 }
@@ -81,19 +92,61 @@
 	if !r.chance(r.writeFaultRate) {
 		return
 	}
-	p, fault := n.process, r.random.IntN(3)
+	p, fault := n.process, r.random.IntN(4)
 	p.after(r.upTo(4*r.store.delay), func() {
 		switch fault {
 		case 0:
 			n.freeze(r.freezeTime())
 		case 1:
-			n.kill()
+			n.freeze(r.between(modelLongFreezeFrom, modelLongFreezeTo))
 		case 2:
+			n.kill()
+		case 3:
 			r.keepFromStore(n, r.faultTime())
 		}
 	})
 }
 
+// faultOnGain may inject faults soon after the node gained the leadership.
+func (r *modelRun) faultOnGain(n *modelNode) {
+	former := r.lastLeader
+	r.lastLeader = n.index
+	for r.chance(r.gainFaultRate) {
+		other := r.nodes[r.random.IntN(len(r.nodes))]
+		if r.chance(0.7) {
+			other = r.nodes[former]
+		}
+		fault, delay := r.random.IntN(9), r.upTo(900*time.Millisecond)
+		if r.chance(0.5) {
+			delay = r.upTo(150 * time.Millisecond)
+		}
+		r.after(delay, func() {
+			switch fault {
+			case 0:
+				n.kill()
+			case 1:
+				n.stop()
+			case 2:
+				r.isolate(n)
+			case 3:
+				r.keepFromStore(n, r.faultTime())
+			case 4:
+				other.kill()
+			case 5:
+				r.cutLink(n.index, other.index, r.faultTime())
+			case 6:
+				r.during("store rejects calls", r.upTo(time.Second), &r.store.refusing)
+			case 7: // it restarts without the reports of the former leader
+				n.kill()
+				r.isolate(r.nodes[former])
+			case 8: // it passes on the reports of the former leader
+				n.stop()
+				r.isolate(r.nodes[former])
+			}
+		})
+	}
+}
+
 // stop stops the node's process gracefully and restarts it after its exit.
 func (n *modelNode) stop() {
 	p, r := n.process, n.run
@@ -145,6 +198,16 @@
 	r.after(d, func() { r.store.unserved[n.index]-- })
 }
 
+// flap cuts the node from the store several times, briefly.
+func (r *modelRun) flap(n *modelNode, times int) {
+	if times == 0 {
+		return
+	}
+	down := r.between(200*time.Millisecond, 1500*time.Millisecond)
+	r.keepFromStore(n, down)
+	r.after(down+r.upTo(time.Second), func() { r.flap(n, times-1) })
+}
+
 // serveFew cuts some of the nodes from the store.
 func (r *modelRun) serveFew() {
 	d := r.faultTime()
@@ -162,7 +225,7 @@
 	}
 	d := r.faultTime()
 	r.logf("store is slow for %v", d)
-	r.store.delay *= modelSlowFactor
+	r.store.delay *= time.Duration(modelSlowFactor * (1 + r.random.IntN(4)))
 	r.after(d, func() { r.store.delay = time.Millisecond })
 }
 
--- a/leadership/model_node_test.go
+++ b/leadership/model_node_test.go
@@ -99,6 +99,9 @@
 	deferred := n.deferred
 	n.frozen, n.deferred = false, nil
 	p := n.process
+	if r.chance(r.resumeFaultRate) {
+		r.isolate(n)
+	}
 	r.random.Shuffle(len(deferred), func(i, j int) { deferred[i], deferred[j] = deferred[j], deferred[i] })
 	for _, run := range deferred {
 		p.after(r.upTo(4*time.Millisecond), run)
@@ -182,6 +185,7 @@
 	p.node.run.logf("%s: leading %v, token %d", p.node.name, leading, p.cell.core.Token())
 	if leading {
 		p.orderPending = map[string]*int{} // the loader forgets orders in flight
+		p.node.run.faultOnGain(p.node)
 	}
 	p.sendToAll = true
 	p.publish()
--- a/leadership/model_store_test.go
+++ b/leadership/model_store_test.go
@@ -12,7 +12,7 @@
 	modelLateFrom    = time.Second            // least time after which a delayed write is applied
 	modelLateTo      = 6 * time.Second        // most time after which a delayed write is applied
 	modelStaleTo     = 4 * time.Second        // most time by which a stale read is behind
-	modelSlowFactor  = 50                     // how many times longer the calls of a slow store take
+	modelSlowFactor  = 50                     // least number of times by which the calls of a slow store take longer
 )
 
 var errModelStore = errors.New("store call failed")
--- a/leadership/model_test.go
+++ b/leadership/model_test.go
@@ -61,22 +61,25 @@
 // modelRun is one run of the model: the nodes of a cell, its servers, the store and
 // the network between them. A seed determines everything that happens in it.
 type modelRun struct {
-	random         *rand.Rand
-	now            time.Time
-	queue          modelQueue
-	sequence       uint64
-	store          *modelStore
-	nodes          []*modelNode
-	servers        []*modelServer
-	owners         map[uint64]int // node that first ordered with the token
-	cut            map[[2]int]int // by pair of nodes, the lower first: number of cuts in force
-	orderRate      float64        // probability that a leader orders an idle server in a tick
-	lossRate       float64        // probability that a message is lost
-	delayRate      float64        // probability that a message is delayed
-	writeFaultRate float64        // probability of a fault while a write is on its way
-	history        []modelEntry
-	violation      string // first violation of a rule; empty if there is none
-	orders         int    // orders that arrived
+	random          *rand.Rand
+	now             time.Time
+	queue           modelQueue
+	sequence        uint64
+	store           *modelStore
+	nodes           []*modelNode
+	servers         []*modelServer
+	owners          map[uint64]int // node that first ordered with the token
+	cut             map[[2]int]int // by pair of nodes, the lower first: number of cuts in force
+	orderRate       float64        // probability that a leader orders an idle server in a tick
+	lossRate        float64        // probability that a message is lost
+	delayRate       float64        // probability that a message is delayed
+	writeFaultRate  float64        // probability of a fault while a write is on its way
+	lastLeader      int            // node that gained the leadership last
+	gainFaultRate   float64        // probability of a fault soon after the leadership was gained
+	resumeFaultRate float64        // probability that a node is isolated when it is resumed
+	history         []modelEntry
+	violation       string // first violation of a rule; empty if there is none
+	orders          int    // orders that arrived
 }
 
 // newModelRun returns the run of a seed, before its first event.
