--- a/leadership/model_cell_test.go
+++ b/leadership/model_cell_test.go
@@ -1,7 +1,6 @@
 package leadership_test
 
 import (
-	"maps"
 	"time"
 
 	"github.com/redwingnotch/redwingnotch/leadership"
@@ -25,19 +24,13 @@
 	orderAge map[string]time.Duration // of a former leader: time since its last order to a server ended
 }
 
-// modelCell adapts Core, with the order bookkeeping around it, to the model.
+// modelCell uses Core as internal/front does.
 type modelCell struct {
-	core           *leadership.Core
-	token          uint64               // of the newest order; zero if there was none
-	ordersInFlight int                  // orders without a result
-	lastOrderDone  map[string]time.Time // by server
+	core *leadership.Core
 }
 
 func newModelCell(now time.Time, name string, restarted bool) *modelCell {
-	return &modelCell{
-		core:          leadership.New(now, name, restarted, leadership.DefaultSettings(orderLease)),
-		lastOrderDone: map[string]time.Time{},
-	}
+	return &modelCell{core: leadership.New(now, name, restarted, leadership.DefaultSettings(orderLease))}
 }
 
 // mayOrder returns the token for an order to the server, if the node may order it.
@@ -47,16 +40,14 @@
 }
 
 // orderDecided records that an order is to be sent, and returns its deadline.
-func (c *modelCell) orderDecided(now time.Time, _ string, token uint64) time.Time {
-	c.token = token
-	c.ordersInFlight++
+func (c *modelCell) orderDecided(now time.Time, server string, token uint64) time.Time {
+	c.core.OrderSent(server, token)
 	return now.Add(min(modelOrderTimeout, c.core.ValidFor(now)))
 }
 
 // orderDone records the end of an order.
-func (c *modelCell) orderDone(now time.Time, server string) {
-	c.ordersInFlight--
-	c.lastOrderDone[server] = now
+func (c *modelCell) orderDone(now time.Time, server string, token uint64) {
+	c.core.OrderEnded(now, server, token)
 }
 
 // state returns what the node publishes; nil if that is nothing.
@@ -64,21 +55,13 @@
 	if c.core.Leading(now) {
 		return &modelLeaderState{token: c.core.Token(), leading: true}
 	}
-	if c.token == 0 || c.ordersInFlight > 0 || !c.core.OrderTimesKnown(now) {
+	resignation, resigned := c.core.Resignation(now)
+	if !resigned {
 		return nil
 	}
-	last := maps.Clone(c.core.LastOrders())
-	if last == nil {
-		last = map[string]time.Time{}
-	}
-	for server, at := range c.lastOrderDone {
-		if at.After(last[server]) {
-			last[server] = at
-		}
-	}
-	s := &modelLeaderState{token: c.token, orderAge: map[string]time.Duration{}}
-	for server, at := range last {
-		if age := now.Sub(at); age < modelOrderAgesFor {
+	s := &modelLeaderState{token: resignation.Token, orderAge: map[string]time.Duration{}}
+	for server, age := range resignation.OrderAges {
+		if age < modelOrderAgesFor {
 			s.orderAge[server] = age.Truncate(time.Millisecond)
 		}
 	}
@@ -88,6 +71,6 @@
 // received processes what another node published.
 func (c *modelCell) received(now time.Time, s *modelLeaderState) {
 	if s != nil && !s.leading {
-		c.core.LeaderResigned(now, s.token, s.orderAge)
+		c.core.LeaderResigned(now, leadership.Resignation{Token: s.token, OrderAges: s.orderAge})
 	}
 }
--- a/leadership/model_node_test.go
+++ b/leadership/model_node_test.go
@@ -245,7 +245,7 @@
 		p.orderPending[s.name] = id
 		until := p.cell.orderDecided(r.now, s.name, token)
 		finish := func() {
-			p.cell.orderDone(r.now, s.name)
+			p.cell.orderDone(r.now, s.name, token)
 			if p.orderPending[s.name] == id {
 				delete(p.orderPending, s.name)
 			}
