node: a suspended term goes on with new grant ids

What callers saw: nothing known; found by reading. After a controller was suspended and went on with its term, the end of a request that it had granted before could be taken for that of one granted since. A backend server then got more requests than it has slots for, and a request that crashes servers could count as answered and be sent to further servers.

Cause: the queue is new after a suspension and numbers its grants from the beginning. Its ids were unique by node and epoch only, and the epoch of a term that goes on is the same.

Evidence: TestSuspendedTermGoesOnWithNewGrantIDs failed before (the same id for two grants).

Change: the ids also name the number of the queue in this run of the node.

--- a/internal/node/cell.go
+++ b/internal/node/cell.go
@@ -31,6 +31,7 @@
 	mu               sync.Mutex
 	controller       *controller.Core
 	queue            *admission.Queue
+	queueCount       uint64 // queues created so far
 	quarantine       *quarantine.Table
 	authority        lease.Authority
 	activeController atomic.Pointer[lease.Holder] // copy of authority.Holder for readers without mu
@@ -61,10 +62,13 @@
 	return c
 }
 
-// newQueue returns an empty queue for one term as active controller.
+// newQueue returns an empty queue for one term as active controller. A term that was
+// suspended goes on with a new queue and the same epoch, so the epoch alone does not
+// make grant ids unique.
 func (c *cell) newQueue(epoch fleet.Epoch) *admission.Queue {
+	c.queueCount++
 	s := c.node.cfg.Admission
-	s.GrantPrefix = fmt.Sprintf("%s-%d", c.node.cfg.ID, epoch)
+	s.GrantPrefix = fmt.Sprintf("%s-%d-%d", c.node.cfg.ID, epoch, c.queueCount)
 	s.Quarantine = c.quarantine
 	return admission.New(s)
 }
