quarantine: copies of an earlier term no longer hold back suspects for ever

What callers saw: after a node had been the active controller, had lost that and became it again, requests suspected of crashing servers waited until their deadline, as long as the process ran, if one of them had been in flight when the first term ended. So did further requests with the content of any request in flight then, unless the same run of a server could take them. After a suspension of the very first term a suspect could start beside a copy of it that still ran.

Cause: the table counts copies from their grant to their end. The ends of the grants of an earlier term are not reported any more, but their copies stayed counted. A term of epoch 1 did not hold suspects, as the first term has no predecessor, also when it went on after a suspension.

Evidence: TestCopiesOfEarlierTermAreForgotten and TestSuspendedFirstTermHoldsSuspects failed before.

Change: copies of earlier terms count until the end of the hold of suspects with which each later term begins. That is the time after which a new controller takes the unknown copies of its predecessor as ended. A term that goes on after a suspension holds suspects, whatever its epoch.

--- a/internal/node/cell.go
+++ b/internal/node/cell.go
@@ -32,6 +32,7 @@
 	controller       *controller.Core
 	queue            *admission.Queue
 	queueCount       uint64 // queues created so far
+	wasActive        bool   // this node has been the active controller
 	quarantine       *quarantine.Table
 	authority        lease.Authority
 	activeController atomic.Pointer[lease.Holder] // copy of authority.Holder for readers without mu
@@ -120,10 +121,11 @@
 		close(decided)
 		delete(c.acquireCalls, id)
 	}
-	// The first term of a cell has no predecessor.
-	if began && a.Epoch > 1 {
+	// The first term of a cell has no predecessor, unless it was suspended.
+	if began && (a.Epoch > 1 || c.wasActive) {
 		c.quarantine.HoldSuspects(now.Add(suspectHold))
 	}
+	c.wasActive = true
 }
 
 // setRelease passes a newer release on to the cores. The caller holds c.mu.
--- a/internal/node/cell_test.go
+++ b/internal/node/cell_test.go
@@ -45,3 +45,19 @@
 	c.setAuthority(now, active)
 	assert.Assert(t, grant(t, c, now, "since") != before)
 }
+
+// TestSuspendedFirstTermHoldsSuspects: after a suspension of the first term, copies that
+// were granted before may still run, so a suspect must not start beside them.
+func TestSuspendedFirstTermHoldsSuspects(t *testing.T) {
+	c := newTestCell()
+	now := time.Unix(1000, 0)
+	suspect := quarantine.Key{Model: "m", Hash: "content"}
+	c.quarantine.RecordCrash(now, quarantine.CrashReport{Boot: "b-0", InFlight: []quarantine.Key{suspect}})
+	first := lease.Authority{Active: true, Epoch: 1}
+	c.setAuthority(now, first)
+	assert.Assert(t, c.quarantine.MayStart(now, suspect, "b-1"))
+	c.setAuthority(now, lease.Authority{Epoch: first.Epoch})
+	c.setAuthority(now, first)
+	assert.Assert(t, !c.quarantine.MayStart(now, suspect, "b-1"))
+	assert.Assert(t, c.quarantine.MayStart(now.Add(suspectHold), suspect, "b-1"))
+}
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -86,10 +86,11 @@
 // flight.
 type Table struct {
 	settings  Settings
-	items     map[Key]*Item                // suspects and poison requests
-	inFlight  map[Key]map[fleet.BootID]int // number of copies in flight by run of a backend server
-	cleared   *keySet                      // recent keys that got a complete response
-	holdUntil time.Time                    // no suspect starts before this time
+	items     map[Key]*Item // suspects and poison requests
+	inFlight  copyCounts    // copies started since the last HoldSuspects
+	held      copyCounts    // copies that were in flight at calls of HoldSuspects; they count until holdUntil
+	cleared   *keySet       // recent keys that got a complete response
+	holdUntil time.Time     // no suspect starts before this time
 }
 
 // New returns an empty table.
@@ -97,7 +98,8 @@
 	return &Table{
 		settings: s,
 		items:    make(map[Key]*Item),
-		inFlight: make(map[Key]map[fleet.BootID]int),
+		inFlight: make(copyCounts),
+		held:     make(copyCounts),
 		cleared:  newKeySet(s.MaxEntries),
 	}
 }
@@ -127,8 +129,17 @@
 
 // HoldSuspects prevents suspects from starting before the given time. A new controller
 // waits until the copies that its predecessor started have finished or crashed,
-// because it does not know of them.
-func (t *Table) HoldSuspects(until time.Time) { t.holdUntil = until }
+// because it does not know of them. Copies that it started in an earlier term of its
+// own count as in flight until then, because their ends are not reported any more.
+func (t *Table) HoldSuspects(until time.Time) {
+	t.holdUntil = until
+	for k, copies := range t.inFlight {
+		for boot := range copies {
+			t.held.add(k, boot)
+		}
+	}
+	clear(t.inFlight)
+}
 
 // MayStart reports whether a copy of the key may start now in the given run of
 // a backend server. A suspect starts only while no suspect is in flight. Copies
@@ -144,10 +155,13 @@
 	case Isolate:
 		return !now.Before(t.holdUntil) && len(inFlight) == 0 && t.suspectsInFlight() == 0
 	}
-	if t.cleared.contains(k) || inFlight[boot] > 0 {
-		return true
+	if !now.Before(t.holdUntil) {
+		clear(t.held)
+	}
+	if len(inFlight) == 0 {
+		inFlight = t.held[k]
 	}
-	return len(inFlight) == 0
+	return t.cleared.contains(k) || inFlight[boot] > 0 || len(inFlight) == 0
 }
 
 // suspectsInFlight counts the suspects and poison requests with a copy in flight.
@@ -166,12 +180,7 @@
 	if k.Hash == "" {
 		return
 	}
-	copies := t.inFlight[k]
-	if copies == nil {
-		copies = make(map[fleet.BootID]int, 1)
-		t.inFlight[k] = copies
-	}
-	copies[boot]++
+	t.inFlight.add(k, boot)
 }
 
 // Finish records that a copy ended without a crash. answered means that the
@@ -180,26 +189,13 @@
 	if k.Hash == "" {
 		return
 	}
-	t.removeInFlight(k, boot)
+	t.inFlight.remove(k, boot)
 	if answered {
 		delete(t.items, k)
 		t.cleared.add(k)
 	}
 }
 
-// removeInFlight removes one copy of the key from the copies in flight.
-func (t *Table) removeInFlight(k Key, boot fleet.BootID) {
-	copies := t.inFlight[k]
-	if copies[boot] > 1 {
-		copies[boot]--
-		return
-	}
-	delete(copies, boot)
-	if len(copies) == 0 {
-		delete(t.inFlight, k)
-	}
-}
-
 // RecordCrash records the crash of a backend server and returns the items that
 // changed, to be broadcast. A further report of the same run counts only the
 // keys that earlier reports did not list.
@@ -209,10 +205,8 @@
 		if k.Hash == "" {
 			continue
 		}
-		delete(t.inFlight[k], r.Boot)
-		if len(t.inFlight[k]) == 0 {
-			delete(t.inFlight, k)
-		}
+		t.inFlight.removeAll(k, r.Boot)
+		t.held.removeAll(k, r.Boot)
 		if t.merge(Item{Key: k, Crashes: []fleet.BootID{r.Boot}, CrashedAt: now}) {
 			changed = append(changed, t.items[k].clone())
 		}
@@ -324,6 +318,34 @@
 // Size returns the number of suspects and confirmed poison requests.
 func (t *Table) Size() int { return len(t.items) }
 
+// copyCounts is the number of copies in flight, by key and run of a backend server.
+type copyCounts map[Key]map[fleet.BootID]int
+
+// add adds one copy.
+func (c copyCounts) add(k Key, boot fleet.BootID) {
+	if c[k] == nil {
+		c[k] = make(map[fleet.BootID]int, 1)
+	}
+	c[k][boot]++
+}
+
+// remove removes one copy.
+func (c copyCounts) remove(k Key, boot fleet.BootID) {
+	if c[k][boot] > 1 {
+		c[k][boot]--
+		return
+	}
+	c.removeAll(k, boot)
+}
+
+// removeAll removes all copies of the key at a run of a backend server.
+func (c copyCounts) removeAll(k Key, boot fleet.BootID) {
+	delete(c[k], boot)
+	if len(c[k]) == 0 {
+		delete(c, k)
+	}
+}
+
 // keySet holds recently added keys, up to a limit. A key that was removed and
 // added again may be dropped earlier than others.
 type keySet struct {
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -49,6 +49,27 @@
 	assert.Equal(t, table.Decision(start, key("x")), quarantine.Isolate)
 }
 
+// TestCopiesOfEarlierTermAreForgotten: the ends of copies that a controller started in
+// an earlier term are not reported any more. They must not keep suspects, or further
+// copies of their own content, from starting for ever.
+func TestCopiesOfEarlierTermAreForgotten(t *testing.T) {
+	const hold = 30 * time.Second
+	table := quarantine.New(quarantine.DefaultSettings())
+	suspect, other, fresh := key("suspect"), key("other suspect"), key("fresh")
+	table.RecordCrash(start, quarantine.CrashReport{Boot: "a", InFlight: []quarantine.Key{suspect, other}})
+	table.RecordStart(suspect, "b")
+	table.RecordStart(fresh, "b")
+	table.HoldSuspects(start.Add(hold))
+	during, after := start.Add(hold/2), start.Add(hold)
+	for _, k := range []quarantine.Key{suspect, other, fresh} {
+		assert.Assert(t, !table.MayStart(during, k, "c"), "during the hold: %s", k.Hash)
+	}
+	assert.Assert(t, table.MayStart(during, fresh, "b"))
+	for _, k := range []quarantine.Key{suspect, other, fresh} {
+		assert.Assert(t, table.MayStart(after, k, "c"), "after the hold: %s", k.Hash)
+	}
+}
+
 func TestTableEvictsOldestSuspectsFirst(t *testing.T) {
 	s := quarantine.DefaultSettings()
 	s.MaxEntries = 10
