lease: a response from before a pause no longer counts as contact with the store

What callers saw: nothing known; found by reading. For up to 2 s after a pause a former controller could use the whole limits of the weight store, and send orders to backend servers that do not check fencing tokens, beside its successor. Loads are kept apart by their intents all the same.

Cause: contact was dated at the time at which a response was processed. A response to a call from before the pause, which lay in a socket meanwhile, counted as contact after it, and the read that would have shown the successor was not sent.

Evidence: without the check TestResponseFromBeforePauseShowsNoContact fails.

Change: a response more than StoreTimeout after its call shows no contact. Calls time out before that, unless this process does not run. The time of the last read is no longer reset to read at once, as it dates the contact.

--- a/internal/node/backends.go
+++ b/internal/node/backends.go
@@ -76,7 +76,7 @@
 		level.Warn(b.node.cfg.Log).Log("event", "vm_list_failed", "err", err)
 		return nil
 	}
-	b.node.leaseLoop.recordStoreContact(time.Now())
+	b.node.leaseLoop.recordStoreContact(time.Now(), now)
 	b.mu.Lock()
 	b.lastRead = now
 	if asOf.Before(b.asOf) {
--- a/internal/node/lease.go
+++ b/internal/node/lease.go
@@ -153,9 +153,10 @@
 	l.core.SetLeaving(now)
 }
 
-// recordStoreContact records that the object API responded to a call of this node.
-func (l *leaseLoop) recordStoreContact(now time.Time) {
+// recordStoreContact records that the object API responded to a call of this node that
+// was sent at sentAt.
+func (l *leaseLoop) recordStoreContact(now, sentAt time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.core.HandleStoreContact(now)
+	l.core.HandleStoreContact(now, sentAt)
 }
--- a/lease/claim.go
+++ b/lease/claim.go
@@ -22,7 +22,7 @@
 		return Effects{}
 	}
 	if c.shouldRead(now) {
-		c.readInFlight = true
+		c.readInFlight, c.readAtOnce = true, false
 		c.lastReadSent = now
 		return Effects{Read: true}
 	}
@@ -36,7 +36,7 @@
 // needed for another reason, the holder reads only if no other call has shown
 // contact with the object API for half of StoreTimeout.
 func (c *Core) shouldRead(now time.Time) bool {
-	if now.Sub(c.lastReadSent) < c.cfg.ReadInterval {
+	if now.Sub(c.lastReadSent) < c.cfg.ReadInterval && !c.readAtOnce {
 		return false
 	}
 	if c.readNeeded || c.pending != nil && c.pending.outcomeUnknown {
--- a/lease/core.go
+++ b/lease/core.go
@@ -106,6 +106,7 @@
 	readInFlight bool          // a response to a read is outstanding
 	readNeeded   bool          // a read must be sent
 	readAgain    bool          // a read became needed while another was in flight, whose response may be older
+	readAtOnce   bool          // the next read need not wait for Config.ReadInterval
 	lastReadSent time.Time     // time of the latest read request
 	lastContact  time.Time     // time of the latest response of the object API
 	pending      *pendingWrite // write not yet resolved; nil if none
@@ -151,8 +152,8 @@
 func (c *Core) SetDesired(_ time.Time, d DesiredRecord) { c.desired = &d }
 
 // HandleStoreContact records that the object API responded to some call of this
-// node. It saves reads that would only check contact.
-func (c *Core) HandleStoreContact(now time.Time) { c.recordContact(now) }
+// node, sent at sentAt. It saves reads that would only check contact.
+func (c *Core) HandleStoreContact(now, sentAt time.Time) { c.recordContact(now, sentAt) }
 
 // HandleHolderHint processes a message from another node that names the active node
 // and its epoch. Each node must publish the Holder and Epoch of its Authority: a
@@ -163,7 +164,7 @@
 	}
 	c.holderHint = Successor{Holder: holder, Epoch: epoch}
 	c.requestRead()
-	c.lastReadSent = time.Time{} // read immediately: the claim may name this node as a successor
+	c.readAtOnce = true // the claim may name this node as a successor
 }
 
 // VersionUpdate is the message that the holder publishes about each new version of the
@@ -221,7 +222,7 @@
 	if absent {
 		obj = platform.Object{}
 	}
-	c.recordContact(now)
+	c.recordContact(now, c.lastReadSent)
 	c.readNeeded = again
 	if c.loaded && obj.Version < c.version {
 		c.readNeeded = true // stale response: a newer version was seen before
@@ -293,13 +294,13 @@
 	p.inFlight = false
 	switch {
 	case err == nil:
-		c.recordContact(now)
+		c.recordContact(now, p.sentAt)
 		c.pending = nil
 		c.applyRecord(now, p.record, version)
 	case errors.Is(err, platform.ErrUnknown):
 		c.markOutcomeUnknown(p)
 	case errors.Is(err, platform.ErrConflict):
-		c.recordContact(now)
+		c.recordContact(now, p.sentAt)
 		// The next read resolves the outcome: an earlier attempt of the same
 		// write may have taken effect.
 		p.outcomeUnknown = true
@@ -334,8 +335,13 @@
 // resent reports whether the write has been sent more than once.
 func (p *pendingWrite) resent() bool { return p.attempts > 1 }
 
-// recordContact records that the object API responded.
-func (c *Core) recordContact(now time.Time) {
+// recordContact records that the object API responded to a call sent at that time. A
+// response that took longer than StoreTimeout does not show contact: it may have
+// arrived long before, while this process was paused.
+func (c *Core) recordContact(now, sentAt time.Time) {
+	if now.Sub(sentAt) > c.cfg.StoreTimeout {
+		return
+	}
 	c.lastContact = now
 	c.storeFailingSince = time.Time{}
 }
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -128,7 +128,7 @@
 	assert.Assert(t, a.PredecessorsStopped && a.SuccessorsAlive && a.StoreContact)
 	writes, reads := tc.writes, tc.reads
 	for range 100 {
-		tc.cores[holder].HandleStoreContact(tc.now)
+		tc.cores[holder].HandleStoreContact(tc.now, tc.now)
 		tc.run(time.Second, "a", "b", "c")
 	}
 	assert.Equal(t, tc.writes, writes, "writes of an idle cell")
@@ -309,6 +309,26 @@
 	assert.Assert(t, got.Active && got.PredecessorsStopped, "%+v", got)
 }
 
+// TestResponseFromBeforePauseShowsNoContact: a response that arrived while the process
+// was paused must not count as contact with the object API after the pause. Another
+// node may have claimed the cell since.
+func TestResponseFromBeforePauseShowsNoContact(t *testing.T) {
+	tc := newTestCell(t, "a", "b", "c")
+	holder := tc.activeNode("a", "b", "c")
+	core := tc.cores[holder]
+	core.HandleStoreContact(tc.now, tc.now)
+	tc.now = tc.now.Add(lease.DefaultStoreTimeout)
+	sentAt := tc.now
+	assert.Assert(t, core.Tick(sentAt).Read)
+	late := tc.obj
+	tc.now = tc.now.Add(time.Minute)
+	core.HandleRead(tc.now, late, nil)
+	core.HandleStoreContact(tc.now, sentAt)
+	assert.Assert(t, !tc.authority(holder).StoreContact)
+	tc.run(time.Second, holder)
+	assert.Assert(t, tc.authority(holder).StoreContact)
+}
+
 // TestNewsDuringReadIsReadAgain: the response of a read that was sent before the cell
 // was handed over must not count as the read that the news of it requires. No other
 // news would follow.
