httpsend: a response that switches protocols is an error

What callers saw: a backend server that answered 101 with an Upgrade header and then sent slowly or nothing held the request past its deadline, without a response, until the server closed. Closing the caller's connection did not end it either. The store and the engines could hold their callers the same way.

Cause: the body of such a response is the bare connection. The standard client hands it over and no longer closes it when the request's context ends.

Change: Do closes the connection and returns ErrMaybeSent, for all clients. No request asks for another protocol, so no valid response is lost; the request may have run, so the caller gets 502.

--- a/internal/httpsend/httpsend.go
+++ b/internal/httpsend/httpsend.go
@@ -151,6 +151,11 @@
 	return true
 }
 
+// errSwitchedProtocols means that the server left HTTP, which no request asks for.
+// The body of such a response is the bare connection: a read of it does not end
+// with the request's context.
+var errSwitchedProtocols = errors.New("server switched protocols")
+
 // doOnce sends the request as Do does, but returns errStaleConn if the reused
 // connections that it got were already closed.
 func doOnce(client *http.Client, req *http.Request) (*http.Response, error) {
@@ -159,6 +164,10 @@
 	}
 	ctx, call := track(req.Context())
 	resp, err := client.Do(req.WithContext(ctx))
+	if err == nil && resp.StatusCode == http.StatusSwitchingProtocols {
+		resp.Body.Close()
+		return nil, fmt.Errorf("%w: %w", ErrMaybeSent, errSwitchedProtocols)
+	}
 	if err == nil {
 		return resp, nil
 	}
--- a/internal/httpsend/httpsend_test.go
+++ b/internal/httpsend/httpsend_test.go
@@ -98,6 +98,31 @@
 	})
 }
 
+// TestDoRejectsSwitchedProtocols: the body of such a response would be the
+// connection itself, whose reads outlive the request's context.
+func TestDoRejectsSwitchedProtocols(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := pipenet.New()
+		l, err := network.Listen(address)
+		assert.NilError(t, err)
+		closed := false
+		server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			conn, _, err := w.(http.Hijacker).Hijack()
+			assert.NilError(t, err)
+			defer conn.Close()
+			_, err = io.WriteString(conn, "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: x\r\n\r\n")
+			assert.NilError(t, err)
+			_, err = conn.Read(make([]byte, 1))
+			closed = err != nil
+		})}
+		go func() { _ = server.Serve(l) }()
+		defer server.Close()
+		assert.ErrorIs(t, post(t.Context(), NewClient(Options{Dial: network.Dial})), ErrMaybeSent)
+		synctest.Wait()
+		assert.Assert(t, closed)
+	})
+}
+
 // TestDoNeverSendsTwice uses requests that the standard client retries when a
 // reused connection breaks.
 func TestDoNeverSendsTwice(t *testing.T) {
