front: the limit of an event holds within a line, too

What callers saw: a backend server that sent a stream's line without end was read at full speed until the request's deadline or beyond it, and the node collected all of it in memory. The caller got 504 late or nothing.

Cause: readEvent compared the event's size with maxEventBytes only after each whole line.

Evidence: TestEndlessEventIsCutOff/line got 504 at the deadline instead of 502; /line_until_close had no response 4 s after a deadline of 4 s.

Change: a line is appended to the event part by part, and each part is counted. An event therefore never exceeds maxEventBytes by more than the reader's buffer.

The tests of other endless events, of slow ones and of a stream of whole events without end passed before and are kept.

--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -107,15 +107,11 @@
 // the last event.
 func readEvent(r *bufio.Reader) (event []byte, id string, err error) {
 	for {
-		line, err := r.ReadBytes('\n')
-		event = append(event, line...)
-		if err != nil {
+		start := len(event)
+		if event, err = appendLine(event, r); err != nil {
 			return event, "", err
 		}
-		if len(event) > maxEventBytes {
-			return nil, "", errEventSize
-		}
-		line = bytes.TrimRight(line, "\r\n")
+		line := bytes.TrimRight(event[start:], "\r\n")
 		if len(line) == 0 {
 			return event, id, nil
 		}
@@ -124,3 +120,18 @@
 		}
 	}
 }
+
+// appendLine appends the next line to the event read so far. It fails with
+// errEventSize as soon as the event exceeds maxEventBytes, also within the line.
+func appendLine(event []byte, r *bufio.Reader) ([]byte, error) {
+	for {
+		part, err := r.ReadSlice('\n')
+		event = append(event, part...)
+		if len(event) > maxEventBytes {
+			return nil, errEventSize
+		}
+		if !errors.Is(err, bufio.ErrBufferFull) {
+			return event, err
+		}
+	}
+}
