front: a body that broke off counts against its server

What callers saw: a backend server whose bodies never end, or break off, kept getting requests as if it were healthy, and each of them failed with 502 while another server of the service was idle.

Cause: of all failed attempts, only those whose body could not be read were not observed as failures of the server.

Evidence: in TestServerWithEndlessBodiesIsAvoided the fifth request, and each later one, still got 502 from the same server.

Change: the failure is observed, so the server is ejected as after any other bad response. A caller that left is still no failure of the server.

--- a/internal/front/attempt.go
+++ b/internal/front/attempt.go
@@ -82,10 +82,10 @@
 	}
 	x.runs++
 	if resp.Header.Get(platform.HeaderRequestID) != x.params.ID {
-		return x.badResponse(server, "answer_of_another_request")
+		return x.badResponse(server, "answer_of_another_request", nil)
 	}
 	if resp.StatusCode < http.StatusMultipleChoices && (resp.Header.Get(platform.HeaderStamp) == "" || resp.Header.Get("Content-Encoding") != "") {
-		return x.badResponse(server, "answer_without_stamp")
+		return x.badResponse(server, "answer_without_stamp", nil)
 	}
 	timeout.Stop()
 	if strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream") && resp.StatusCode == http.StatusOK {
@@ -199,9 +199,9 @@
 }
 
 // badResponse handles a response that can't be passed on.
-func (x *exchange) badResponse(server replicas.Entry, reason string) attemptResult {
+func (x *exchange) badResponse(server replicas.Entry, reason string, err error) attemptResult {
 	x.node.observe(server, replicas.Failed, 0)
-	return x.attemptFailed(server, reason, nil)
+	return x.attemptFailed(server, reason, err)
 }
 
 // attemptFailed retries a request that may have run if its route allows that, and
@@ -254,7 +254,7 @@
 			x.abort("caller_left")
 			return attemptDone
 		}
-		return x.attemptFailed(server, "answer_cut", err)
+		return x.badResponse(server, "answer_cut", err)
 	}
 	if resp.StatusCode >= http.StatusInternalServerError {
 		x.node.observe(server, replicas.Failed, 0)
--- a/internal/front/endless_test.go
+++ b/internal/front/endless_test.go
@@ -160,3 +160,21 @@
 		assert.Equal(t, call("x", fmt.Sprint("later", i), "4000").body, "done")
 	}
 }
+
+// TestServerWithEndlessBodiesIsAvoided: each request to the server fails, so the
+// others have to go to a server that answers.
+func TestServerWithEndlessBodiesIsAvoided(t *testing.T) {
+	c := newCluster(t)
+	s := &endlessServer{response: endlessResponse{"", endlessHead + "\r\n", "x"}}
+	c.backendServer("s1", "plain", s.handle)
+	c.backendServer("s2", "plain", text("done"))
+	n := c.node("127.0.0.1", 0)
+	const calls, mayFail = 8, 4
+	for i := range calls {
+		got := c.call(n, http.MethodPost, "/unsafe/endless", fmt.Sprint("r", i))
+		if i >= mayFail {
+			assert.Equal(t, got.body, "done")
+		}
+	}
+	assert.Assert(t, s.sent.Load() > 0)
+}
