front: the body of a whole answer has no more time than its head

What callers saw: a backend server that sent a head and then dripped the body held a request of a safe route until its deadline, and the caller got 504 though another server was idle. Meanwhile the server counted as healthy, so other requests hung at it as well.

Cause: the response timeout, and the time after which a server counts as failing, ended with the head. A response that is not a stream is passed on only once it is whole, so a head alone is worth nothing to the caller.

Evidence: TestSlowBodyIsRetriedElsewhere had no answer after 3 s, and in TestServerWithSlowBodiesIsAvoidedMeanwhile a new request went to the server at which three requests hung for longer than the time for slow servers.

Change: both timers run until the body is read. They still end at the head of a stream. As for heads, the last attempt allowed has all the time that is left.

--- a/internal/front/attempt.go
+++ b/internal/front/attempt.go
@@ -49,7 +49,7 @@
 )
 
 // errResponseTimeout is the cancellation cause of attempts that got no response
-// in time.
+// in time, or only a part of one that is not a stream.
 var errResponseTimeout = errors.New("no response from the backend server in time")
 
 // attempt sends the request to one server and passes its response on.
@@ -69,7 +69,6 @@
 	if err != nil {
 		return x.sendFailed(server, err)
 	}
-	slow.Stop()
 	defer resp.Body.Close()
 	if keepAlive, ok := platform.KeepAlive(resp.Header); ok {
 		n.serverClients.setKeepAlive(server, keepAlive)
@@ -87,11 +86,20 @@
 	if resp.StatusCode < http.StatusMultipleChoices && (resp.Header.Get(platform.HeaderStamp) == "" || resp.Header.Get("Content-Encoding") != "") {
 		return x.badResponse(server, "answer_without_stamp", nil)
 	}
-	timeout.Stop()
 	if strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream") && resp.StatusCode == http.StatusOK {
+		timeout.Stop()
+		slow.Stop()
 		return x.stream(ctx, cancel, server, resp, sent)
 	}
-	return x.forwardWhole(server, resp, sent)
+	// A response that is no stream is passed on once it is whole, so its body has
+	// no more time than its head.
+	body, err := httpsend.ReadBody(resp.Body, maxBodyBytes)
+	if err != nil {
+		return x.bodyFailed(server, err)
+	}
+	timeout.Stop()
+	slow.Stop()
+	return x.forwardWhole(server, resp, body, sent)
 }
 
 // responseTimeout returns how long the attempt may go without a response. A
@@ -245,17 +253,19 @@
 		"again", again, "sends", x.sends, "runs", x.runs, "err", err)
 }
 
-// forwardWhole passes on a response that is not a stream. It is read to its end
-// first, so that a truncated response is never passed on.
-func (x *exchange) forwardWhole(server replicas.Entry, resp *http.Response, sent time.Time) attemptResult {
-	body, err := httpsend.ReadBody(resp.Body, maxBodyBytes)
-	if err != nil {
-		if x.r.Context().Err() != nil {
-			x.abort("caller_left")
-			return attemptDone
-		}
-		return x.badResponse(server, "answer_cut", err)
+// bodyFailed handles a response whose body broke off, came too slowly or is too
+// large.
+func (x *exchange) bodyFailed(server replicas.Entry, err error) attemptResult {
+	if x.r.Context().Err() != nil {
+		x.abort("caller_left")
+		return attemptDone
 	}
+	return x.badResponse(server, "answer_cut", err)
+}
+
+// forwardWhole passes on a response that is not a stream. Its body was read to its
+// end first, so that a truncated response is never passed on.
+func (x *exchange) forwardWhole(server replicas.Entry, resp *http.Response, body []byte, sent time.Time) attemptResult {
 	if resp.StatusCode >= http.StatusInternalServerError {
 		x.node.observe(server, replicas.Failed, 0)
 		if x.route.Idempotent() && x.runs < x.route.MaxAttempts && x.tryRetry() {
--- a/internal/front/endless_test.go
+++ b/internal/front/endless_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -178,3 +179,58 @@
 	}
 	assert.Assert(t, s.sent.Load() > 0)
 }
+
+// TestSlowBodyIsRetriedElsewhere: a server drips a body. A request that may be sent
+// again must not spend all its time on it.
+func TestSlowBodyIsRetriedElsewhere(t *testing.T) {
+	c := newCluster(t)
+	s := &endlessServer{response: endlessResponse{"", endlessHead + "\r\n", "x"}, slow: true}
+	c.backendServer("s1", "plain", s.handle)
+	c.backendServer("s2", "plain", text("done"))
+	n := c.node("127.0.0.1", 0)
+	assert.Equal(t, c.call(n, http.MethodPost, "/safe/endless", "r1").body, "done")
+	assert.Assert(t, s.sent.Load() > 0)
+}
+
+// TestServerWithSlowBodiesIsAvoidedMeanwhile: requests that can't be sent again hang
+// on bodies that a server drips. Until their deadlines, other requests have to count
+// the server as failing.
+func TestServerWithSlowBodiesIsAvoidedMeanwhile(t *testing.T) {
+	c := newCluster(t)
+	s := &endlessServer{response: endlessResponse{"", endlessHead + "\r\n", "x"}, slow: true}
+	c.backendServer("s1", "plain", s.handle)
+	// The other server holds as many requests as the first, but only while requests
+	// are spread by load.
+	var hold atomic.Pointer[chan struct{}]
+	holdNew := func() func() {
+		ch := make(chan struct{})
+		hold.Store(&ch)
+		release := sync.OnceFunc(func() { close(ch) })
+		t.Cleanup(release)
+		return release
+	}
+	other := c.backendServer("s2", "plain", func(rw http.ResponseWriter, r *http.Request) {
+		if strings.HasSuffix(r.URL.Path, "/endless") {
+			<-*hold.Load()
+		}
+		fmt.Fprint(rw, "other")
+	})
+	n := c.node("127.0.0.1", 0)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	const each = 3 // requests that are in progress at each server
+	callEndless := func(count int) {
+		for i := range count {
+			go c.callWith(ctx, n, http.MethodPost, "/unsafe/endless", fmt.Sprint("r", i))
+		}
+	}
+	release := holdNew()
+	callEndless(2 * each)
+	c.eventually(func() bool { return s.open.Load() == each && other.count() == each })
+	release()
+	time.Sleep(time.Second) // more than the route's time after which a server is slow
+	holdNew()
+	callEndless(each)
+	c.eventually(func() bool { return other.count() == 2*each })
+	assert.Equal(t, c.call(n, http.MethodPost, "/unsafe/x", "later").body, "other")
+}
