leadership: a conflict that no late write explains ends the leadership

Cause: every conflict of a renewal was taken for one with an earlier write of the same node that was applied late, and only a read 0.5 s later showed the successor.

TestConflictOfRenewalEndsLeadership fails without the change.

Change: a write with an unknown outcome can be applied only while the object has the version that it expected. A conflict at another version is the work of another node, and the leadership ends at once. This is a second line of defence: no successor writes before the leadership has ended, unless a promise is broken elsewhere. TestLateWriteDoesNotEndLeadership holds the other case.

--- a/leadership/leadership.go
+++ b/leadership/leadership.go
@@ -90,13 +90,14 @@
 	version        uint64    // zero if the object does not exist
 	unchangedSince time.Time // since when record and version are known to be unchanged
 
-	takeover       uint64    // highest AcquiredRenewal of a record that this run tried to write or has seen as its node's own
-	token          uint64    // highest token with which this node has led since its start; zero if none
-	leading        bool      // this node leads with token until validUntil; once false, the token is given up for good
-	validUntil     time.Time // when the leadership expires unless a renewal is confirmed
-	stopping       bool      // this node is about to stop and must not lead again
-	outcomeUnknown bool      // a write's outcome is unknown
-	orders         orderTimes
+	takeover          uint64    // highest AcquiredRenewal of a record that this run tried to write or has seen as its node's own
+	token             uint64    // highest token with which this node has led since its start; zero if none
+	leading           bool      // this node leads with token until validUntil; once false, the token is given up for good
+	validUntil        time.Time // when the leadership expires unless a renewal is confirmed
+	stopping          bool      // this node is about to stop and must not lead again
+	outcomeUnknown    bool      // a write's outcome is unknown
+	unresolvedVersion uint64    // version that the last write with an unknown outcome expected; it may still be applied while the object has this version
+	orders            orderTimes
 
 	noLeaderSince time.Time
 	readOnStart   bool // this node has restarted and has not read the record since
@@ -287,14 +288,14 @@
 		c.record, c.version, c.unchangedSince = r, version, now
 		c.confirmToken(now, r.Token)
 	case Conflict:
-		c.recordKnown = false
-		if c.leading {
-			// An earlier write of this node may have been applied late.
-			c.outcomeUnknown = true
+		if c.leading && c.unresolvedVersion != c.version {
+			c.giveUp(now) // another node has replaced this one
 		}
+		// Else an earlier write of this node may have been applied late.
+		c.recordKnown, c.outcomeUnknown = false, true
 	case Unknown:
-		c.recordKnown = false
-		c.outcomeUnknown = true
+		c.recordKnown, c.outcomeUnknown = false, true
+		c.unresolvedVersion = c.version
 	case Failed:
 	}
 }
--- a/leadership/resignation_test.go
+++ b/leadership/resignation_test.go
@@ -168,3 +168,32 @@
 	}
 	assert.Assert(t, now.Sub(lastOrder) >= settings.OrderLease+settings.MaxOrderDelay, "may order after %v", now.Sub(lastOrder))
 }
+
+// TestConflictOfRenewalEndsLeadership guards against a leader that goes on ordering after
+// the store has shown that another node replaced it: its renewal conflicts, and no
+// earlier write of its own can have been applied late.
+func TestConflictOfRenewalEndsLeadership(t *testing.T) {
+	c, s := newCore("a"), &store{}
+	now := run(c, start, time.Second, s, eligible)
+	renewal, now := nextWrite(t, c, now, s)
+	c.WriteDone(now, renewal.Record, 0, leadership.Conflict)
+	assert.Assert(t, !c.Leading(now))
+}
+
+// TestLateWriteDoesNotEndLeadership: a conflict after a write with an unknown outcome may
+// be with that write, so the leader reads the record and goes on with the same token.
+func TestLateWriteDoesNotEndLeadership(t *testing.T) {
+	c, s := newCore("a"), &store{}
+	now := run(c, start, time.Second, s, eligible)
+	lost, now := nextWrite(t, c, now, s)
+	c.WriteDone(now, lost.Record, 0, leadership.Unknown)
+	renewal, now := nextWrite(t, c, now, s)
+	s.write(lost)
+	_, result := s.write(renewal)
+	assert.Equal(t, result, leadership.Conflict)
+	c.WriteDone(now, renewal.Record, 0, result)
+	now = run(c, now, 3*time.Second, s, eligible)
+	token, ok := c.Authority(now)
+	assert.Assert(t, ok)
+	assert.Equal(t, token, renewal.Record.Token)
+}
