--- a/leadership/leadership.go
+++ b/leadership/leadership.go
@@ -83,7 +83,6 @@
 
 	callPending bool      // an action's result is awaited
 	callSent    time.Time // when the last action was returned; a confirmed write is valid from then on
-	lastCall    time.Time // when the last action was returned; limits the rate of calls
 
 	recordKnown    bool // record and version are as last read or written
 	record         Record
@@ -146,10 +145,10 @@
 	if c.leading {
 		return c.renew(now, p)
 	}
-	if c.readOnStart && p.Eligible && now.Sub(c.lastCall) >= c.settings.CallPause {
+	if c.readOnStart && p.Eligible && now.Sub(c.callSent) >= c.settings.CallPause {
 		return c.call(now, Action{Kind: Read})
 	}
-	if c.recordKnown && c.record.Holder == c.self && c.version != 0 && p.Eligible && !c.stopping && now.Sub(c.lastCall) >= c.settings.CallPause {
+	if c.recordKnown && c.record.Holder == c.self && c.version != 0 && p.Eligible && !c.stopping && now.Sub(c.callSent) >= c.settings.CallPause {
 		return c.acquire(now)
 	}
 	if p.LeaderAlive || !p.Eligible || c.stopping {
@@ -157,7 +156,7 @@
 		c.recordKnown = false
 		return Action{}
 	}
-	if now.Sub(c.noLeaderSince) < time.Duration(p.SuccessorPosition)*c.settings.SuccessorDelay || now.Sub(c.lastCall) < c.settings.CallPause {
+	if now.Sub(c.noLeaderSince) < time.Duration(p.SuccessorPosition)*c.settings.SuccessorDelay || now.Sub(c.callSent) < c.settings.CallPause {
 		return Action{}
 	}
 	if !c.recordKnown {
@@ -216,7 +215,7 @@
 	if c.outcomeUnknown {
 		pause = c.settings.CallPause
 	}
-	if now.Sub(c.lastCall) < pause {
+	if now.Sub(c.callSent) < pause {
 		return Action{}
 	}
 	if c.outcomeUnknown {
@@ -229,7 +228,7 @@
 
 // call records that the action is returned to the caller.
 func (c *Core) call(now time.Time, a Action) Action {
-	c.callPending, c.callSent, c.lastCall = true, now, now
+	c.callPending, c.callSent = true, now
 	return a
 }
 
@@ -288,10 +287,11 @@
 		c.record, c.version, c.unchangedSince = r, version, now
 		c.confirmToken(now, r.Token)
 	case Conflict:
+		// The object was changed by another node, or by an earlier write of this one
+		// that was applied late.
 		if c.leading && c.unresolvedVersion != c.version {
-			c.giveUp(now) // another node has replaced this one
+			c.giveUp(now)
 		}
-		// Else an earlier write of this node may have been applied late.
 		c.recordKnown, c.outcomeUnknown = false, true
 	case Unknown:
 		c.recordKnown, c.outcomeUnknown = false, true
