engine: the limit of an event holds across its lines

What callers saw: an engine that sent data lines without end, and no empty line, was read at full speed until it stopped, and the node collected all of it.

Cause: only the length of a line was limited, not that of the event made of the lines' data.

Evidence: TestEndlessEventIsCutOff/event_of_many_lines read all 256 MiB that the stand-in sent, and reported a crash. The endless line was cut off before.

Change: an event larger than maxEventBytes breaks the stream with ErrUnknown.

--- a/engine/stream.go
+++ b/engine/stream.go
@@ -14,10 +14,13 @@
 	"github.com/redwingnotch/redwingnotch/invariant"
 )
 
-// maxEventBytes is the maximum length of one line of an event stream. A line may
-// carry a whole response (ResponseWhole).
+// maxEventBytes is the maximum length of one event of a stream, and of one line. An
+// event may carry a whole response (ResponseWhole).
 const maxEventBytes = 8 << 20
 
+// errEventSize means that an event is larger than maxEventBytes.
+var errEventSize = errors.New("event too large")
+
 // stream reads the event stream of one response. It is not safe for concurrent
 // use.
 type stream struct {
@@ -167,6 +170,9 @@
 		case "event":
 			e.name = string(value)
 		case "data":
+			if len(e.data)+len(value) > maxEventBytes {
+				return streamEvent{}, classifyBrokenResponse(s.ctx, errEventSize)
+			}
 			e.data = append(e.data, value...)
 		}
 	}
