entry: a response that is not streamed has a limit of size

What callers saw: an engine that went on sending valid chunks of a response that is not streamed was read without limit, and the node collected all of it. No deadline cuts such a response.

Cause: the size of each event was limited, not that of the body made of them.

Change: a body larger than engine.MaxEventBytes, the limit of a whole response in one event, fails the attempt. The caller gets 502 with the outcome that the request has run; another engine is not tried, since it would send the same.

--- a/engine/stream.go
+++ b/engine/stream.go
@@ -14,11 +14,11 @@
 	"github.com/redwingnotch/redwingnotch/invariant"
 )
 
-// maxEventBytes is the maximum length of one event of a stream, and of one line. An
-// event may carry a whole response (ResponseWhole).
-const maxEventBytes = 8 << 20
+// MaxEventBytes is the maximum length of one event of a stream, of one line, and of
+// a whole response, which one event may carry (ResponseWhole).
+const MaxEventBytes = 8 << 20
 
-// errEventSize means that an event is larger than maxEventBytes.
+// errEventSize means that an event is larger than MaxEventBytes.
 var errEventSize = errors.New("event too large")
 
 // stream reads the event stream of one response. It is not safe for concurrent
@@ -48,7 +48,7 @@
 		nextToken:  req.ReceivedTokens,
 	}
 	s.lines = bufio.NewScanner(progressReader{s})
-	s.lines.Buffer(make([]byte, 0, 4<<10), maxEventBytes)
+	s.lines.Buffer(make([]byte, 0, 4<<10), MaxEventBytes)
 	return s
 }
 
@@ -170,7 +170,7 @@
 		case "event":
 			e.name = string(value)
 		case "data":
-			if len(e.data)+len(value) > maxEventBytes {
+			if len(e.data)+len(value) > MaxEventBytes {
 				return streamEvent{}, classifyBrokenResponse(s.ctx, errEventSize)
 			}
 			e.data = append(e.data, value...)
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -231,6 +231,9 @@
 		result.tokens += chunk.Tokens
 		if err := resp.writeChunk(chunk, requestID); err != nil {
 			result.outcome, result.err = attemptCancelled, err
+			if errors.Is(err, errResponseTooLarge) {
+				result.outcome = attemptFailed
+			}
 			return result
 		}
 		if chunk.Done {
--- a/internal/entry/fakes_test.go
+++ b/internal/entry/fakes_test.go
@@ -78,6 +78,7 @@
 	failure           error         // nil: none; returned by Infer if failAfter is 0
 	stallsPooledConns bool          // only requests on a fresh connection start
 	chunkDelay        time.Duration // before each chunk
+	chunkBytes        int           // if set, the length of each chunk's data
 	mu                sync.Mutex
 	cancelled         []string
 }
@@ -130,7 +131,11 @@
 		return engine.Chunk{}, io.EOF
 	}
 	s.next++
-	return engine.Chunk{RequestID: s.id, Index: s.next - 1, Tokens: 1, Data: []byte(fmt.Sprint("t", s.next-1))}, nil
+	data := []byte(fmt.Sprint("t", s.next-1))
+	if s.engine.chunkBytes > 0 {
+		data = make([]byte, s.engine.chunkBytes)
+	}
+	return engine.Chunk{RequestID: s.id, Index: s.next - 1, Tokens: 1, Data: data}, nil
 }
 
 func (s *fakeStream) Close() error { return nil }
--- a/internal/entry/response.go
+++ b/internal/entry/response.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"errors"
 	"fmt"
 	"net/http"
 	"time"
@@ -36,6 +37,10 @@
 
 func (e callerDisconnectedError) Error() string { return fmt.Sprintf("caller disconnected: %v", e.err) }
 
+// errResponseTooLarge means that a response that is not streamed is larger than
+// engine.MaxEventBytes.
+var errResponseTooLarge = errors.New("response of the backend server is too large")
+
 // writeChunk passes on one chunk of the attempt with the given request id. A
 // response that is not streamed is buffered.
 func (rw *responseWriter) writeChunk(chunk engine.Chunk, requestID string) error {
@@ -45,6 +50,9 @@
 		return nil
 	}
 	if !rw.stream {
+		if len(rw.body)+len(chunk.Data) > engine.MaxEventBytes {
+			return errResponseTooLarge
+		}
 		rw.body = append(rw.body, chunk.Data...)
 		return nil
 	}
