engine: tests of responses without end

Heads and bodies without end, fast and slow, fail Infer, Report and Order in their time, without an error that says that nothing was run.

--- a/engine/endless_test.go
+++ b/engine/endless_test.go
@@ -11,7 +11,9 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/redwingnotch/redwingnotch/dispatch"
 	"github.com/redwingnotch/redwingnotch/engine"
+	"github.com/redwingnotch/redwingnotch/standin/endless"
 	"github.com/redwingnotch/redwingnotch/standin/pipenet"
 )
 
@@ -86,3 +88,39 @@
 		})
 	}
 }
+
+// TestEndlessResponsesFail: an engine sends a response without end. The calls have to
+// fail in their time, and may have had their effect.
+func TestEndlessResponsesFail(t *testing.T) {
+	for _, peer := range endless.Servers() {
+		t.Run(peer.Name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				network := pipenet.New()
+				l, err := network.Listen(address)
+				assert.NilError(t, err)
+				server := &http.Server{Handler: peer}
+				go func() { _ = server.Serve(l) }()
+				defer server.Close()
+				c := engine.NewClient(engine.Options{BaseURL: "http://" + address, Dial: network.Dial})
+				defer c.Close()
+				for _, call := range []struct {
+					limit time.Duration
+					do    func() error
+				}{
+					{engine.DefaultProgressTimeout, func() error { _, err := inferAndRead(c, newRequest("r1")); return err }},
+					{engine.DefaultCallTimeout, func() error { _, err := c.Report(t.Context()); return err }},
+					{engine.DefaultCallTimeout, func() error { _, err := c.Order(t.Context(), engine.Order{ID: "o"}); return err }},
+				} {
+					begin := time.Now()
+					err := call.do()
+					assert.Assert(t, err != nil)
+					assert.Assert(t, !dispatch.NotRun(err), err)
+					assert.Assert(t, time.Since(begin) <= call.limit)
+					time.Sleep(2 * peer.Pause)
+					synctest.Wait()
+					assert.Equal(t, peer.Open(), 0)
+				}
+			})
+		})
+	}
+}
