--- a/leadership/resignation_test.go
+++ b/leadership/resignation_test.go
@@ -24,6 +24,22 @@
 	return leadership.Action{}, now
 }
 
+// resignAfterOrder lets the named node lead, order the server and resign at once. It
+// returns the resignation and the time of both.
+func resignAfterOrder(t *testing.T, name, server string, s *store) (leadership.Resignation, time.Time) {
+	t.Helper()
+	c := newCore(name)
+	now := run(c, start, time.Second, s, eligible)
+	token, ok := c.Authority(now)
+	assert.Assert(t, ok)
+	c.OrderSent(server, token)
+	c.OrderEnded(now, server, token)
+	c.Resign()
+	resignation, resigned := c.Resignation(now)
+	assert.Assert(t, resigned)
+	return resignation, now
+}
+
 // TestLateRenewalResponseDoesNotRestoreExpiredLeadership guards against two leaders: a
 // node that was suspended until its leadership had expired reports so to others, and
 // the response of a renewal from before must not make it leader again under that token.
@@ -112,14 +128,9 @@
 // after the record was read once.
 func TestOrdersWaitAfterTakeoverByEarlierRun(t *testing.T) {
 	settings := leadership.DefaultSettings(orderLease)
-	b, s := newCore("b"), &store{}
-	now := run(b, start, time.Second, s, eligible)
-	b.OrderSent("s1", 1)
-	b.OrderEnded(now, "s1", 1)
+	s := &store{}
+	resignation, now := resignAfterOrder(t, "b", "s1", s)
 	lastOrder := now
-	b.Resign()
-	resignation, resigned := b.Resignation(now)
-	assert.Assert(t, resigned)
 	earlier := newCore("a")
 	earlier.LeaderResigned(now, resignation)
 	takeover, now := nextWrite(t, earlier, now, s)
@@ -144,14 +155,9 @@
 // must not look like renewals, RenewEvery apart, to the next run of this node.
 func TestAcquisitionsInARowDoNotCountAsTime(t *testing.T) {
 	settings := leadership.DefaultSettings(orderLease)
-	b, s := newCore("b"), &store{}
-	now := run(b, start, time.Second, s, eligible)
-	b.OrderSent("s1", 1)
-	b.OrderEnded(now, "s1", 1)
+	s := &store{}
+	resignation, now := resignAfterOrder(t, "b", "s1", s)
 	lastOrder := now
-	b.Resign()
-	resignation, resigned := b.Resignation(now)
-	assert.Assert(t, resigned)
 	a := newCore("a")
 	a.LeaderResigned(now, resignation)
 	for range 5 {
