node: responses of other nodes have a limit

What was seen: a process that has taken over a node's address and sends without end was read at full speed for the time of the call, and the caller's node collected all of it. One that switched protocols held the call for as long as it liked.

Cause: the generated client reads a response whole, without a limit, and the calls did not go through httpsend.Do.

Evidence: TestEndlessResponsesOfPeersFail read more than 192 MiB of each endless body within one call; one of them passed for a complete response.

Change: the client that all calls between nodes use sends by httpsend.Do and limits the body to 64 MiB, as for the store's lists.

--- a/internal/node/grants.go
+++ b/internal/node/grants.go
@@ -41,6 +41,10 @@
 	}
 }
 
+// maxPeerResponseBytes limits a response of another node; the largest are snapshots
+// of all replicas and releases.
+const maxPeerResponseBytes = 64 << 20
+
 // authClient adds the shared secret to each call. After a call that timed out it
 // closes idle connections, as they may be unresponsive too.
 type authClient struct {
@@ -51,11 +55,15 @@
 // Do implements the HTTP client interface of twirp.
 func (a *authClient) Do(req *http.Request) (*http.Response, error) {
 	req.Header.Set(HeaderSecret, a.secret)
-	resp, err := a.client.Do(req)
-	if err != nil && errors.Is(req.Context().Err(), context.DeadlineExceeded) {
-		a.client.CloseIdleConnections()
+	resp, err := httpsend.Do(a.client, req)
+	if err != nil {
+		if errors.Is(req.Context().Err(), context.DeadlineExceeded) {
+			a.client.CloseIdleConnections()
+		}
+		return nil, err
 	}
-	return resp, err
+	resp.Body = http.MaxBytesReader(nil, resp.Body, maxPeerResponseBytes)
+	return resp, nil
 }
 
 // cellClient returns the cell service of a node. For this node that is the local
--- a/standin/endless/endless.go
+++ b/standin/endless/endless.go
@@ -1,5 +1,6 @@
 // Package endless is a stand-in for an HTTP server in trouble: its responses do not
-// end until the client closes the connection.
+// end until the client closes the connection. A client without any limit is spared
+// after GiveUpBytes.
 package endless
 
 import (
@@ -18,9 +19,14 @@
 	Unit  string
 	Pause time.Duration // pause after each write
 
-	open atomic.Int64
+	open   atomic.Int64
+	gaveUp atomic.Bool
 }
 
+// GiveUpBytes is how much of a response a client may read. It is more than any
+// client's limit.
+const GiveUpBytes = 192 << 20
+
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
 	conn, _, err := http.NewResponseController(w).Hijack()
@@ -30,12 +36,21 @@
 	defer conn.Close()
 	s.open.Add(1)
 	defer s.open.Add(-1)
+	sent := 0
 	for block := s.Start; err == nil; block = s.Unit {
-		_, err = io.WriteString(conn, block)
+		var n int
+		n, err = io.WriteString(conn, block)
+		if sent += n; sent > GiveUpBytes {
+			s.gaveUp.Store(true)
+			return
+		}
 		time.Sleep(s.Pause)
 	}
 }
 
+// GaveUp reports whether a client read more than GiveUpBytes of a response.
+func (s *Server) GaveUp() bool { return s.gaveUp.Load() }
+
 // Open returns the number of responses whose connection is open.
 func (s *Server) Open() int { return int(s.open.Load()) }
 
