admin: the client sends and reads as the others do

What was seen: a process at a node's address that switched protocols held `rwnctl status` for longer than the call's timeout.

Cause: the client called the standard one directly, and had its own copy of the limit of a body, which cut a larger one instead of reporting it.

Evidence: TestEndlessResponsesFail had not returned from the first such server when it was stopped after 50 s.

Change: it sends by httpsend.Do and reads by httpsend.ReadBody.

--- a/admin/client.go
+++ b/admin/client.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"net/url"
 	"time"
@@ -23,7 +22,7 @@
 // Limits of one call.
 const (
 	callTimeout  = 5 * time.Second // timeout of the whole call
-	maxBodyBytes = 16 << 20        // response bodies are read up to this size
+	maxBodyBytes = 16 << 20        // size limit of a response body
 )
 
 // Client calls the operators' interface of one node.
@@ -59,12 +58,11 @@
 	if err != nil {
 		return fmt.Errorf("%w: %s: %w", ErrUnreachable, c.Address, err)
 	}
-	resp, err := c.HTTP.Do(req)
+	resp, err := httpsend.Do(c.HTTP, req)
 	if err != nil {
 		return fmt.Errorf("%w: %s: %w", ErrUnreachable, c.Address, err)
 	}
-	defer resp.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBodyBytes))
+	body, err := httpsend.ReadBody(resp.Body, maxBodyBytes)
 	if err != nil {
 		return fmt.Errorf("%w: %s: %w", ErrUnreachable, c.Address, err)
 	}
