--- a/leadership/resignation_test.go
+++ b/leadership/resignation_test.go
@@ -48,7 +48,7 @@
 	a, b, s := newCore("a"), newCore("b"), &store{}
 	now := run(a, start, time.Second, s, eligible)
 	confirmed := now
-	renewal, now := nextWrite(t, a, now, s)
+	renewal, _ := nextWrite(t, a, now, s)
 	version, result := s.write(renewal)
 	assert.Equal(t, result, leadership.Written)
 
