leadership: test that order times of former leaders are passed on

Guards against orders of two nodes to one server within OrderLease: a leader that resigns soon after it took over has to report the order of the leader before it.

No fault was found here.

--- a/leadership/resignation_test.go
+++ b/leadership/resignation_test.go
@@ -203,3 +203,27 @@
 	assert.Assert(t, ok)
 	assert.Equal(t, token, renewal.Record.Token)
 }
+
+// TestOrderTimesOfFormerLeadersArePassedOn guards against orders of two nodes to one
+// server within OrderLease: a leader that resigns soon after it took over, before it
+// ordered the server itself, reports the order of the leader before it.
+func TestOrderTimesOfFormerLeadersArePassedOn(t *testing.T) {
+	settings := leadership.DefaultSettings(orderLease)
+	a, b, c, s := newCore("a"), newCore("b"), newCore("c"), &store{}
+	now := run(a, start, time.Second, s, eligible)
+	a.OrderSent("s1", 1)
+	a.OrderEnded(now, "s1", 1)
+	lastOrder := now
+	for _, handover := range []struct{ from, to *leadership.Core }{{a, b}, {b, c}} {
+		handover.from.Resign()
+		resignation, resigned := handover.from.Resignation(now)
+		assert.Assert(t, resigned)
+		handover.to.LeaderResigned(now, resignation)
+		for end := now.Add(time.Second); !handover.to.Leading(now) && now.Before(end); now = now.Add(20 * time.Millisecond) {
+			perform(handover.to, now, s, handover.to.Tick(now, eligible))
+		}
+		assert.Assert(t, handover.to.Leading(now))
+	}
+	assert.Assert(t, !c.MayOrder(lastOrder.Add(settings.OrderLease+settings.MaxOrderDelay-time.Millisecond), "s1"))
+	assert.Assert(t, c.MayOrder(now, "s2"))
+}
