leadership: a new token waits for timed-out orders with the old one, too

Callers' side (rule ONE): a lower token after a higher one from the same node.

MayOrder allowed the new token as soon as the old order had ended. An order that ended before another, handled late, could also set back the time that is reported to a successor.

TestNextTokenWaitsForOrdersInFlight asserts the wait now, in place of an order right after the end, and fails without it.

Change: MayOrder waits for MaxOrderDelay after this node's last order with another token. OrderEnded keeps the later time.

--- a/leadership/orders.go
+++ b/leadership/orders.go
@@ -5,8 +5,8 @@
 	"time"
 )
 
-// Resignation is a former leader's report that it has given up its token: it sends
-// no order with this token or a lower one any more, and none is in flight.
+// Resignation is a former leader's report that it has given up its token: it sends no
+// order with this token or a lower one any more, and all that it sent have ended.
 type Resignation struct {
 	Token     uint64                   // highest token that the former leader has given up
 	OrderAges map[string]time.Duration // by server: time since the last order of this or an earlier leader ended, as far as it is known
@@ -15,13 +15,19 @@
 // orderTimes is what a node knows of the times of orders: of its own, and of those
 // that former leaders reported.
 type orderTimes struct {
-	inFlight         map[orderKey]int     // number of this node's orders that have not ended
-	lastEnded        map[string]time.Time // by server: when this node's last order ended
-	knownFrom        time.Time            // from this time on, all orders that this node sent before a restart are older than OrderLease; before it, their times are unknown
-	notBefore        map[string]time.Time // by server: no order to it before this time
-	noneBefore       time.Time            // no order to any server before this time
-	resignedToken    uint64               // highest token that a former leader reported as given up
-	resignationOrder map[string]time.Time // by server: latest time at which an order of a former leader can have ended
+	inFlight         map[orderKey]int      // number of this node's orders that have not ended
+	lastEnded        map[string]endedOrder // by server: this node's order that ended last
+	knownFrom        time.Time             // from this time on, all orders that this node sent before a restart are older than OrderLease; before it, their times are unknown
+	notBefore        map[string]time.Time  // by server: no order to it before this time
+	noneBefore       time.Time             // no order to any server before this time
+	resignedToken    uint64                // highest token that a former leader reported as given up
+	resignationOrder map[string]time.Time  // by server: latest time at which an order of a former leader can have ended
+}
+
+// endedOrder is an order that has a result or is not sent any more.
+type endedOrder struct {
+	at    time.Time // when it ended; it may still arrive within Settings.MaxOrderDelay
+	token uint64
 }
 
 // orderKey selects the orders to a server with a token.
@@ -31,18 +37,22 @@
 }
 
 func newOrderTimes() orderTimes {
-	return orderTimes{inFlight: map[orderKey]int{}, lastEnded: map[string]time.Time{}, resignationOrder: map[string]time.Time{}}
+	return orderTimes{inFlight: map[orderKey]int{}, lastEnded: map[string]endedOrder{}, resignationOrder: map[string]time.Time{}}
 }
 
 // MayOrder reports whether this node, if it is the leader, may order the server now:
-// enough time has passed since other nodes' orders to it, and none of this node's
-// orders with an earlier token can still arrive there.
+// enough time has passed since other nodes' orders to it, and since this node's orders
+// with an earlier token.
 func (c *Core) MayOrder(now time.Time, server string) bool {
 	for key := range c.orders.inFlight {
 		if key.server == server && key.token != c.token {
 			return false
 		}
 	}
+	last := c.orders.lastEnded[server]
+	if last.token != c.token && now.Before(last.at.Add(c.settings.MaxOrderDelay)) {
+		return false
+	}
 	return !now.Before(c.orders.noneBefore) && !now.Before(c.orders.notBefore[server])
 }
 
@@ -59,7 +69,9 @@
 	if c.orders.inFlight[key] <= 0 {
 		delete(c.orders.inFlight, key)
 	}
-	c.orders.lastEnded[server] = now
+	if last := c.orders.lastEnded[server]; !now.Before(last.at) {
+		c.orders.lastEnded[server] = endedOrder{at: now, token: token}
+	}
 }
 
 // Resignation returns what this node reports about the leadership that it has given
@@ -72,9 +84,9 @@
 		return Resignation{}, false
 	}
 	last := maps.Clone(c.orders.resignationOrder)
-	for server, at := range c.orders.lastEnded {
-		if at.After(last[server]) {
-			last[server] = at
+	for server, ended := range c.orders.lastEnded {
+		if ended.at.After(last[server]) {
+			last[server] = ended.at
 		}
 	}
 	r := Resignation{Token: c.token, OrderAges: map[string]time.Duration{}}
--- a/leadership/resignation_test.go
+++ b/leadership/resignation_test.go
@@ -89,7 +89,7 @@
 
 // TestNextTokenWaitsForOrdersInFlight guards against a lower token after a higher one
 // from the same node: it loses the leadership and acquires it again while an order with
-// the old token is still in flight, which could arrive after one with the new token.
+// the old token is still in flight, or has timed out and can arrive until MaxOrderDelay.
 func TestNextTokenWaitsForOrdersInFlight(t *testing.T) {
 	c, s := newCore("a"), &store{}
 	now := run(c, start, time.Second, s, eligible)
@@ -103,7 +103,9 @@
 	assert.Assert(t, !c.MayOrder(now, "s1"))
 	assert.Assert(t, c.MayOrder(now, "s2"))
 	c.OrderEnded(now, "s1", 1)
-	assert.Assert(t, c.MayOrder(now, "s1"))
+	maxOrderDelay := leadership.DefaultSettings(orderLease).MaxOrderDelay
+	assert.Assert(t, !c.MayOrder(now.Add(maxOrderDelay-time.Millisecond), "s1"))
+	assert.Assert(t, c.MayOrder(now.Add(maxOrderDelay), "s1"))
 }
 
 // TestResignationWaitsForOrdersInFlight guards against a successor that orders a server
