front: an old response of the store no longer counts as contact of this moment

Callers' side: models could not be loaded for some seconds during a store outage.

Cause: contact with the store was dated at the time at which a response was handled. A node that was suspended handles responses from before and published contact of this moment; a leader whose writes failed then stepped down although no node reached the store.

Change: a response shows contact at most until the time limit of its call.

--- a/internal/front/cells.go
+++ b/internal/front/cells.go
@@ -120,15 +120,30 @@
 	n.publish(now, sendAllNow)
 }
 
-// recordStoreContact records a response of the store.
-func (n *Node) recordStoreContact() {
+// recordStoreContact records a response of the store to a call that was sent at the
+// given time and that the store may have held for up to the wait.
+func (n *Node) recordStoreContact(sent time.Time, wait time.Duration) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.lastStoreContact = bootclock.Now()
+	n.storeResponded(bootclock.Now(), sent, wait)
+}
+
+// storeResponded records a response of the store that is handled now. It may have
+// arrived long before, while this node was suspended, so it shows contact only until
+// the latest time at which the call could have ended. The caller holds n.mu.
+func (n *Node) storeResponded(now, sent time.Time, wait time.Duration) {
+	contact := sent.Add(wait + storeTimeout)
+	if now.Before(contact) {
+		contact = now
+	}
+	if contact.After(n.lastStoreContact) {
+		n.lastStoreContact = contact
+	}
 }
 
 // readLeadership reads the cell's leadership record.
 func (n *Node) readLeadership(ctx context.Context, c *cell) {
+	sent := bootclock.Now()
 	object, err := n.store.Get(ctx, platform.KindLease, leadershipPrefix+c.zone)
 	var record leadership.Record
 	switch {
@@ -147,7 +162,7 @@
 	if err != nil {
 		return
 	}
-	n.lastStoreContact = now
+	n.storeResponded(now, sent, 0)
 	if record.Holder != "" {
 		// A node none of whose seeds is alive may learn of the leader only here.
 		n.peers.add(now, record.Holder)
@@ -165,7 +180,8 @@
 	n.logWrite(now, sent, c, a.Record, version, err)
 	switch {
 	case result == leadership.Written || result == leadership.Conflict:
-		n.lastStoreContact, c.writesFailingSince = now, time.Time{}
+		n.storeResponded(now, sent, 0)
+		c.writesFailingSince = time.Time{}
 	case c.writesFailingSince.IsZero():
 		c.writesFailingSince = sent
 	}
--- a/internal/front/watch.go
+++ b/internal/front/watch.go
@@ -43,11 +43,12 @@
 // run lists and watches until the context ends.
 func (w *watcher) run(ctx context.Context) error {
 	for ctx.Err() == nil {
+		sent := bootclock.Now()
 		if err := w.step(ctx); err != nil && ctx.Err() == nil {
 			sleep(ctx, w.recordFailure(err))
 			continue
 		}
-		w.recordSuccess()
+		w.recordSuccess(sent)
 		sleep(ctx, w.pause())
 	}
 	return nil
@@ -96,9 +97,9 @@
 	return pause
 }
 
-// recordSuccess records a successful call.
-func (w *watcher) recordSuccess() {
-	w.node.recordStoreContact()
+// recordSuccess records a successful call that was sent at the given time.
+func (w *watcher) recordSuccess(sent time.Time) {
+	w.node.recordStoreContact(sent, w.timeout)
 	if !w.failingSince.IsZero() {
 		level.Info(w.node.log).Log("event", "store_back", "kind", w.kind, "away_ms", bootclock.Now().Sub(w.failingSince).Milliseconds())
 		w.failingSince = time.Time{}
