--- a/internal/front/links.go
+++ b/internal/front/links.go
@@ -56,8 +56,9 @@
 	}
 }
 
-// dialWithReset opens connections whose Close discards undelivered data, so that
-// an order that timed out is not delivered after a network partition ends.
+// dialWithReset opens connections whose Close discards unsent and unacknowledged data,
+// so that an order that timed out is not delivered after a network partition ends. What
+// the server's kernel has acknowledged may still reach a server that was stalled.
 func dialWithReset(ctx context.Context, network, address string) (net.Conn, error) {
 	conn, err := httpsend.DialTCP(ctx, network, address)
 	if err != nil {
@@ -94,8 +95,8 @@
 // errWriteDeadline is returned by writes after the connection's deadline.
 var errWriteDeadline = errors.New("write after the deadline of the order")
 
-// deadlineConn is a connection that rejects writes after its deadline, and on which
-// nothing is sent again after it.
+// deadlineConn is a connection that rejects writes after its deadline, and on which the
+// kernel gives up retransmissions then.
 type deadlineConn struct {
 	net.Conn // no wider type: its other methods would write past the deadline
 	raw      syscall.RawConn
