lease: contact is dated by the sending of the call that shows it

A response within StoreTimeout of its call still counted as contact of the time at which it was handled: a pause shorter than that stretched the time in which a former controller acts by up to 2 s. The rename of the test of hints follows the field's term.

--- a/lease/core.go
+++ b/lease/core.go
@@ -108,7 +108,7 @@
 	readAgain    bool          // a read became needed while another was in flight, whose response may be older
 	readAtOnce   bool          // the next read need not wait for Config.ReadInterval
 	lastReadSent time.Time     // time of the latest read request
-	lastContact  time.Time     // time of the latest response of the object API
+	lastContact  time.Time     // when the latest call was sent to which the object API responded
 	pending      *pendingWrite // write not yet resolved; nil if none
 	writeSeq     uint64        // number of writer IDs used
 
@@ -342,7 +342,9 @@
 	if now.Sub(sentAt) > c.cfg.StoreTimeout {
 		return
 	}
-	c.lastContact = now
+	if sentAt.After(c.lastContact) {
+		c.lastContact = sentAt
+	}
 	c.storeFailingSince = time.Time{}
 }
 
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -329,10 +329,10 @@
 	assert.Assert(t, tc.authority(holder).StoreContact)
 }
 
-// TestNewsDuringReadIsReadAgain: the response of a read that was sent before the cell
-// was handed over must not count as the read that the news of it requires. No other
-// news would follow.
-func TestNewsDuringReadIsReadAgain(t *testing.T) {
+// TestHintDuringReadIsReadAgain: the response of a read that was sent before the cell
+// was handed over must not count as the read that the holder hint requires. No other
+// hint would follow.
+func TestHintDuringReadIsReadAgain(t *testing.T) {
 	tc := newTestCell(t, "a", "b", "c")
 	holder := tc.activeNode("a", "b", "c")
 	tc.run(time.Second, "a", "b", "c")
