--- a/internal/httpsend/httpsend.go
+++ b/internal/httpsend/httpsend.go
@@ -151,26 +151,10 @@
 	return true
 }
 
-// Errors of responses that are not passed on.
-var (
-	// errUnsolicited means that the response arrived before the request was sent.
-	errUnsolicited = errors.New("response arrived before the request was sent")
-	// errSwitchedProtocols means that the server left HTTP, which no request asks
-	// for. The body of such a response is the bare connection: a read of it does
-	// not end with the request's context.
-	errSwitchedProtocols = errors.New("server switched protocols")
-)
-
-// check returns an error if the response can't be that of the request.
-func (c *call) check(resp *http.Response) error {
-	if c.unsolicited() {
-		return errUnsolicited
-	}
-	if resp.StatusCode == http.StatusSwitchingProtocols {
-		return errSwitchedProtocols
-	}
-	return nil
-}
+// errSwitchedProtocols means that the server left HTTP, which no request asks for.
+// The body of such a response is the bare connection: a read of it does not end
+// with the request's context.
+var errSwitchedProtocols = errors.New("server switched protocols")
 
 // doOnce sends the request as Do does, but returns errStaleConn if the reused
 // connections that it got were already closed.
@@ -180,11 +164,12 @@
 	}
 	ctx, call := track(req.Context())
 	resp, err := client.Do(req.WithContext(ctx))
-	if err == nil {
-		if err = call.check(resp); err == nil {
-			return resp, nil
-		}
+	if err == nil && resp.StatusCode == http.StatusSwitchingProtocols {
 		resp.Body.Close()
+		return nil, fmt.Errorf("%w: %w", ErrMaybeSent, errSwitchedProtocols)
+	}
+	if err == nil {
+		return resp, nil
 	}
 	cause := err
 	if c := context.Cause(req.Context()); c != nil {
--- a/internal/httpsend/track.go
+++ b/internal/httpsend/track.go
@@ -15,62 +15,12 @@
 // errWritesBlocked is returned by writes to a connection after blockWrites.
 var errWritesBlocked = errors.New("connection is closed for writing")
 
-// conn counts the writes of a connection that sent or may send bytes. It rejects
-// the writes of a request before which the server has sent bytes: the client would
-// take these for the response.
+// conn counts the writes of a connection that sent or may send bytes.
 type conn struct {
 	net.Conn
 	mu            sync.Mutex
-	changed       sync.Cond // signals changes of reading and closed
 	writeCount    uint64
 	writesBlocked bool
-	reading       bool // a Read waits for bytes, so the client has used up all earlier ones
-	closed        bool
-	assigned      bool // a request has the connection and has not written yet
-}
-
-func newConn(inner net.Conn) *conn {
-	c := &conn{Conn: inner}
-	c.changed.L = &c.mu
-	return c
-}
-
-// Read implements net.Conn.
-func (c *conn) Read(p []byte) (int, error) {
-	c.mu.Lock()
-	c.reading = true
-	c.changed.Broadcast()
-	c.mu.Unlock()
-	n, err := c.Conn.Read(p)
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.reading = false
-	if n > 0 && c.assigned {
-		c.writesBlocked = true
-	}
-	return n, err
-}
-
-// Close implements net.Conn.
-func (c *conn) Close() error {
-	c.mu.Lock()
-	c.closed = true
-	c.changed.Broadcast()
-	c.mu.Unlock()
-	return c.Conn.Close()
-}
-
-// assign prepares the connection for the next request and returns the number of
-// writes counted. It first waits until the client has used up all bytes of the
-// previous response, or has closed the connection because more than that arrived.
-func (c *conn) assign() uint64 {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for !c.reading && !c.closed {
-		c.changed.Wait()
-	}
-	c.assigned = true
-	return c.writeCount
 }
 
 // Write implements net.Conn. It counts the write before making it and reverts
@@ -82,7 +32,6 @@
 		return 0, errWritesBlocked
 	}
 	c.writeCount++
-	c.assigned = false
 	c.mu.Unlock()
 	n, err := c.Conn.Write(p)
 	if n == 0 && err != nil {
@@ -100,18 +49,6 @@
 	return c.writeCount
 }
 
-// blockUnwritten makes all later writes fail if none was counted since the request
-// got the connection, and reports whether that is so.
-func (c *conn) blockUnwritten(writesBefore uint64) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.writeCount != writesBefore {
-		return false
-	}
-	c.writesBlocked = true
-	return true
-}
-
 // blockWrites makes all later writes fail and returns the number of writes counted.
 func (c *conn) blockWrites() uint64 {
 	c.mu.Lock()
@@ -127,7 +64,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return newConn(inner), nil
+		return &conn{Conn: inner}, nil
 	}
 }
 
@@ -156,15 +93,11 @@
 // gotConn records the connection of the next try. The standard client retries some
 // requests after bytes were sent; blocking writes makes such a retry fail.
 func (c *call) gotConn(info httptrace.GotConnInfo) {
-	tracked, ok := info.Conn.(*conn)
-	writesBefore := uint64(0)
-	if ok {
-		writesBefore = tracked.assign()
-	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.reused = c.reused || info.Reused
 	c.idleFor = info.IdleTime
+	tracked, ok := info.Conn.(*conn)
 	if !ok {
 		c.untracked = true
 		return
@@ -176,7 +109,7 @@
 			return
 		}
 	}
-	c.connUses = append(c.connUses, connUse{conn: tracked, writesBefore: writesBefore})
+	c.connUses = append(c.connUses, connUse{conn: tracked, writesBefore: tracked.writes()})
 }
 
 // idleTime returns for how long the latest connection had been idle before.
@@ -186,18 +119,6 @@
 	return c.idleFor
 }
 
-// unsolicited reports whether the response arrived before any byte of the request
-// was sent. It then blocks writes on the connection.
-func (c *call) unsolicited() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if len(c.connUses) == 0 {
-		return false
-	}
-	last := c.connUses[len(c.connUses)-1]
-	return last.conn.blockUnwritten(last.writesBefore)
-}
-
 // mayHaveSent reports, after the request failed, whether any byte of it was sent
 // or may still be sent. It blocks writes on the request's connections so that the
 // result stays true; call it only once the client has returned an error.
