--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -56,7 +56,7 @@
 	arrivals         map[arrivalKey]*arrivalCount
 	peers            *peers
 	cells            []*cell
-	lastStoreContact time.Time                  // when the store last responded
+	lastStoreContact time.Time                  // latest time at which the store is known to have responded
 	fetchingDesired  bool                       // a newer desired state, in force at another node, is being fetched
 	newServers       []newServer                // servers that this node learned of from the store and still publishes
 	departing        []departing                // servers that this node learned are draining or removed, and still publishes
--- a/internal/front/loads.go
+++ b/internal/front/loads.go
@@ -173,8 +173,8 @@
 
 // statusesToPublish returns the server statuses that have changed since they were
 // last sent, and those not sent since this node acquired the leadership, as another
-// leader may have sent others. In periodic messages it adds some unchanged ones in rotation, so
-// that each is sent once per statusRepublishPeriod. The caller holds n.mu.
+// leader may have sent others. In periodic messages it adds some unchanged ones in
+// rotation, so that each is sent once per statusRepublishPeriod. The caller holds n.mu.
 func (n *Node) statusesToPublish(now time.Time, periodic bool) []replicas.ServerStatus {
 	var statuses, unchanged []replicas.ServerStatus
 	for _, c := range n.cells {
--- a/internal/front/peers.go
+++ b/internal/front/peers.go
@@ -304,7 +304,9 @@
 		return // received out of order
 	}
 	if m.Incarnation < p.Incarnation && p.alive(now) {
-		return // of an earlier run, received late; a run that starts after the clock was set back is accepted once the one before is silent
+		// Sent by an earlier run. A run that started after the clock was set back is
+		// accepted once the one before is silent.
+		return
 	}
 	if !p.alive(now) || p.Incarnation != m.Incarnation {
 		level.Info(n.log).Log("event", "peer", "peer", m.Node, "address", m.IP, "zone", m.Zone, "run", m.Incarnation)
--- a/leadership/model_cell_test.go
+++ b/leadership/model_cell_test.go
@@ -7,10 +7,10 @@
 )
 
 const (
-	modelOrderTimeout   = 350 * time.Millisecond // most time from an order's decision to its arrival
-	modelOrderAgesFor   = 10 * time.Second       // time for which a former leader publishes an order's age
-	modelContactSlack   = 300 * time.Millisecond // longest time that a message and a store call may take together
-	modelAliveTimeout   = 1200 * time.Millisecond
+	modelOrderTimeout   = 350 * time.Millisecond  // most time from an order's decision to its arrival
+	modelOrderAgesFor   = 10 * time.Second        // time for which a former leader publishes an order's age
+	modelContactSlack   = 300 * time.Millisecond  // longest time that a message and a store call may take together
+	modelAliveTimeout   = 1200 * time.Millisecond // time without a message after which a node does not count as alive
 	modelTickInterval   = 20 * time.Millisecond
 	modelSendInterval   = 200 * time.Millisecond // interval of periodic messages
 	modelMinSendGap     = 15 * time.Millisecond  // least time between two messages
--- a/leadership/orders.go
+++ b/leadership/orders.go
@@ -15,13 +15,13 @@
 // orderTimes is what a node knows of the times of orders: of its own, and of those
 // that former leaders reported.
 type orderTimes struct {
-	inFlight         map[orderKey]int      // number of this node's orders that have not ended
-	lastEnded        map[string]endedOrder // by server: this node's order that ended last
-	knownFrom        time.Time             // from this time on, all orders that this node sent before a restart are older than OrderLease; before it, their times are unknown
-	notBefore        map[string]time.Time  // by server: no order to it before this time
-	noneBefore       time.Time             // no order to any server before this time
-	resignedToken    uint64                // highest token that a former leader reported as given up
-	resignationOrder map[string]time.Time  // by server: latest time at which an order of a former leader can have ended
+	inFlight      map[orderKey]int      // number of this node's orders that have not ended
+	lastEnded     map[string]endedOrder // by server: this node's order that ended last
+	knownFrom     time.Time             // from this time on, all orders that this node sent before a restart are older than OrderLease; before it, their times are unknown
+	notBefore     map[string]time.Time  // by server: no order to it before this time
+	noneBefore    time.Time             // no order to any server before this time
+	resignedToken uint64                // highest token that a former leader reported as given up
+	lastReported  map[string]time.Time  // by server: latest time at which an order of a former leader can have ended
 }
 
 // endedOrder is an order that has a result or is not sent any more.
@@ -37,7 +37,7 @@
 }
 
 func newOrderTimes() orderTimes {
-	return orderTimes{inFlight: map[orderKey]int{}, lastEnded: map[string]endedOrder{}, resignationOrder: map[string]time.Time{}}
+	return orderTimes{inFlight: map[orderKey]int{}, lastEnded: map[string]endedOrder{}, lastReported: map[string]time.Time{}}
 }
 
 // MayOrder reports whether this node, if it is the leader, may order the server now:
@@ -83,7 +83,7 @@
 	if c.token == 0 || c.leading || len(c.orders.inFlight) > 0 || now.Before(c.orders.knownFrom) {
 		return Resignation{}, false
 	}
-	last := maps.Clone(c.orders.resignationOrder)
+	last := maps.Clone(c.orders.lastReported)
 	for server, ended := range c.orders.lastEnded {
 		if ended.at.After(last[server]) {
 			last[server] = ended.at
@@ -107,8 +107,8 @@
 	for server, age := range r.OrderAges {
 		// The delay of the message makes this time later, never earlier, than the
 		// actual one.
-		if at := now.Add(-age); at.After(c.orders.resignationOrder[server]) {
-			c.orders.resignationOrder[server] = at
+		if at := now.Add(-age); at.After(c.orders.lastReported[server]) {
+			c.orders.lastReported[server] = at
 		}
 	}
 	return isNew
@@ -125,7 +125,7 @@
 // whose response was lost may have made it the leader before.
 func (c *Core) delayOrders() {
 	c.orders.notBefore = map[string]time.Time{}
-	for server, last := range c.orders.resignationOrder {
+	for server, last := range c.orders.lastReported {
 		c.orders.notBefore[server] = last.Add(c.settings.OrderLease + c.settings.MaxOrderDelay)
 	}
 }
