front: logs and metrics tell how a server's response was framed and how it ended

The lines request and attempt_failed now have framing (length, chunks, close), end (complete, closed, truncated, reset, canceled, malformed) and inside_event, and redwingnotch_server_responses counts them. No decision changes.

--- a/internal/front/attempt.go
+++ b/internal/front/attempt.go
@@ -64,6 +64,7 @@
 	defer slow.Stop()
 	x.sends++
 	x.server = server.ID
+	x.received = receivedResponse{}
 	sent := bootclock.Now()
 	resp, err := httpsend.Do(n.serverClients.client(server), x.serverRequest(ctx, server))
 	if err != nil {
@@ -76,6 +77,7 @@
 	if load, ok := platform.ParseServerLoad(resp.Header); ok {
 		n.setReportedLoad(server, load)
 	}
+	x.received = receivedResponse{framing: httpsend.FramingOf(resp)}
 	if platform.NotRun(resp) {
 		return x.requestNotRun(server, resp)
 	}
@@ -94,6 +96,7 @@
 	// A response that is no stream is passed on once it is whole, so its body has
 	// no more time than its head.
 	body, err := httpsend.ReadBody(resp.Body, maxBodyBytes)
+	x.recordEnd(err, false)
 	if err != nil {
 		return x.bodyFailed(server, err)
 	}
@@ -250,7 +253,23 @@
 
 func (x *exchange) logAttempt(server replicas.Entry, reason string, err error, again bool) {
 	level.Info(x.node.log).Log("event", "attempt_failed", "id", x.params.ID, "server", server.ID, "reason", reason,
-		"again", again, "sends", x.sends, "runs", x.runs, "err", err)
+		"again", again, "sends", x.sends, "runs", x.runs, "framing", x.received.framing, "end", x.received.end,
+		"inside_event", x.received.insideEvent, "err", err)
+}
+
+// receivedResponse says how the latest response of a backend server was framed and
+// how it ended, for the log and the metrics.
+type receivedResponse struct {
+	framing     httpsend.Framing // empty if no response was received
+	end         httpsend.End     // empty if the body was not read to an end
+	insideEvent bool             // the response is a stream and ended inside an event
+}
+
+// recordEnd records how the body of the latest response ended. err is the result of
+// its last read.
+func (x *exchange) recordEnd(err error, insideEvent bool) {
+	x.received.end, x.received.insideEvent = httpsend.EndOf(x.received.framing, err), insideEvent
+	x.node.metrics.ResponseEnded(string(x.received.framing), string(x.received.end), insideEvent)
 }
 
 // bodyFailed handles a response whose body broke off, came too slowly or is too
--- a/internal/front/serve.go
+++ b/internal/front/serve.go
@@ -43,13 +43,14 @@
 	prefixKey    string    // hash of the parts of the prompt that other requests may share; may be empty
 	sharedTokens int       // number of tokens in those parts
 
-	sends           int           // attempts, including those that the server refused
-	runs            int           // attempts that the server may have run
-	excluded        []string      // servers at which an attempt failed
-	lastEventID     string        // ID of the last stream event passed on that had one
-	responseStarted bool          // a part of the response was passed on
-	status          int           // status of the final response; zero if the connection was closed instead
-	outcome         string        // how the request ended, for the log and the metrics
+	sends           int      // attempts, including those that the server refused
+	runs            int      // attempts that the server may have run
+	excluded        []string // servers at which an attempt failed
+	lastEventID     string   // ID of the last stream event passed on that had one
+	responseStarted bool     // a part of the response was passed on
+	status          int      // status of the final response; zero if the connection was closed instead
+	outcome         string   // how the request ended, for the log and the metrics
+	received        receivedResponse
 	server          string        // ID of the last server that the request was sent to
 	waited          time.Duration // total time until a server was assigned, over all attempts
 	firstByteAfter  time.Duration // time from arrival to the response's first byte
@@ -298,7 +299,8 @@
 	}
 	level.Info(x.node.log).Log("event", "request", "id", x.params.ID, "route", route, "service", x.service,
 		"model", x.params.Model, "adapter", x.params.Adapter, "outcome", x.outcome, "status", x.status, "reason", x.reason,
-		"server", x.server, "sends", x.sends, "runs", x.runs, "waited_ms", ms(x.waited), "first_ms", ms(x.firstByteAfter),
+		"server", x.server, "sends", x.sends, "runs", x.runs, "framing", x.received.framing, "end", x.received.end,
+		"inside_event", x.received.insideEvent, "waited_ms", ms(x.waited), "first_ms", ms(x.firstByteAfter),
 		"total_ms", ms(bootclock.Now().Sub(x.arrived)), "limit_ms", ms(x.deadline.Sub(x.arrived)))
 	x.recordMetrics()
 	if x.outcome == "aborted" {
--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -36,6 +36,9 @@
 	flusher := http.NewResponseController(x.w)
 	for {
 		event, id, err := readEvent(reader)
+		if err != nil {
+			x.recordEnd(err, len(event) > 0)
+		}
 		if errors.Is(err, io.EOF) {
 			return x.streamEnded(resp, event)
 		}
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -27,18 +27,15 @@
 	violations   metric.Int64Counter
 	running      metric.Int64UpDownCounter
 	orders       metric.Int64Counter
-	labelOptions sync.Map // requestLabels -> metric.MeasurementOption
+	responses    metric.Int64Counter
+	labelOptions sync.Map // labels -> metric.MeasurementOption
 }
 
-// requestLabels are the labels of a request metric. Each has few distinct values,
-// so their options are cached without a limit.
+// requestLabels are the labels of a request metric.
 type requestLabels struct{ kind, rank, outcome, code string }
 
-// labelOption returns the labels as an option, cached after the first use.
-func (m *Metrics) labelOption(l requestLabels) metric.MeasurementOption {
-	if cached, ok := m.labelOptions.Load(l); ok {
-		return cached.(metric.MeasurementOption)
-	}
+// attributes implements labels.
+func (l requestLabels) attributes() []attribute.KeyValue {
 	var attributes []attribute.KeyValue
 	for _, a := range []struct{ key, value string }{
 		{"kind", l.kind}, {"rank", l.rank}, {"outcome", l.outcome}, {"code", l.code},
@@ -47,7 +44,32 @@
 			attributes = append(attributes, attribute.String(a.key, a.value))
 		}
 	}
-	labelOption := metric.WithAttributeSet(attribute.NewSet(attributes...))
+	return attributes
+}
+
+// responseLabels are the labels of the responses of backend servers.
+type responseLabels struct {
+	framing, end string
+	insideEvent  bool
+}
+
+// attributes implements labels.
+func (l responseLabels) attributes() []attribute.KeyValue {
+	return []attribute.KeyValue{
+		attribute.String("framing", l.framing), attribute.String("end", l.end), attribute.Bool("inside_event", l.insideEvent),
+	}
+}
+
+// labels are the labels of a metric. Its types are comparable and have few distinct
+// values, so their options are cached without a limit.
+type labels interface{ attributes() []attribute.KeyValue }
+
+// labelOption returns the labels as an option, cached after the first use.
+func (m *Metrics) labelOption(l labels) metric.MeasurementOption {
+	if cached, ok := m.labelOptions.Load(l); ok {
+		return cached.(metric.MeasurementOption)
+	}
+	labelOption := metric.WithAttributeSet(attribute.NewSet(l.attributes()...))
 	m.labelOptions.Store(l, labelOption)
 	return labelOption
 }
@@ -75,7 +97,7 @@
 // addInstruments registers all instruments and returns the first error.
 func (m *Metrics) addInstruments() error {
 	meter := m.provider.Meter("redwingnotch")
-	var errs [7]error
+	var errs [8]error
 	m.requests, errs[0] = meter.Int64Counter("redwingnotch_requests", metric.WithDescription("Requests by kind, rank, outcome and code."))
 	m.duration, errs[1] = meter.Float64Histogram("redwingnotch_request_duration", metric.WithUnit("s"),
 		metric.WithDescription("Time from arrival to the end of the answer."), metric.WithExplicitBucketBoundaries(latencyBounds...))
@@ -85,6 +107,8 @@
 	m.violations, errs[4] = meter.Int64Counter("redwingnotch_invariant_violations", metric.WithDescription("Broken invariants by name."))
 	m.running, errs[5] = meter.Int64UpDownCounter("redwingnotch_running_requests", metric.WithDescription("Requests in progress at this node."))
 	m.orders, errs[6] = meter.Int64Counter("redwingnotch_orders", metric.WithDescription("Orders to backend servers by kind and result."))
+	m.responses, errs[7] = meter.Int64Counter("redwingnotch_server_responses",
+		metric.WithDescription("Responses of backend servers by framing, how the body ended, and whether that was inside an event of a stream."))
 	for _, err := range errs {
 		if err != nil {
 			return err
@@ -126,5 +150,11 @@
 	m.orders.Add(context.Background(), 1, metric.WithAttributes(attribute.String("kind", kind), attribute.String("result", result)))
 }
 
+// ResponseEnded counts a backend server's response by its framing and by how its
+// body ended.
+func (m *Metrics) ResponseEnded(framing, end string, insideEvent bool) {
+	m.responses.Add(context.Background(), 1, m.labelOption(responseLabels{framing, end, insideEvent}))
+}
+
 // Shutdown flushes the metrics and stops their provider.
 func (m *Metrics) Shutdown(ctx context.Context) error { return m.provider.Shutdown(ctx) }
