Failing tests of streams and responses that are passed on as complete though they were broken off

Three neighbours fail as well: a stream without any event, a resumed stream that gets another kind of response, a reset that the write of the request's body took.

--- a/internal/front/framing_test.go
+++ b/internal/front/framing_test.go
@@ -1,6 +1,7 @@
 package front_test
 
 import (
+	"fmt"
 	"net/http"
 	"strings"
 	"testing"
@@ -29,6 +30,89 @@
 	return r
 }
 
+// insideEvents are the beginnings of an event that is not complete.
+var insideEvents = []string{"i", "id: 4", "id: 4\n", "id: 4\ndata: pie", "id: 4\ndata: piece 4\n"}
+
+// TestStreamEndingInsideEventIsNotComplete guards against incident
+// order-1dbd3e70-e5c0df3e: a server breaks its stream off inside an event, and the node
+// takes the end of the connection for the end of the stream, so that the caller gets a
+// part of an event and a last chunk.
+func TestStreamEndingInsideEventIsNotComplete(t *testing.T) {
+	for _, framing := range rawhttp.Framings() {
+		for _, rest := range insideEvents {
+			t.Run(fmt.Sprintf("%s, rest %q", framing, rest), func(t *testing.T) {
+				c := newCluster(t)
+				b := c.backendServer("s1", "llm", send(eventStream(framing, 1, 3, rest)))
+				n := c.node("127.0.0.1", 0)
+				got := c.call(n, http.MethodPost, "/chat/x", "r1", platform.HeaderModel, "m")
+				assert.Equal(t, got.body, eventText(1, 3))
+				assert.Assert(t, got.truncated)
+				assert.Equal(t, b.count(), 1)
+			})
+		}
+	}
+}
+
+// TestStreamEndingInsideEventIsResumed guards against the same fault on a route whose
+// streams may be resumed: the caller must get the rest from another server.
+func TestStreamEndingInsideEventIsResumed(t *testing.T) {
+	for _, framing := range rawhttp.Framings() {
+		t.Run(string(framing), func(t *testing.T) {
+			c := newCluster(t)
+			serve := func(rw http.ResponseWriter, r *http.Request) {
+				if r.Header.Get(platform.HeaderLastEventID) == "3" {
+					send(eventStream(framing, 4, 6, ""))(rw, r)
+					return
+				}
+				send(eventStream(framing, 1, 3, "id: 4\nda"))(rw, r)
+			}
+			c.backendServer("s1", "llm", serve)
+			c.backendServer("s2", "llm", serve)
+			n := c.node("127.0.0.1", 0)
+			got := c.call(n, http.MethodPost, "/proof/x", "r1", platform.HeaderModel, "m")
+			assert.Equal(t, got.body, eventText(1, 6))
+			assert.Assert(t, !got.truncated)
+		})
+	}
+}
+
+// TestUnframedStreamWithoutEventIsNotComplete guards against an empty response that is
+// passed on as complete: a server sends the head of a stream without length and chunks
+// and breaks off before the first event.
+func TestUnframedStreamWithoutEventIsNotComplete(t *testing.T) {
+	c := newCluster(t)
+	c.backendServer("s1", "llm", send(eventStream(httpsend.FramingClose, 1, 0, "")))
+	n := c.node("127.0.0.1", 0)
+	assert.Equal(t, c.call(n, http.MethodPost, "/chat/x", "r1", platform.HeaderModel, "m").status, http.StatusBadGateway)
+}
+
+// TestResumedStreamTakesNoOtherResponse guards against a broken stream that ends as
+// complete with a body that is not part of it: the server at which it is resumed sends
+// an error or another kind of response.
+func TestResumedStreamTakesNoOtherResponse(t *testing.T) {
+	for _, status := range []int{http.StatusOK, http.StatusNoContent, http.StatusBadRequest, http.StatusInternalServerError} {
+		t.Run(fmt.Sprint(status), func(t *testing.T) {
+			c := newCluster(t)
+			serve := func(rw http.ResponseWriter, r *http.Request) {
+				if r.Header.Get(platform.HeaderLastEventID) == "" {
+					writeEvents(rw, 1, 3, true)
+					return
+				}
+				rw.WriteHeader(status)
+				if status != http.StatusNoContent {
+					fmt.Fprint(rw, "no event")
+				}
+			}
+			c.backendServer("s1", "llm", serve)
+			c.backendServer("s2", "llm", serve)
+			n := c.node("127.0.0.1", 0)
+			got := c.call(n, http.MethodPost, "/proof/x", "r1", platform.HeaderModel, "m")
+			assert.Equal(t, got.body, eventText(1, 3))
+			assert.Assert(t, got.truncated)
+		})
+	}
+}
+
 // TestLogTellsHowResponseEnded checks that a broken response can be told from a whole
 // one by the log, whatever the caller got.
 func TestLogTellsHowResponseEnded(t *testing.T) {
--- a/internal/httpsend/framing_test.go
+++ b/internal/httpsend/framing_test.go
@@ -1,9 +1,13 @@
 package httpsend_test
 
 import (
+	"bytes"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -53,3 +57,36 @@
 	assert.NilError(t, err)
 	return req
 }
+
+// TestResetSeenByWriterIsNotEndOfResponse guards against a reset that is taken for the
+// end of an unframed response: the kernel reports a reset once, to the write of the
+// request's body, and the read of the response then ends without an error.
+func TestResetSeenByWriterIsNotEndOfResponse(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer l.Close()
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			// The client notices whatever fails here.
+			_, _ = io.ReadFull(conn, make([]byte, 1))
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\nhalf")
+			_ = conn.(*net.TCPConn).SetLinger(0)
+			_ = conn.Close()
+		}
+	}()
+	client := httpsend.NewClient(httpsend.Options{})
+	for range 500 {
+		req, err := http.NewRequest(http.MethodPost, "http://"+l.Addr().String(), bytes.NewReader([]byte(strings.Repeat("x", 4<<20))))
+		assert.NilError(t, err)
+		resp, err := httpsend.Do(client, req)
+		if err != nil {
+			continue // the reset came before the head was read
+		}
+		body, err := httpsend.ReadBody(resp.Body, 100)
+		assert.Assert(t, err != nil, "%q counts as the whole body", body)
+	}
+}
