front: a stream that ends inside an event has been broken off

Cause: exchange.stream took each io.EOF for the proper end of the stream. Of a response without length and chunks, net/http reports io.EOF when the server closes the connection, wherever that is. The node passed on the incomplete event and sent the last chunk; a stream that may be resumed was not.

Also a length that is reached and a last chunk inside an event count as broken now: the event shows that the server did not finish.

The end of lines may be LF, CR or both (WHATWG): a stream with CR alone would otherwise have no events, and so count as broken as a whole. Whole comment lines at the end are no event.

--- /dev/null
+++ b/internal/front/events.go
@@ -0,0 +1,94 @@
+package front
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+)
+
+// maxEventBytes limits the size of one event of a stream.
+const maxEventBytes = 1 << 20
+
+// errEventSize means that an event is larger than maxEventBytes.
+var errEventSize = errors.New("event too large")
+
+// eventReader reads the server-sent events of a stream. Lines end with LF, CR or CR LF.
+type eventReader struct {
+	r       *bufio.Reader
+	afterCR bool // the last line ended with CR, so a LF that follows is a part of its end
+}
+
+// next reads one event, including the empty line that ends it, and returns it with
+// its ID. If the stream ends or fails, it returns what followed the last event and
+// the error, io.EOF at the end.
+func (e *eventReader) next() (event []byte, id string, err error) {
+	for {
+		start := len(event)
+		if event, err = e.appendLine(event); err != nil {
+			return event, "", err
+		}
+		line := bytes.Trim(event[start:], "\r\n")
+		if len(line) == 0 {
+			return event, id, nil
+		}
+		if value, found := bytes.CutPrefix(line, []byte("id:")); found {
+			id = string(bytes.TrimPrefix(value, []byte(" ")))
+		}
+	}
+}
+
+// appendLine appends the next line to the event read so far. It fails with
+// errEventSize as soon as the event exceeds maxEventBytes, also within the line.
+func (e *eventReader) appendLine(event []byte) ([]byte, error) {
+	for {
+		if _, err := e.r.Peek(1); err != nil {
+			return event, err
+		}
+		buffered, _ := e.r.Peek(e.r.Buffered()) // what is buffered can be peeked at
+		part, ended := e.cutLine(buffered)
+		event = append(event, part...)
+		_, _ = e.r.Discard(len(part)) // what is buffered can be discarded
+		if len(event) > maxEventBytes {
+			return nil, errEventSize
+		}
+		if ended {
+			return event, nil
+		}
+	}
+}
+
+// cutLine returns the part of text up to the end of the current line, and whether
+// text holds that end.
+func (e *eventReader) cutLine(text []byte) (part []byte, ended bool) {
+	from := 0
+	if e.afterCR && text[0] == '\n' {
+		from = 1
+	}
+	e.afterCR = false
+	length := bytes.IndexAny(text[from:], "\r\n")
+	if length < 0 {
+		return text, false
+	}
+	end := from + length + 1
+	if text[end-1] == '\r' {
+		if end < len(text) && text[end] == '\n' {
+			return text[:end+1], true
+		}
+		e.afterCR = true
+	}
+	return text[:end], true
+}
+
+// insideEvent reports whether a stream that ended with rest behind its last event
+// ended inside an event. Whole comment lines are no event.
+func insideEvent(rest []byte) bool {
+	rest = bytes.TrimLeft(rest, "\r\n")
+	for len(rest) > 0 {
+		end := bytes.IndexAny(rest, "\r\n")
+		if end < 0 || rest[0] != ':' {
+			return true
+		}
+		rest = bytes.TrimLeft(rest[end:], "\r\n")
+	}
+	return false
+}
--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -16,7 +15,6 @@
 
 // Limits of streams.
 const (
-	maxEventBytes = 1 << 20                 // limit of one event
 	gapFactor     = 4                       // multiple of the route's MaxGap after which a resumable stream is resumed at another server
 	minGapTimeout = 1500 * time.Millisecond // lower limit of the pause after which a stream is resumed
 )
@@ -32,18 +30,12 @@
 		gap = time.AfterFunc(x.gapTimeout(), func() { cancel(errGapTimeout) })
 		defer gap.Stop()
 	}
-	reader := bufio.NewReader(resp.Body)
+	reader := &eventReader{r: bufio.NewReader(resp.Body)}
 	flusher := http.NewResponseController(x.w)
 	for {
-		event, id, err := readEvent(reader)
+		event, id, err := reader.next()
 		if err != nil {
-			x.recordEnd(err, len(event) > 0)
-		}
-		if errors.Is(err, io.EOF) {
-			return x.streamEnded(resp, event)
-		}
-		if err != nil {
-			return x.streamFailed(server, err)
+			return x.streamEnded(server, resp, event, err)
 		}
 		if gap != nil {
 			gap.Reset(x.gapTimeout())
@@ -72,9 +64,21 @@
 // another server.
 func (x *exchange) gapTimeout() time.Duration { return max(minGapTimeout, gapFactor*x.route.MaxGap) }
 
-// streamEnded handles the proper end of a stream. rest is what followed the last
-// complete event.
-func (x *exchange) streamEnded(resp *http.Response, rest []byte) attemptResult {
+// errInsideEvent means that a stream ended inside an event. It was broken off, even
+// if its framing was completed.
+var errInsideEvent = errors.New("stream ended inside an event")
+
+// streamEnded handles the end of a stream. rest is what followed the last complete
+// event, err the error of the last read.
+func (x *exchange) streamEnded(server replicas.Entry, resp *http.Response, rest []byte, err error) attemptResult {
+	inside := insideEvent(rest)
+	x.recordEnd(err, inside)
+	switch {
+	case !errors.Is(err, io.EOF):
+		return x.streamFailed(server, err)
+	case inside:
+		return x.streamFailed(server, errInsideEvent)
+	}
 	if !x.responseStarted {
 		platform.CopyResponseHeaders(x.w.Header(), resp.Header)
 		x.closeIfStopping()
@@ -101,40 +105,3 @@
 	}
 	return x.attemptFailed(server, "stream_cut", err)
 }
-
-// errEventSize means that an event is larger than maxEventBytes.
-var errEventSize = errors.New("event too large")
-
-// readEvent reads one event, including the empty line that ends it, and returns
-// it with its ID. At the end of the stream it returns io.EOF and what followed
-// the last event.
-func readEvent(r *bufio.Reader) (event []byte, id string, err error) {
-	for {
-		start := len(event)
-		if event, err = appendLine(event, r); err != nil {
-			return event, "", err
-		}
-		line := bytes.TrimRight(event[start:], "\r\n")
-		if len(line) == 0 {
-			return event, id, nil
-		}
-		if value, found := bytes.CutPrefix(line, []byte("id:")); found {
-			id = string(bytes.TrimPrefix(value, []byte(" ")))
-		}
-	}
-}
-
-// appendLine appends the next line to the event read so far. It fails with
-// errEventSize as soon as the event exceeds maxEventBytes, also within the line.
-func appendLine(event []byte, r *bufio.Reader) ([]byte, error) {
-	for {
-		part, err := r.ReadSlice('\n')
-		event = append(event, part...)
-		if len(event) > maxEventBytes {
-			return nil, errEventSize
-		}
-		if !errors.Is(err, bufio.ErrBufferFull) {
-			return event, err
-		}
-	}
-}
