front: a resumed stream takes no other kind of response

A stream that broke after its first event is sent to a second server. If that server responded with an error, or with a body that is no event stream, the node put this body behind the events passed on and ended the response as complete: the caller got a broken stream, framed as complete, with foreign bytes in it.

After the first event only an event stream with status 200 continues the response. Others fail the attempt (reason no_stream). TestResumedStreamTakesNoOtherResponse failed on the code before with 200, 204, 400 and 500.

--- a/internal/front/attempt.go
+++ b/internal/front/attempt.go
@@ -88,7 +88,11 @@
 	if resp.StatusCode < http.StatusMultipleChoices && (resp.Header.Get(platform.HeaderStamp) == "" || resp.Header.Get("Content-Encoding") != "") {
 		return x.badResponse(server, "answer_without_stamp", nil)
 	}
-	if strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream") && resp.StatusCode == http.StatusOK {
+	isStream := resp.StatusCode == http.StatusOK && strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream")
+	if x.responseStarted && !isStream {
+		return x.badResponse(server, "no_stream", nil)
+	}
+	if isStream {
 		timeout.Stop()
 		slow.Stop()
 		return x.stream(ctx, cancel, server, resp, sent)
