front: a response without framing is passed on without framing

Callers got a length or a last chunk, made up by the node, for each response that the server had ended with its connection: streams and plain responses, empty ones and errors too.

A response that ends with the server's connection now ends with the caller's connection, Connection: close. While it is under way SO_LINGER is 0, so that an aborted response, and the end of this process, reset the connection instead of ending it in order: what the last chunk did so far. A stream without any event fails the attempt. A stream that began in chunks and was resumed at a server without framing ends without a last chunk, since that would claim what nobody knows.

--- a/internal/front/attempt.go
+++ b/internal/front/attempt.go
@@ -7,7 +7,6 @@
 	"io"
 	"net/http"
 	"net/url"
-	"strconv"
 	"strings"
 	"time"
 
@@ -299,33 +298,15 @@
 	} else {
 		x.node.observe(server, replicas.Answered, bootclock.Now().Sub(sent))
 	}
-	platform.CopyResponseHeaders(x.w.Header(), resp.Header)
-	x.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
-	x.closeIfStopping()
-	x.writeStatus(resp.StatusCode)
+	if !x.startResponse(resp, int64(len(body))) {
+		return attemptDone
+	}
 	if _, err := x.w.Write(body); err != nil {
-		x.reason = "caller_left"
+		x.abort("caller_left")
 	}
 	return attemptDone
 }
 
-// closeIfStopping asks the caller to close its connection if this node is
-// stopping.
-func (x *exchange) closeIfStopping() {
-	if x.node.stopping.Load() {
-		x.w.Header().Set("Connection", "close")
-	}
-}
-
-// writeStatus sends the caller a server's response status and the headers set
-// before.
-func (x *exchange) writeStatus(status int) {
-	x.status, x.outcome = status, "answered"
-	x.firstByteAfter = bootclock.Now().Sub(x.arrived)
-	x.responseStarted = true
-	x.w.WriteHeader(status)
-}
-
 // attemptEnded records the end of an attempt at the server, which may free a slot
 // for a waiting request.
 func (n *Node) attemptEnded(server replicas.Entry) {
--- a/internal/front/framing_test.go
+++ b/internal/front/framing_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -86,6 +87,75 @@
 	assert.Equal(t, c.call(n, http.MethodPost, "/chat/x", "r1", platform.HeaderModel, "m").status, http.StatusBadGateway)
 }
 
+// TestUnframedResponseStaysUnframed guards against a length or a last chunk made up by
+// the node: only the end of the server's connection ended the response, and that may
+// have been the end of the server.
+func TestUnframedResponseStaysUnframed(t *testing.T) {
+	plain := rawhttp.Response{Framing: httpsend.FramingClose, Cut: rawhttp.All, End: rawhttp.Close}
+	body, failure := plain, plain
+	body.Parts, failure.Parts, failure.Status = []string{"some bytes"}, []string{"why"}, http.StatusInternalServerError
+	for _, tc := range []struct {
+		name, service, path, want string
+		status                    int
+		response                  rawhttp.Response
+	}{
+		{"body", "plain", "/unsafe/x", "some bytes", http.StatusOK, body},
+		{"empty body", "plain", "/unsafe/x", "", http.StatusOK, plain},
+		{"error", "plain", "/unsafe/x", "why", http.StatusInternalServerError, failure},
+		{"stream", "llm", "/chat/x", eventText(1, 3), http.StatusOK, eventStream(httpsend.FramingClose, 1, 3, "")},
+		{"resumable stream", "llm", "/proof/x", eventText(1, 3), http.StatusOK, eventStream(httpsend.FramingClose, 1, 3, "")},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			c := newCluster(t)
+			c.backendServer("s1", tc.service, send(tc.response))
+			n := c.node("127.0.0.1", 0)
+			got := c.call(n, http.MethodPost, tc.path, "r1", platform.HeaderModel, map[string]string{"llm": "m"}[tc.service])
+			assert.Equal(t, got.status, tc.status)
+			assert.Equal(t, got.body, tc.want)
+			assert.Equal(t, got.framing, httpsend.FramingClose)
+			assert.Assert(t, !got.truncated)
+		})
+	}
+}
+
+// TestResumedUnframedStreamEndsNoChunkedResponse guards against a last chunk that claims
+// a complete stream: the first server sent chunks, the second ended the stream with its
+// connection.
+func TestResumedUnframedStreamEndsNoChunkedResponse(t *testing.T) {
+	c := newCluster(t)
+	serve := func(rw http.ResponseWriter, r *http.Request) {
+		if r.Header.Get(platform.HeaderLastEventID) == "" {
+			writeEvents(rw, 1, 3, true)
+			return
+		}
+		send(eventStream(httpsend.FramingClose, 4, 6, ""))(rw, r)
+	}
+	c.backendServer("s1", "llm", serve)
+	c.backendServer("s2", "llm", serve)
+	n := c.node("127.0.0.1", 0)
+	got := c.call(n, http.MethodPost, "/proof/x", "r1", platform.HeaderModel, "m")
+	assert.Equal(t, got.body, eventText(1, 6))
+	assert.Assert(t, got.truncated)
+}
+
+// TestExitDuringUnframedResponseResetsCaller guards against the end of this process
+// looking like the end of a response that ends with its connection.
+func TestExitDuringUnframedResponseResetsCaller(t *testing.T) {
+	c := newCluster(t)
+	c.gracePeriod = time.Second
+	open := eventStream(httpsend.FramingClose, 1, 3, "")
+	open.End = rawhttp.Open
+	c.backendServer("s1", "llm", send(open))
+	n := c.node("127.0.0.1", 0)
+	got := make(chan response)
+	go func() {
+		got <- c.call(n, http.MethodPost, "/chat/x", "r1", platform.HeaderModel, "m", platform.HeaderDeadline, "60000")
+	}()
+	c.eventually(func() bool { return c.backends["s1"].count() == 1 })
+	n.stop()
+	assert.Assert(t, (<-got).truncated)
+}
+
 // TestResumedStreamTakesNoOtherResponse guards against a broken stream that ends as
 // complete with a body that is not part of it: the server at which it is resumed sends
 // an error or another kind of response.
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -185,6 +185,7 @@
 			ReadHeaderTimeout: headerTimeout,
 			IdleTimeout:       idleTimeout,
 			MaxHeaderBytes:    maxHeaderBytes,
+			ConnContext:       withCallerConn,
 			ErrorLog:          nil,
 		}
 		servers = append(servers, s)
--- a/internal/front/harness_test.go
+++ b/internal/front/harness_test.go
@@ -21,6 +21,7 @@
 	"gotest.tools/v3/poll"
 
 	"github.com/redwingnotch/redwingnotch/internal/front"
+	"github.com/redwingnotch/redwingnotch/internal/httpsend"
 	"github.com/redwingnotch/redwingnotch/internal/telemetry"
 	"github.com/redwingnotch/redwingnotch/platform"
 	"github.com/redwingnotch/redwingnotch/standin/objectapi"
@@ -72,7 +73,8 @@
 	logs     *bytes.Buffer
 	logsMu   sync.Mutex
 
-	metricsAddr string // metrics address of nodes started from now on
+	metricsAddr string        // metrics address of nodes started from now on
+	gracePeriod time.Duration // grace period of nodes started from now on
 }
 
 // Write implements io.Writer for the nodes' logs.
@@ -110,7 +112,7 @@
 func newCluster(t *testing.T) *cluster {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	c := &cluster{t: t, store: objectapi.New(), address: l.Addr().String(), backends: map[string]*backendServer{}, nodes: map[string]*node{}, logs: &bytes.Buffer{}}
+	c := &cluster{t: t, store: objectapi.New(), address: l.Addr().String(), backends: map[string]*backendServer{}, nodes: map[string]*node{}, logs: &bytes.Buffer{}, gracePeriod: 8 * time.Second}
 	assert.NilError(t, c.store.Serve(l))
 	t.Cleanup(func() {
 		for _, n := range c.nodes {
@@ -206,7 +208,7 @@
 	n := &node{done: make(chan error, 1), settings: platform.Settings{
 		Node: "node-" + ip, IP: ip, Zone: "z1", Region: "r", Zones: []string{"z1"}, CallerListen: at(), ControlListen: at(), ReadyListen: at(), ResolveListen: at(),
 		PeerPort: peerPort, Seeds: []string{"127.0.0.2:1"}, FirstStart: true, StoreAddress: c.address,
-		Bounds: platform.Bounds{GracePeriod: 8 * time.Second, RetryBudgetRatio: 0.2, RetryBudgetSlack: 58, OrderLease: 3 * time.Second, MaxTTL: 5 * time.Second},
+		Bounds: platform.Bounds{GracePeriod: c.gracePeriod, RetryBudgetRatio: 0.2, RetryBudgetSlack: 58, OrderLease: 3 * time.Second, MaxTTL: 5 * time.Second},
 	}}
 	ctx, stop := context.WithCancel(context.Background())
 	n.stop = stop
@@ -252,6 +254,7 @@
 	status    int
 	body      string
 	header    http.Header
+	framing   httpsend.Framing
 	truncated bool // the body ended early
 	err       error
 }
@@ -280,5 +283,5 @@
 	}
 	defer resp.Body.Close()
 	data, err := io.ReadAll(resp.Body)
-	return response{status: resp.StatusCode, body: string(data), header: resp.Header, truncated: err != nil}
+	return response{status: resp.StatusCode, body: string(data), header: resp.Header, framing: httpsend.FramingOf(resp), truncated: err != nil}
 }
--- a/internal/front/serve.go
+++ b/internal/front/serve.go
@@ -48,6 +48,7 @@
 	excluded        []string // servers at which an attempt failed
 	lastEventID     string   // ID of the last stream event passed on that had one
 	responseStarted bool     // a part of the response was passed on
+	framedByClose   bool     // the response ends with the caller\'s connection
 	status          int      // status of the final response; zero if the connection was closed instead
 	outcome         string   // how the request ended, for the log and the metrics
 	received        receivedResponse
@@ -69,6 +70,7 @@
 	defer x.log()
 	if x.admit() {
 		x.run()
+		x.finishResponse()
 	}
 }
 
--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"github.com/redwingnotch/redwingnotch/internal/bootclock"
-	"github.com/redwingnotch/redwingnotch/platform"
+	"github.com/redwingnotch/redwingnotch/internal/httpsend"
 	"github.com/redwingnotch/redwingnotch/replicas"
 )
 
@@ -17,6 +17,7 @@
 const (
 	gapFactor     = 4                       // multiple of the route's MaxGap after which a resumable stream is resumed at another server
 	minGapTimeout = 1500 * time.Millisecond // lower limit of the pause after which a stream is resumed
+	unknownLength = -1                      // length of a stream
 )
 
 // errGapTimeout is the cancellation cause of streams that paused for too long.
@@ -32,19 +33,19 @@
 	}
 	reader := &eventReader{r: bufio.NewReader(resp.Body)}
 	flusher := http.NewResponseController(x.w)
-	for {
+	for events := 0; ; events++ {
 		event, id, err := reader.next()
 		if err != nil {
-			return x.streamEnded(server, resp, event, err)
+			return x.streamEnded(server, resp, streamEnd{events: events, rest: event, err: err})
 		}
 		if gap != nil {
 			gap.Reset(x.gapTimeout())
 		}
 		if !x.responseStarted {
 			x.node.observe(server, replicas.Answered, bootclock.Now().Sub(sent))
-			platform.CopyResponseHeaders(x.w.Header(), resp.Header)
-			x.closeIfStopping()
-			x.writeStatus(resp.StatusCode)
+			if !x.startResponse(resp, unknownLength) {
+				return attemptDone
+			}
 		}
 		if _, err := x.w.Write(event); err != nil {
 			x.abort("caller_left")
@@ -68,24 +69,36 @@
 // if its framing was completed.
 var errInsideEvent = errors.New("stream ended inside an event")
 
-// streamEnded handles the end of a stream. rest is what followed the last complete
-// event, err the error of the last read.
-func (x *exchange) streamEnded(server replicas.Entry, resp *http.Response, rest []byte, err error) attemptResult {
-	inside := insideEvent(rest)
-	x.recordEnd(err, inside)
+// errUnframedEnd means that the connection of a stream without length and chunks was
+// closed where that does not show that the stream is complete.
+var errUnframedEnd = errors.New("stream without framing may be incomplete")
+
+// streamEnd says how a server's stream ended.
+type streamEnd struct {
+	events int    // complete events received from this server
+	rest   []byte // what followed the last complete event
+	err    error  // error of the last read
+}
+
+// streamEnded handles the end of a stream.
+func (x *exchange) streamEnded(server replicas.Entry, resp *http.Response, end streamEnd) attemptResult {
+	inside := insideEvent(end.rest)
+	x.recordEnd(end.err, inside)
 	switch {
-	case !errors.Is(err, io.EOF):
-		return x.streamFailed(server, err)
+	case !errors.Is(end.err, io.EOF):
+		return x.streamFailed(server, end.err)
 	case inside:
 		return x.streamFailed(server, errInsideEvent)
+	case x.received.framing == httpsend.FramingClose && (end.events == 0 || !x.framedByClose):
+		// Without an event the server may have failed at once. After a resumption, the
+		// caller's framing can't be changed any more, and would claim a complete stream.
+		return x.streamFailed(server, errUnframedEnd)
 	}
-	if !x.responseStarted {
-		platform.CopyResponseHeaders(x.w.Header(), resp.Header)
-		x.closeIfStopping()
-		x.writeStatus(resp.StatusCode)
+	if !x.responseStarted && !x.startResponse(resp, unknownLength) {
+		return attemptDone
 	}
-	if len(rest) > 0 {
-		if _, err := x.w.Write(rest); err != nil {
+	if len(end.rest) > 0 {
+		if _, err := x.w.Write(end.rest); err != nil {
 			x.abort("caller_left")
 		}
 	}
