front: a broken stream resets the connection of a caller of HTTP/1.0

Such a caller knows no chunks: net/http ends its responses with the connection, and the node closed an aborted one in order, as it does a complete one.

The stream is framed as one of a server without framing.

--- a/internal/front/framing_test.go
+++ b/internal/front/framing_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -156,6 +158,27 @@
 	assert.Assert(t, (<-got).truncated)
 }
 
+// TestBrokenStreamToHTTP10CallerIsReset guards against a broken stream that looks
+// complete to a caller of HTTP/1.0: it knows no chunks, so the end of the connection is
+// the end of the response.
+func TestBrokenStreamToHTTP10CallerIsReset(t *testing.T) {
+	for _, broken := range []bool{false, true} {
+		t.Run(fmt.Sprint("broken=", broken), func(t *testing.T) {
+			c := newCluster(t)
+			c.backendServer("s1", "llm", func(rw http.ResponseWriter, _ *http.Request) { writeEvents(rw, 1, 3, broken) })
+			n := c.node("127.0.0.1", 0)
+			conn, err := net.Dial("tcp", n.settings.CallerListen)
+			assert.NilError(t, err)
+			defer conn.Close()
+			_, err = fmt.Fprintf(conn, "POST /chat/x HTTP/1.0\r\nHost: %s\r\n%s: r1\r\n%s: m\r\nContent-Length: 0\r\n\r\n", callerHost, platform.HeaderRequestID, platform.HeaderModel)
+			assert.NilError(t, err)
+			got, err := io.ReadAll(conn)
+			assert.Assert(t, strings.HasSuffix(string(got), eventText(1, 3)), string(got))
+			assert.Equal(t, err != nil, broken, "%v", err)
+		})
+	}
+}
+
 // TestResumedStreamTakesNoOtherResponse guards against a broken stream that ends as
 // complete with a body that is not part of it: the server at which it is resumed sends
 // an error or another kind of response.
--- a/internal/front/response.go
+++ b/internal/front/response.go
@@ -16,12 +16,13 @@
 // the caller has left. length is that of the body, negative if unknown.
 //
 // The caller gets no framing that claims more than the server's did: a response of the
-// server that ends with its connection ends with the caller's connection, too.
+// server that ends with its connection ends with the caller's connection, too. So does a
+// stream to a caller that knows no chunks.
 func (x *exchange) startResponse(resp *http.Response, length int64) bool {
 	header := x.w.Header()
 	platform.CopyResponseHeaders(header, resp.Header)
 	switch {
-	case x.received.framing == httpsend.FramingClose:
+	case x.received.framing == httpsend.FramingClose, length < 0 && !x.r.ProtoAtLeast(1, 1):
 		if err := x.frameByClose(); err != nil {
 			x.abort("caller_left")
 			return false
