--- a/internal/front/attempt.go
+++ b/internal/front/attempt.go
@@ -298,7 +298,11 @@
 	} else {
 		x.node.observe(server, replicas.Answered, bootclock.Now().Sub(sent))
 	}
-	if !x.startResponse(resp, int64(len(body))) {
+	length := int64(len(body))
+	if x.r.Method == http.MethodHead {
+		length = resp.ContentLength
+	}
+	if !x.startResponse(resp, length) {
 		return attemptDone
 	}
 	if _, err := x.w.Write(body); err != nil {
--- a/internal/front/framing_test.go
+++ b/internal/front/framing_test.go
@@ -179,6 +179,15 @@
 	}
 }
 
+// TestLengthOfHeadResponseIsPassedOn guards against a length of zero made up for the
+// response to a HEAD request, which has no body but tells the length.
+func TestLengthOfHeadResponseIsPassedOn(t *testing.T) {
+	c := newCluster(t)
+	c.backendServer("s1", "plain", func(rw http.ResponseWriter, _ *http.Request) { rw.Header().Set("Content-Length", "1234") })
+	n := c.node("127.0.0.1", 0)
+	assert.Equal(t, c.call(n, http.MethodHead, "/safe/x", "r1").header.Get("Content-Length"), "1234")
+}
+
 // TestResumedStreamTakesNoOtherResponse guards against a broken stream that ends as
 // complete with a body that is not part of it: the server at which it is resumed sends
 // an error or another kind of response.
