httpsend: a reset that a write was told of is not the end of a response

The kernel reports a reset once.

conn remembers that a write found the connection reset, and a read that ends while a write is in progress waits for its result, which a write deadline brings at once.

--- a/internal/httpsend/httpsend_test.go
+++ b/internal/httpsend/httpsend_test.go
@@ -242,7 +242,7 @@
 func TestBlockedConnectionRejectsWrites(t *testing.T) {
 	near, far := net.Pipe()
 	defer far.Close()
-	c := &conn{Conn: near}
+	c := newConn(near)
 	call := &call{connUses: []connUse{{conn: c, writesBefore: c.writes()}}}
 	sent, _ := call.mayHaveSent()
 	assert.Assert(t, !sent)
--- a/internal/httpsend/track.go
+++ b/internal/httpsend/track.go
@@ -3,9 +3,12 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"io"
 	"net"
 	"net/http/httptrace"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -15,12 +18,23 @@
 // errWritesBlocked is returned by writes to a connection after blockWrites.
 var errWritesBlocked = errors.New("connection is closed for writing")
 
-// conn counts the writes of a connection that sent or may send bytes.
+// conn counts the writes of a connection that sent or may send bytes, and tells an
+// orderly end of what it reads from a reset.
 type conn struct {
 	net.Conn
 	mu            sync.Mutex
 	writeCount    uint64
 	writesBlocked bool
+	reset         bool      // a write found the connection reset
+	writing       int       // writes in progress
+	written       sync.Cond // signals the end of a write
+}
+
+// newConn returns a conn without writes.
+func newConn(inner net.Conn) *conn {
+	c := &conn{Conn: inner}
+	c.written.L = &c.mu
+	return c
 }
 
 // Write implements net.Conn. It counts the write before making it and reverts
@@ -32,12 +46,40 @@
 		return 0, errWritesBlocked
 	}
 	c.writeCount++
+	c.writing++
 	c.mu.Unlock()
 	n, err := c.Conn.Write(p)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.writing--
 	if n == 0 && err != nil {
-		c.mu.Lock()
 		c.writeCount--
-		c.mu.Unlock()
+	}
+	c.reset = c.reset || errors.Is(err, syscall.ECONNRESET)
+	c.written.Broadcast()
+	return n, err
+}
+
+// errResetSeenByWrite means that a connection was reset, of which only a write was told.
+var errResetSeenByWrite = fmt.Errorf("connection ended during a write: %w", syscall.ECONNRESET)
+
+// Read implements net.Conn. The kernel reports a reset only once. If a write got it, a
+// read returns io.EOF, which would be the proper end of a response with FramingClose.
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if !errors.Is(err, io.EOF) {
+		return n, err
+	}
+	// A write in progress may have got it, too. The peer has sent all that it will, so
+	// the rest of the request is of no use.
+	_ = c.Conn.SetWriteDeadline(time.Unix(1, 0)) // fails only on a closed connection, on which writes end
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for c.writing > 0 {
+		c.written.Wait()
+	}
+	if c.reset {
+		return n, errResetSeenByWrite
 	}
 	return n, err
 }
@@ -64,7 +106,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return &conn{Conn: inner}, nil
+		return newConn(inner), nil
 	}
 }
 
