--- a/standin/fault/conn.go
+++ b/standin/fault/conn.go
@@ -117,3 +117,11 @@
 	}
 	return c.Conn.Close()
 }
+
+// reset makes the connection end with a reset when it is closed. Connections that are
+// not TCP close in order.
+func (c *conn) reset() {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // fails if the connection is closed
+	}
+}
--- a/standin/fault/fault.go
+++ b/standin/fault/fault.go
@@ -17,6 +17,9 @@
 	outage            bool
 	failuresLeft      int
 	lostResponsesLeft int
+	unframed          bool
+	cutsLeft          int
+	cut               Cut
 	conns             map[*conn]struct{}
 }
 
@@ -48,20 +51,37 @@
 	i.lostResponsesLeft = n
 }
 
+// SetUnframed sets whether responses have neither a length nor chunks and end with
+// their connection.
+func (i *Injector) SetUnframed(on bool) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.unframed = on
+}
+
+// CutResponses cuts the next n responses.
+func (i *Injector) CutResponses(n int, cut Cut) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.cutsLeft, i.cut = n, cut
+}
+
 // Decision lists the faults to inject into one request.
 type Decision struct {
 	Delay        time.Duration // delay before the request is handled
 	Outage       bool          // refuse the request: the stand-in is down
 	Fail         bool          // refuse this request only
 	DropResponse bool          // handle the request, then drop the response
+	Unframed     bool          // send the response without length and chunks
+	Cut          *Cut          // cut the response; nil sends all of it
 }
 
 // Decide returns the faults of the next request and counts the request against
-// FailNext or, if it is a write, against DropResponses.
+// FailNext, CutResponses or, if it is a write, against DropResponses.
 func (i *Injector) Decide(write bool) Decision {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	decision := Decision{Delay: i.delay, Outage: i.outage}
+	decision := Decision{Delay: i.delay, Outage: i.outage, Unframed: i.unframed}
 	if decision.Outage {
 		return decision
 	}
@@ -73,6 +93,12 @@
 	if write && i.lostResponsesLeft > 0 {
 		i.lostResponsesLeft--
 		decision.DropResponse = true
+		return decision
+	}
+	if i.cutsLeft > 0 {
+		i.cutsLeft--
+		cut := i.cut
+		decision.Cut = &cut
 	}
 	return decision
 }
@@ -96,7 +122,7 @@
 			next.ServeHTTP(&discardWriter{header: http.Header{}}, r)
 			panic(http.ErrAbortHandler)
 		default:
-			next.ServeHTTP(w, r)
+			next.ServeHTTP(decision.frame(w, r), r)
 		}
 	})
 }
--- a/standin/fault/fault_test.go
+++ b/standin/fault/fault_test.go
@@ -1,6 +1,8 @@
 package fault_test
 
 import (
+	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -11,9 +13,11 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/redwingnotch/redwingnotch/internal/httpsend"
 	"github.com/redwingnotch/redwingnotch/standin/fault"
 	"github.com/redwingnotch/redwingnotch/standin/host"
 	"github.com/redwingnotch/redwingnotch/standin/pipenet"
+	"github.com/redwingnotch/redwingnotch/standin/rawhttp"
 )
 
 func TestWrapInjectsFaults(t *testing.T) {
@@ -51,6 +55,49 @@
 	}
 }
 
+// TestWrapCutsResponses checks the framing of responses and how they break off.
+func TestWrapCutsResponses(t *testing.T) {
+	for _, tc := range []struct {
+		unframed bool
+		end      rawhttp.End
+		framing  httpsend.Framing
+		want     httpsend.End
+	}{
+		{false, rawhttp.Close, httpsend.FramingChunks, httpsend.EndTruncated},
+		{false, rawhttp.Reset, httpsend.FramingChunks, httpsend.EndReset},
+		{false, rawhttp.Open, httpsend.FramingChunks, httpsend.EndCanceled},
+		{true, rawhttp.Close, httpsend.FramingClose, httpsend.EndClosed},
+		{true, rawhttp.Reset, httpsend.FramingClose, httpsend.EndReset},
+		{true, rawhttp.Open, httpsend.FramingClose, httpsend.EndCanceled},
+	} {
+		t.Run(fmt.Sprint("unframed=", tc.unframed, " ", tc.end), func(t *testing.T) {
+			faults := &fault.Injector{}
+			faults.SetUnframed(tc.unframed)
+			faults.CutResponses(1, fault.Cut{After: 2, End: tc.end})
+			h := host.New(faults.Wrap(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "hello") })), faults)
+			address, err := h.Start("127.0.0.1:0")
+			assert.NilError(t, err)
+			defer h.Close()
+			ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+			defer cancel()
+			for _, want := range []string{"he", "hello"} {
+				req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address, nil)
+				assert.NilError(t, err)
+				resp, err := http.DefaultTransport.RoundTrip(req)
+				assert.NilError(t, err)
+				body, err := io.ReadAll(resp.Body)
+				assert.Equal(t, string(body), want)
+				if want == "he" {
+					assert.Equal(t, httpsend.FramingOf(resp), tc.framing)
+					assert.Equal(t, httpsend.EndOf(tc.framing, err), tc.want, "%v", err)
+					ctx = t.Context()
+				}
+				resp.Body.Close()
+			}
+		})
+	}
+}
+
 // The client of a stalled connection must not see a response, nor the close of
 // the connection when the server stops.
 func TestStalledConnectionDeliversNothing(t *testing.T) {
--- a/standin/host/host.go
+++ b/standin/host/host.go
@@ -82,7 +82,7 @@
 	if s.server != nil {
 		return ErrServing
 	}
-	server := &http.Server{Handler: s.handler}
+	server := &http.Server{Handler: s.handler, ConnContext: fault.ConnContext}
 	done := make(chan struct{})
 	s.server = server
 	s.done = done
