service, entry: a response that may be incomplete is not stored and replayed as complete

A truncated response was stored with the call's idempotency key and sent, with a length, to each caller that asked for it again.

HTTPResponse.Unframed and idempotency.Response.Unframed carry what is known, also in KeyedCallResponse between nodes and in the record of the key; a node of an earlier build ignores the field and behaves as before. Entry nodes end such a response with the caller's connection (internal/closeframe, which now also serves internal/front). A reset response keeps the outcome unknown.

The new tests fail without the field; without the part of keys.go TestUnframedResponseIsReplayedUnframed fails.

--- a/idempotency/types.go
+++ b/idempotency/types.go
@@ -58,6 +58,9 @@
 	Status  int      `json:"status"`
 	Headers []Header `json:"headers,omitempty"`
 	Body    []byte   `json:"body,omitempty"`
+	// Unframed says that only the end of its connection ended the response, so that the
+	// body may be incomplete.
+	Unframed bool `json:"unframed,omitempty"`
 }
 
 // Code is the reason why a result carries no response.
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -15,6 +15,8 @@
 	"github.com/redwingnotch/redwingnotch/engine"
 	"github.com/redwingnotch/redwingnotch/fleet"
 	"github.com/redwingnotch/redwingnotch/idempotency"
+	"github.com/redwingnotch/redwingnotch/internal/entry"
+	"github.com/redwingnotch/redwingnotch/internal/httpsend"
 	"github.com/redwingnotch/redwingnotch/peer"
 )
 
@@ -312,6 +314,21 @@
 	})
 }
 
+// TestUnframedServiceResponseStaysUnframed guards against a response that is framed as
+// complete, although only the end of the service's connection ended it.
+func TestUnframedServiceResponseStaysUnframed(t *testing.T) {
+	withHarness(t, func(t *testing.T, h *harness) {
+		for _, unframed := range []bool{false, true} {
+			h.services.result.Response.Unframed = unframed
+			got := h.send(http.MethodPost, "/v1/services/ordering/orders", "spindle", entry.HeaderIdempotencyKey, "k")
+			assert.NilError(t, got.err)
+			assert.Equal(t, got.status, http.StatusCreated)
+			assert.Equal(t, got.body, "ordered")
+			assert.Equal(t, got.framing == httpsend.FramingClose, unframed)
+		}
+	})
+}
+
 func TestSlowBodyTimesOut(t *testing.T) {
 	withHarness(t, func(t *testing.T, h *harness) {
 		body, writer := io.Pipe()
--- a/internal/entry/fakes_test.go
+++ b/internal/entry/fakes_test.go
@@ -18,6 +18,7 @@
 	"github.com/redwingnotch/redwingnotch/fleet"
 	"github.com/redwingnotch/redwingnotch/idempotency"
 	"github.com/redwingnotch/redwingnotch/internal/entry"
+	"github.com/redwingnotch/redwingnotch/internal/httpsend"
 	"github.com/redwingnotch/redwingnotch/internal/telemetry"
 	"github.com/redwingnotch/redwingnotch/peer"
 	"github.com/redwingnotch/redwingnotch/standin/pipenet"
@@ -253,10 +254,11 @@
 
 // response is the response to one request as its caller receives it.
 type response struct {
-	status int
-	header http.Header
-	body   string
-	err    error // of sending the request or reading the body
+	status  int
+	header  http.Header
+	framing httpsend.Framing
+	body    string
+	err     error // of sending the request or reading the body
 }
 
 func (h *harness) send(method, path, body string, headers ...string) response {
@@ -273,7 +275,7 @@
 	}
 	defer resp.Body.Close()
 	data, err := io.ReadAll(resp.Body)
-	return response{status: resp.StatusCode, header: resp.Header, body: string(data), err: err}
+	return response{status: resp.StatusCode, header: resp.Header, framing: httpsend.FramingOf(resp), body: string(data), err: err}
 }
 
 func (h *harness) chat(body string, headers ...string) response {
--- a/internal/entry/services.go
+++ b/internal/entry/services.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"slices"
 	"strings"
@@ -12,6 +13,7 @@
 	"github.com/redwingnotch/redwingnotch/admin"
 	"github.com/redwingnotch/redwingnotch/fleet"
 	"github.com/redwingnotch/redwingnotch/idempotency"
+	"github.com/redwingnotch/redwingnotch/internal/closeframe"
 )
 
 // idempotentMethods are the HTTP methods whose requests may be repeated without an
@@ -30,7 +32,7 @@
 	w.Header().Set(HeaderRequestID, headers.id)
 	if apiErr == nil {
 		ctx, cancel := context.WithDeadline(r.Context(), headers.deadline)
-		apiErr = h.writeResult(w, h.runCall(ctx, call))
+		apiErr = h.writeResult(w, r, h.runCall(ctx, call))
 		cancel()
 	}
 	outcome, code := fleet.OutcomeAnswered, codeOK
@@ -134,7 +136,7 @@
 }
 
 // writeResult writes the service's response, or returns the error to send.
-func (h *Handler) writeResult(w http.ResponseWriter, r idempotency.Result) *Error {
+func (h *Handler) writeResult(w http.ResponseWriter, req *http.Request, r idempotency.Result) *Error {
 	if r.Outcome != fleet.OutcomeAnswered {
 		return newResultError(r)
 	}
@@ -148,12 +150,29 @@
 		w.Header().Set("Idempotent-Replayed", "true")
 	}
 	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(h.cfg.WriteTimeout))
+	// If a write fails, a caller that sent a key gets the result by sending it again.
+	if r.Response.Unframed {
+		_ = writeUnframed(w, req, r.Response) // without closeframe.End the connection is reset
+		return nil
+	}
 	w.WriteHeader(r.Response.Status)
-	// If the write fails, a caller that sent a key gets the result by sending it again.
 	_, _ = w.Write(r.Response.Body)
 	return nil
 }
 
+// writeUnframed writes a response that may be incomplete. Like the service's it ends with
+// the connection, as a length or chunks would claim that it is complete.
+func writeUnframed(w http.ResponseWriter, req *http.Request, r idempotency.Response) error {
+	if err := closeframe.Begin(w, req); err != nil {
+		return err
+	}
+	w.WriteHeader(r.Status)
+	if _, err := w.Write(r.Body); err != nil {
+		return fmt.Errorf("write response: %w", err)
+	}
+	return closeframe.End(w, req)
+}
+
 // resultStatus maps the codes of calls without a response to HTTP statuses. Other
 // codes get 503.
 var resultStatus = map[idempotency.Code]int{
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -22,6 +22,7 @@
 
 	"github.com/redwingnotch/redwingnotch/dispatch"
 	"github.com/redwingnotch/redwingnotch/internal/bootclock"
+	"github.com/redwingnotch/redwingnotch/internal/closeframe"
 	"github.com/redwingnotch/redwingnotch/internal/telemetry"
 	"github.com/redwingnotch/redwingnotch/platform"
 	"github.com/redwingnotch/redwingnotch/replicas"
@@ -185,7 +186,7 @@
 			ReadHeaderTimeout: headerTimeout,
 			IdleTimeout:       idleTimeout,
 			MaxHeaderBytes:    maxHeaderBytes,
-			ConnContext:       withCallerConn,
+			ConnContext:       closeframe.ConnContext,
 			ErrorLog:          nil,
 		}
 		servers = append(servers, s)
--- a/internal/front/response.go
+++ b/internal/front/response.go
@@ -1,13 +1,11 @@
 package front
 
 import (
-	"context"
-	"fmt"
-	"net"
 	"net/http"
 	"strconv"
 
 	"github.com/redwingnotch/redwingnotch/internal/bootclock"
+	"github.com/redwingnotch/redwingnotch/internal/closeframe"
 	"github.com/redwingnotch/redwingnotch/internal/httpsend"
 	"github.com/redwingnotch/redwingnotch/platform"
 )
@@ -23,7 +21,8 @@
 	platform.CopyResponseHeaders(header, resp.Header)
 	switch {
 	case x.received.framing == httpsend.FramingClose, length < 0 && !x.r.ProtoAtLeast(1, 1):
-		if err := x.frameByClose(); err != nil {
+		x.framedByClose = true
+		if err := closeframe.Begin(x.w, x.r); err != nil {
 			x.abort("caller_left")
 			return false
 		}
@@ -40,54 +39,12 @@
 	return true
 }
 
-// SO_LINGER values of callers' connections, in seconds.
-const (
-	lingerReset   = 0  // closing the connection resets it
-	lingerDefault = -1 // closing the connection ends it in order
-)
-
-// frameByClose makes the response end with the caller's connection. Until
-// finishResponse the connection can only be reset, so that neither an aborted response
-// nor the end of this process looks like the end of the response.
-func (x *exchange) frameByClose() error {
-	// To net/http "identity" means neither a length nor chunks; it is not sent.
-	x.w.Header().Set("Transfer-Encoding", "identity")
-	x.w.Header().Set("Connection", "close")
-	x.framedByClose = true
-	return x.setLinger(lingerReset)
-}
-
-// finishResponse lets a response that ends with the caller's connection end in order.
+// finishResponse ends a response that ends with the caller's connection.
 func (x *exchange) finishResponse() {
 	if !x.framedByClose || x.outcome == "aborted" {
 		return
 	}
-	if err := http.NewResponseController(x.w).Flush(); err != nil {
-		x.abort("caller_left")
-		return
-	}
-	if err := x.setLinger(lingerDefault); err != nil {
+	if err := closeframe.End(x.w, x.r); err != nil {
 		x.abort("caller_left")
 	}
 }
-
-// setLinger sets SO_LINGER of the caller's connection. It fails if the connection is
-// closed.
-func (x *exchange) setLinger(seconds int) error {
-	conn, ok := x.r.Context().Value(callerConnKey{}).(*net.TCPConn)
-	if !ok {
-		return nil // tests may serve a request without a connection
-	}
-	if err := conn.SetLinger(seconds); err != nil {
-		return fmt.Errorf("set SO_LINGER of the caller's connection: %w", err)
-	}
-	return nil
-}
-
-// callerConnKey is the context key of withCallerConn.
-type callerConnKey struct{}
-
-// withCallerConn stores a caller's connection in the context of its requests.
-func withCallerConn(ctx context.Context, conn net.Conn) context.Context {
-	return context.WithValue(ctx, callerConnKey{}, conn)
-}
--- a/internal/node/backends.go
+++ b/internal/node/backends.go
@@ -272,7 +272,7 @@
 // resultFromResponse converts a response. Of each header it copies the first value
 // only, as callers receive only one.
 func resultFromResponse(r service.HTTPResponse) idempotency.Result {
-	response := idempotency.Response{Status: r.Status, Body: r.Body}
+	response := idempotency.Response{Status: r.Status, Body: r.Body, Unframed: r.Unframed}
 	for name := range r.Header {
 		response.Headers = append(response.Headers, idempotency.Header{Name: name, Value: r.Header.Get(name)})
 	}
--- a/internal/node/harness_test.go
+++ b/internal/node/harness_test.go
@@ -15,6 +15,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/redwingnotch/redwingnotch/fleet"
+	"github.com/redwingnotch/redwingnotch/internal/httpsend"
 	"github.com/redwingnotch/redwingnotch/internal/node"
 	"github.com/redwingnotch/redwingnotch/internal/telemetry"
 	"github.com/redwingnotch/redwingnotch/membership"
@@ -257,10 +258,11 @@
 }
 
 type reply struct {
-	status int
-	header http.Header
-	body   string
-	err    error
+	status  int
+	header  http.Header
+	framing httpsend.Framing
+	body    string
+	err     error
 }
 
 func (d *deployment) send(host, method, path, body string, headers ...string) reply {
@@ -277,7 +279,7 @@
 	}
 	defer resp.Body.Close()
 	data, err := io.ReadAll(resp.Body)
-	return reply{status: resp.StatusCode, header: resp.Header, body: string(data), err: err}
+	return reply{status: resp.StatusCode, header: resp.Header, framing: httpsend.FramingOf(resp), body: string(data), err: err}
 }
 
 const secret = "a secret of some length"
--- a/internal/node/keys.go
+++ b/internal/node/keys.go
@@ -74,12 +74,13 @@
 	}
 	r := k.node.keys.CallForwarded(ctx, call)
 	return &peer.KeyedCallResponse{
-		Outcome: outcomeNames[r.Outcome],
-		Code:    string(r.Code),
-		Detail:  r.Detail,
-		Status:  uint32(r.Response.Status),
-		Headers: headersToMap(r.Response.Headers),
-		Body:    r.Response.Body,
+		Outcome:  outcomeNames[r.Outcome],
+		Code:     string(r.Code),
+		Detail:   r.Detail,
+		Status:   uint32(r.Response.Status),
+		Headers:  headersToMap(r.Response.Headers),
+		Body:     r.Response.Body,
+		Unframed: r.Response.Unframed,
 	}, nil
 }
 
@@ -102,7 +103,12 @@
 		}
 	}
 	if r.Outcome == fleet.OutcomeAnswered {
-		r.Response = idempotency.Response{Status: int(m.GetStatus()), Headers: headersFromMap(m.GetHeaders()), Body: m.GetBody()}
+		r.Response = idempotency.Response{
+			Status:   int(m.GetStatus()),
+			Headers:  headersFromMap(m.GetHeaders()),
+			Body:     m.GetBody(),
+			Unframed: m.GetUnframed(),
+		}
 	}
 	return r
 }
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -16,6 +16,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/redwingnotch/redwingnotch/admin"
+	"github.com/redwingnotch/redwingnotch/internal/httpsend"
 	"github.com/redwingnotch/redwingnotch/internal/node"
 	"github.com/redwingnotch/redwingnotch/peer"
 	"github.com/redwingnotch/redwingnotch/standin/engine"
@@ -103,6 +104,37 @@
 	})
 }
 
+// TestUnframedResponseIsReplayedUnframed guards against a response of a service that may
+// be incomplete and is framed as complete to callers that send the key again: while the
+// call runs at another node, and once its record is written.
+func TestUnframedResponseIsReplayedUnframed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDeployment(t)
+		defer d.close()
+		ordering := d.addService("s1", "ordering")
+		ordering.Faults.SetUnframed(true)
+		ordering.SetRunTime(5 * time.Second)
+		d.start("n1")
+		d.start("n2")
+		time.Sleep(startupTime)
+		hosts := []string{"n1", "n2", "n1", "n2"}
+		replies := make(chan reply, len(hosts))
+		for i, host := range hosts {
+			go func() {
+				time.Sleep(time.Duration(i) * 3 * time.Second) // the first two overlap
+				replies <- d.send(host, "POST", "/v1/services/ordering/orders", "spindle", "Idempotency-Key", "order-7")
+			}()
+		}
+		for range hosts {
+			got := <-replies
+			assert.NilError(t, got.err)
+			assert.Equal(t, got.status, 200, got.body)
+			assert.Equal(t, got.framing, httpsend.FramingClose)
+		}
+		assert.Equal(t, ordering.TotalRuns(), 1)
+	})
+}
+
 // TestPlannedStopInterruptsNoStreams sends streams through all nodes, using the
 // addresses that /v1/entry returns, while nodes are stopped and replaced one by one.
 func TestPlannedStopInterruptsNoStreams(t *testing.T) {
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/redwingnotch/redwingnotch/engine"
+	"github.com/redwingnotch/redwingnotch/internal/closeframe"
 	"github.com/redwingnotch/redwingnotch/internal/entry"
 	"github.com/redwingnotch/redwingnotch/peer"
 )
@@ -51,6 +52,7 @@
 		ReadHeaderTimeout: n.cfg.HeaderTimeout,
 		IdleTimeout:       n.cfg.IdleTimeout,
 		MaxHeaderBytes:    n.cfg.MaxHeader,
+		ConnContext:       closeframe.ConnContext,
 		ErrorLog:          serverLog(n.cfg.Log),
 	}
 }
--- a/service/service.go
+++ b/service/service.go
@@ -46,11 +46,12 @@
 	Deadline   time.Time // no deadline if zero
 }
 
-// HTTPResponse is a complete response of a plain service.
+// HTTPResponse is a response of a plain service.
 type HTTPResponse struct {
-	Status int
-	Header http.Header
-	Body   []byte
+	Status   int
+	Header   http.Header
+	Body     []byte
+	Unframed bool // the response ended with its connection, so the body may be incomplete
 }
 
 // Options configures a Client.
@@ -91,8 +92,8 @@
 // Close closes idle connections. Calls in progress are not interrupted.
 func (c *Client) Close() { c.pooled.CloseIdleConnections() }
 
-// Call sends the request once and returns the complete response, whatever its
-// status. A call that is not idempotent uses a new connection. An error that
+// Call sends the request once and returns the response, whatever its status. It is
+// complete unless HTTPResponse.Unframed is set. A call that is not idempotent uses a new connection. An error that
 // wraps ErrNotSent, ErrUnreachable or ErrRefused means that the call did not
 // run.
 func (c *Client) Call(ctx context.Context, req Request) (HTTPResponse, error) {
@@ -132,7 +133,12 @@
 	case err != nil:
 		return HTTPResponse{}, fmt.Errorf("%w: reading the response failed: %w", ErrUnknown, err)
 	}
-	return checkResponse(req, HTTPResponse{Status: resp.StatusCode, Header: resp.Header, Body: body})
+	return checkResponse(req, HTTPResponse{
+		Status:   resp.StatusCode,
+		Header:   resp.Header,
+		Body:     body,
+		Unframed: httpsend.FramingOf(resp) == httpsend.FramingClose,
+	})
 }
 
 // newHTTPRequest builds the HTTP request of a call.
