node: a response of another node without length and chunks is refused

Nodes frame all their responses, so others are refused. TestCutPeerResponseFails failed on the code before at each border of a field.

--- a/internal/node/grants.go
+++ b/internal/node/grants.go
@@ -52,6 +52,11 @@
 	secret string
 }
 
+// errUnframedPeerResponse means that a node's response has neither a length nor chunks.
+// Nodes frame their responses. A protobuf message that is cut at the border of a field
+// can be decoded, so a broken response would count as a whole one.
+var errUnframedPeerResponse = errors.New("response of the node has neither a length nor chunks")
+
 // Do implements the HTTP client interface of twirp.
 func (a *authClient) Do(req *http.Request) (*http.Response, error) {
 	req.Header.Set(HeaderSecret, a.secret)
@@ -62,6 +67,10 @@
 		}
 		return nil, err
 	}
+	if httpsend.FramingOf(resp) == httpsend.FramingClose {
+		resp.Body.Close()
+		return nil, errUnframedPeerResponse
+	}
 	resp.Body = http.MaxBytesReader(nil, resp.Body, maxPeerResponseBytes)
 	return resp, nil
 }
