--- a/internal/front/harness_test.go
+++ b/internal/front/harness_test.go
@@ -75,6 +75,7 @@
 
 	metricsAddr string        // metrics address of nodes started from now on
 	gracePeriod time.Duration // grace period of nodes started from now on
+	slots       int           // slots of servers registered from now on
 }
 
 // Write implements io.Writer for the nodes' logs.
@@ -112,7 +113,7 @@
 func newCluster(t *testing.T) *cluster {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	c := &cluster{t: t, store: objectapi.New(), address: l.Addr().String(), backends: map[string]*backendServer{}, nodes: map[string]*node{}, logs: &bytes.Buffer{}, gracePeriod: 8 * time.Second}
+	c := &cluster{t: t, store: objectapi.New(), address: l.Addr().String(), backends: map[string]*backendServer{}, nodes: map[string]*node{}, logs: &bytes.Buffer{}, gracePeriod: 8 * time.Second, slots: 4}
 	assert.NilError(t, c.store.Serve(l))
 	t.Cleanup(func() {
 		for _, n := range c.nodes {
@@ -157,7 +158,7 @@
 // register writes the server's entry to the store.
 func (c *cluster) register(b *backendServer, service, state string) {
 	c.put(platform.KindServers, b.id, map[string]any{
-		"service": service, "address": strings.TrimPrefix(b.server.URL, "http://"), "zone": "z1", "slots": 4, "state": state,
+		"service": service, "address": strings.TrimPrefix(b.server.URL, "http://"), "zone": "z1", "slots": c.slots, "state": state,
 		"models": []map[string]any{{"name": "m", "version": 1, "adapters": []string{}}}, "born": 1700000000000,
 	})
 }
