--- a/internal/front/attempt.go
+++ b/internal/front/attempt.go
@@ -221,7 +221,7 @@
 // attemptFailed retries a request that may have run if its route allows that, and
 // ends it otherwise.
 func (x *exchange) attemptFailed(server replicas.Entry, reason string, err error) attemptResult {
-	if !x.route.Idempotent() || x.runs >= x.route.MaxAttempts {
+	if !x.route.Idempotent() || x.sentWithoutID || x.runs >= x.route.MaxAttempts {
 		x.logAttempt(server, reason, err, false)
 		x.endUnanswered(reason)
 		return attemptDone
--- a/internal/front/events.go
+++ b/internal/front/events.go
@@ -79,16 +79,16 @@
 	return text[:end], true
 }
 
-// insideEvent reports whether a stream that ended with rest behind its last event
-// ended inside an event. Whole comment lines are no event.
-func insideEvent(rest []byte) bool {
-	rest = bytes.TrimLeft(rest, "\r\n")
-	for len(rest) > 0 {
-		end := bytes.IndexAny(rest, "\r\n")
-		if end < 0 || rest[0] != ':' {
+// holdsEvent reports whether text holds an event or the beginning of one. Whole comment
+// lines are no event.
+func holdsEvent(text []byte) bool {
+	text = bytes.TrimLeft(text, "\r\n")
+	for len(text) > 0 {
+		end := bytes.IndexAny(text, "\r\n")
+		if end < 0 || text[0] != ':' {
 			return true
 		}
-		rest = bytes.TrimLeft(rest[end:], "\r\n")
+		text = bytes.TrimLeft(text[end:], "\r\n")
 	}
 	return false
 }
--- a/internal/front/events_test.go
+++ b/internal/front/events_test.go
@@ -36,20 +36,20 @@
 					got.Write(event)
 					assert.Assert(t, errors.Is(err, io.EOF))
 					assert.Equal(t, got.String(), text)
-					assert.Equal(t, insideEvent(event), rest == "data")
+					assert.Equal(t, holdsEvent(event), rest == "data")
 				}
 			})
 		}
 	}
 }
 
-// TestInsideEventRecognizesIncompleteEvent guards against a broken-off event that counts
+// TestHoldsEventRecognizesIncompleteEvent guards against a broken-off event that counts
 // as the end of its stream.
-func TestInsideEventRecognizesIncompleteEvent(t *testing.T) {
+func TestHoldsEventRecognizesIncompleteEvent(t *testing.T) {
 	for rest, want := range map[string]bool{
 		"": false, "\n": false, "\r\n": false, ": comment\n": false, ":\r: x\r\n": false,
 		":": true, ": comm": true, "d": true, "data: x": true, "data: x\n": true, "id: 4\r\n": true, ": x\ndata: y\n": true,
 	} {
-		assert.Equal(t, insideEvent([]byte(rest)), want, "%q", rest)
+		assert.Equal(t, holdsEvent([]byte(rest)), want, "%q", rest)
 	}
 }
--- a/internal/front/framing_test.go
+++ b/internal/front/framing_test.go
@@ -215,6 +215,28 @@
 	}
 }
 
+// TestStreamWithoutIDsIsNotResumed guards against events that come twice: the stream broke
+// after an event without an ID, and the next server would begin behind the last ID.
+func TestStreamWithoutIDsIsNotResumed(t *testing.T) {
+	c := newCluster(t)
+	const unnumbered = ": comment\n\ndata: unnumbered\n\n"
+	serve := func(rw http.ResponseWriter, r *http.Request) {
+		if r.Header.Get(platform.HeaderLastEventID) == "" {
+			send(eventStream(httpsend.FramingChunks, 1, 3, unnumbered+"da"))(rw, r)
+			return
+		}
+		rw.Header().Set("Content-Type", "text/event-stream")
+		fmt.Fprint(rw, unnumbered)
+		writeEvents(rw, 4, 6, false)
+	}
+	c.backendServer("s1", "llm", serve)
+	c.backendServer("s2", "llm", serve)
+	n := c.node("127.0.0.1", 0)
+	got := c.call(n, http.MethodPost, "/proof/x", "r1", platform.HeaderModel, "m")
+	assert.Equal(t, got.body, eventText(1, 3)+unnumbered)
+	assert.Assert(t, got.truncated)
+}
+
 // TestLogTellsHowResponseEnded checks that a broken response can be told from a whole
 // one by the log, whatever the caller got.
 func TestLogTellsHowResponseEnded(t *testing.T) {
--- a/internal/front/serve.go
+++ b/internal/front/serve.go
@@ -47,6 +47,7 @@
 	runs            int      // attempts that the server may have run
 	excluded        []string // servers at which an attempt failed
 	lastEventID     string   // ID of the last stream event passed on that had one
+	sentWithoutID   bool     // an event without an ID was passed on since, which a resumed stream would repeat
 	responseStarted bool     // a part of the response was passed on
 	framedByClose   bool     // the response ends with the caller\'s connection
 	status          int      // status of the final response; zero if the connection was closed instead
--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -56,7 +56,9 @@
 			return attemptDone
 		}
 		if id != "" {
-			x.lastEventID = id
+			x.lastEventID, x.sentWithoutID = id, false
+		} else if holdsEvent(event) {
+			x.sentWithoutID = true
 		}
 	}
 }
@@ -82,7 +84,7 @@
 
 // streamEnded handles the end of a stream.
 func (x *exchange) streamEnded(server replicas.Entry, resp *http.Response, end streamEnd) attemptResult {
-	inside := insideEvent(end.rest)
+	inside := holdsEvent(end.rest)
 	x.recordEnd(end.err, inside)
 	switch {
 	case !errors.Is(end.err, io.EOF):
