Soak: engines and services send responses without framing and cut ones

Each second stand-in sends responses without length and chunks, and in episodes with faults a response is cut every 10 s on average, by close or silence, with random numbers apart from those of the faults.

--- a/internal/node/soak_faults_test.go
+++ b/internal/node/soak_faults_test.go
@@ -12,6 +12,7 @@
 	"github.com/redwingnotch/redwingnotch/platform"
 	"github.com/redwingnotch/redwingnotch/release"
 	"github.com/redwingnotch/redwingnotch/standin/engine"
+	"github.com/redwingnotch/redwingnotch/standin/fault"
 	"github.com/redwingnotch/redwingnotch/standin/service"
 )
 
@@ -44,6 +45,7 @@
 		TokenTime: tokenTime, Models: known, Weights: s.weights, CrashMarker: poisonMarker,
 		RestartDelay: restartTime, ReportLag: 200 * time.Millisecond,
 	})
+	e.Faults.SetUnframed(unframed(name))
 	s.serve(name, e.SetListen, e.Restart)
 	row := &soakEngine{Engine: e, name: name, fencing: fencing}
 	s.mu.Lock()
@@ -64,7 +66,9 @@
 }
 
 func (s *soak) addSoakService(name string) {
-	s.services = append(s.services, &soakService{Service: s.addService(name, "ordering"), name: name})
+	row := &soakService{Service: s.addService(name, "ordering"), name: name}
+	row.Faults.SetUnframed(unframed(name))
+	s.services = append(s.services, row)
 }
 
 // runsOf returns how often a key ran, summed over all replicas of the service.
@@ -133,6 +137,9 @@
 	s.api.Faults.DropResponses(0)
 	s.weights.SetSlowdown(1)
 	s.gossip.setIsolated(nil)
+	for _, f := range s.injectors() {
+		f.CutResponses(0, fault.Cut{})
+	}
 	for _, v := range s.services {
 		_ = v.Restart() // fails if the service is running
 	}
--- a/internal/node/soak_test.go
+++ b/internal/node/soak_test.go
@@ -184,6 +184,9 @@
 	time.Sleep(startupTime)
 	s.startCallers()
 	s.background.Go(s.watchReplicas)
+	if !s.planned {
+		s.background.Go(s.cutResponses)
+	}
 	s.injectFaults()
 	s.clearFaults()
 	time.Sleep(soakRecoveryTime)
