node: callers are not sent to a node that does not know the release in force

Nodes publish their release version once they serve by it, and entry lists leave out nodes that do not. A node that knows of no ready node answers 503 not_ready for the first 5 s, so that callers ask another; after that it lists all, as a deployment without any release still has plain services.

TestStartedNodeIsListedOnceItKnowsTheRelease failed on the code before.

--- a/internal/entry/addresses.go
+++ b/internal/entry/addresses.go
@@ -27,7 +27,8 @@
 
 // serveEntry returns the entry nodes that the caller should use: those of the
 // requested availability zone first, by default of this node's zone. Within each
-// group the order differs between callers and is stable for one caller.
+// group the order differs between callers and is stable for one caller. It returns an
+// error while this node knows of none.
 func (h *Handler) serveEntry(w http.ResponseWriter, r *http.Request) {
 	zone := r.URL.Query().Get("availability_zone")
 	if zone == "" {
@@ -38,6 +39,10 @@
 		caller = r.RemoteAddr
 	}
 	addresses := chooseAddresses(h.cfg.Addresses(), fleet.AvailabilityZone(zone), caller)
+	if len(addresses) == 0 {
+		newNotReadyError().write(w)
+		return
+	}
 	w.Header().Set("Cache-Control", fmt.Sprintf("max-age=%d", int(h.cfg.EntryTTL.Seconds())))
 	writeJSON(w, http.StatusOK, entryResponse{Addresses: addresses, ValidForMS: h.cfg.EntryTTL.Milliseconds()})
 }
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -200,17 +200,34 @@
 func (m *members) startLeaving() { m.runCore((*membership.Core).Leave) }
 func (m *members) announceLeft() { m.runCore((*membership.Core).CompleteLeave) }
 
-// entryAddresses returns the entry nodes of this region that are alive and not
-// leaving.
+// firstReleaseWait is the time after its start for which a node that knows of no release takes
+// that for its own delay. Later, no release may be in force at all.
+const firstReleaseWait = 5 * time.Second
+
+// entryAddresses returns the entry nodes of this region that are alive, not leaving and
+// know the release in force. If none of them does, it returns all once firstReleaseWait has passed, for
+// calls to plain services, and none before.
 func (m *members) entryAddresses() []entry.Address {
-	var addresses []entry.Address
+	var ready, others []entry.Address
 	for _, row := range m.list() {
 		if row.State != membership.StateAlive || row.Region != m.node.cfg.Region {
 			continue
 		}
-		addresses = append(addresses, entry.Address{Node: row.ID, Address: row.EntryAddr, Zone: row.Zone})
+		address := entry.Address{Node: row.ID, Address: row.EntryAddr, Zone: row.Zone}
+		serves := row.ReleaseVersion > 0
+		if row.ID == m.node.cfg.ID {
+			serves = m.node.catalog.Version() > 0
+		}
+		if serves {
+			ready = append(ready, address)
+		} else {
+			others = append(others, address)
+		}
+	}
+	if len(ready) > 0 || time.Since(m.node.startedAt) < firstReleaseWait {
+		return ready
 	}
-	return addresses
+	return others
 }
 
 // refreshTracker decides when a copy of the member table must be renewed: after each
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -104,6 +104,35 @@
 	})
 }
 
+// TestStartedNodeIsListedOnceItKnowsTheRelease guards against callers that are sent to a
+// node which refuses them, as it has just started and does not know the release in force.
+func TestStartedNodeIsListedOnceItKnowsTheRelease(t *testing.T) {
+	inDeployment(t, 1, 2, func(t *testing.T, d *deployment) {
+		// The new node reads the release late.
+		d.api.Faults.SetDelay(time.Second)
+		d.start("n3")
+		listed := map[string]bool{}
+		for range 400 {
+			for _, host := range []string{"n1", "n3"} {
+				got := d.send(host, "GET", "/v1/entry", "")
+				if got.status == http.StatusServiceUnavailable && host == "n3" {
+					continue
+				}
+				assert.Equal(t, got.status, http.StatusOK, got.body)
+				if !strings.Contains(got.body, `"n3:80"`) {
+					continue
+				}
+				listed[host] = true
+				models := d.send("n3", "GET", "/v1/models", "")
+				assert.Equal(t, models.status, http.StatusOK, models.body)
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		assert.DeepEqual(t, listed, map[string]bool{"n1": true, "n3": true})
+		d.api.Faults.SetDelay(0)
+	})
+}
+
 // TestUnframedResponseIsReplayedUnframed guards against a response of a service that may
 // be incomplete and is framed as complete to callers that send the key again: while the
 // call runs at another node, and once its record is written.
--- a/internal/node/release.go
+++ b/internal/node/release.go
@@ -56,6 +56,7 @@
 	effects := r.core.Tick(now)
 	r.node.catalog.setSyncState(r.core.SyncState(now))
 	r.mu.Unlock()
+	r.publishVersion()
 	if effects.Fetch {
 		r.node.background.Go(func() { r.fetch(ctx, effects.From, effects.After) })
 	}
@@ -129,11 +130,19 @@
 	}
 	r.mu.Unlock()
 	if raised {
-		r.node.members.setReleaseVersion(version)
+		r.publishVersion()
 		level.Info(r.node.cfg.Log).Log("event", "release_in_force", "version", version, "from", from.Peer)
 	}
 }
 
+// publishVersion tells the other members the version by which this node serves. Before
+// that is confirmed they must send it no callers.
+func (r *releaseLoop) publishVersion() {
+	if version := r.node.catalog.Version(); version > 0 {
+		r.node.members.setReleaseVersion(version)
+	}
+}
+
 // watch follows the head object until ctx ends.
 func (r *releaseLoop) watch(ctx context.Context) {
 	for ctx.Err() == nil {
