--- a/internal/front/response.go
+++ b/internal/front/response.go
@@ -10,8 +10,11 @@
 	"github.com/redwingnotch/redwingnotch/platform"
 )
 
+// unknownLength is the length of a stream for startResponse.
+const unknownLength = -1
+
 // startResponse sends the caller the head of a server's response. It returns false if
-// the caller has left. length is that of the body, negative if unknown.
+// the caller has left. length is that of the body, or unknownLength.
 //
 // The caller gets no framing that claims more than the server's did: a response of the
 // server that ends with its connection ends with the caller's connection, too. So does a
@@ -20,7 +23,7 @@
 	header := x.w.Header()
 	platform.CopyResponseHeaders(header, resp.Header)
 	switch {
-	case x.received.framing == httpsend.FramingClose, length < 0 && !x.r.ProtoAtLeast(1, 1):
+	case x.received.framing == httpsend.FramingClose, length == unknownLength && !x.r.ProtoAtLeast(1, 1):
 		x.framedByClose = true
 		if err := closeframe.Begin(x.w, x.r); err != nil {
 			x.abort("caller_left")
--- a/internal/front/serve.go
+++ b/internal/front/serve.go
@@ -43,20 +43,20 @@
 	prefixKey    string    // hash of the parts of the prompt that other requests may share; may be empty
 	sharedTokens int       // number of tokens in those parts
 
-	sends           int      // attempts, including those that the server refused
-	runs            int      // attempts that the server may have run
-	excluded        []string // servers at which an attempt failed
-	lastEventID     string   // ID of the last stream event passed on that had one
-	sentWithoutID   bool     // an event without an ID was passed on since, which a resumed stream would repeat
-	responseStarted bool     // a part of the response was passed on
-	framedByClose   bool     // the response ends with the caller\'s connection
-	status          int      // status of the final response; zero if the connection was closed instead
-	outcome         string   // how the request ended, for the log and the metrics
-	received        receivedResponse
-	server          string        // ID of the last server that the request was sent to
-	waited          time.Duration // total time until a server was assigned, over all attempts
-	firstByteAfter  time.Duration // time from arrival to the response's first byte
-	reason          string        // why the request or its response failed; may be empty
+	sends           int              // attempts, including those that the server refused
+	runs            int              // attempts that the server may have run
+	excluded        []string         // servers at which an attempt failed
+	lastEventID     string           // ID of the last stream event passed on that had one
+	sentWithoutID   bool             // an event without an ID was passed on since, which a resumed stream would repeat
+	responseStarted bool             // a part of the response was passed on
+	framedByClose   bool             // the response ends with the caller's connection
+	status          int              // status of the final response; zero if the connection was closed instead
+	outcome         string           // how the request ended, for the log and the metrics
+	received        receivedResponse // end of the latest response of a server
+	server          string           // ID of the last server that the request was sent to
+	waited          time.Duration    // total time until a server was assigned, over all attempts
+	firstByteAfter  time.Duration    // time from arrival to the response's first byte
+	reason          string           // why the request or its response failed; may be empty
 }
 
 // serve handles one request of a caller.
--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -17,7 +17,6 @@
 const (
 	gapFactor     = 4                       // multiple of the route's MaxGap after which a resumable stream is resumed at another server
 	minGapTimeout = 1500 * time.Millisecond // lower limit of the pause after which a stream is resumed
-	unknownLength = -1                      // length of a stream
 )
 
 // errGapTimeout is the cancellation cause of streams that paused for too long.
--- a/service/service.go
+++ b/service/service.go
@@ -93,9 +93,9 @@
 func (c *Client) Close() { c.pooled.CloseIdleConnections() }
 
 // Call sends the request once and returns the response, whatever its status. It is
-// complete unless HTTPResponse.Unframed is set. A call that is not idempotent uses a new connection. An error that
-// wraps ErrNotSent, ErrUnreachable or ErrRefused means that the call did not
-// run.
+// complete unless HTTPResponse.Unframed is set. A call that is not idempotent uses a
+// new connection. An error that wraps ErrNotSent, ErrUnreachable or ErrRefused means
+// that the call did not run.
 func (c *Client) Call(ctx context.Context, req Request) (HTTPResponse, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.callTimeout)
 	defer cancel()
