stand-ins: a stalled connection is not closed by the garbage collector

The injector forgot a stalled connection once its handler had returned, so the garbage collector closed the socket, and the client saw an orderly end. A stalled connection stays tracked now. With GOGC=5 and the race detector the test failed before and passes now.

--- a/standin/fault/conn.go
+++ b/standin/fault/conn.go
@@ -109,12 +109,12 @@
 }
 
 // Close implements net.Conn. A stalled connection stays open for its peer: Close
-// only ends a pending Read.
+// only ends a pending Read. It stays tracked, as the garbage collector would close it.
 func (c *conn) Close() error {
-	c.faults.untrack(c)
 	if c.stalled.Load() {
 		return c.Conn.SetReadDeadline(time.Now())
 	}
+	c.faults.untrack(c)
 	return c.Conn.Close()
 }
 
