--- a/internal/front/endless_test.go
+++ b/internal/front/endless_test.go
@@ -41,7 +41,7 @@
 	{"interim responses", "", "HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n"},
 	{"continue responses", "", "HTTP/1.1 100 Continue\r\n\r\n"},
 	{"body of huge length", endlessHead + "Content-Length: 4611686018427387904\r\n\r\n", "x"},
-	{"body in chunks", endlessChunked, asChunk(strings.Repeat("x", 64))},
+	{"body in chunks", endlessChunked, asChunk(strings.Repeat("x", 1024))},
 	{"body until close", endlessHead + "\r\n", "x"},
 	{"body of an error", strings.Replace(endlessHead, "200 OK", "500 Internal Server Error", 1) + "\r\n", "x"},
 	{"chunk size", endlessChunked, "0"},
