entry node: logs and metrics of the desired state's currency and of servers that end under requests

The logs could not tell a dead path from a node that is behind, nor a server's end from a lost connection.

- desired_state_stale, desired_state_confirmed; gauges of the version in force, the age of its confirmation, and the time for which a newer one is known.
- A lost connection starts one check whether the server accepts another (at most one in 500 ms a server); server_check, server_ended with its evidence; redwingnotch_server_ends. attempt_failed carries the hash of what was asked for.

No decision depends on it yet.

--- a/internal/front/attempt.go
+++ b/internal/front/attempt.go
@@ -197,6 +197,9 @@
 		x.endUnanswered("time_over")
 		return attemptDone
 	}
+	if !errors.Is(err, errResponseTimeout) {
+		x.connectionLost(server)
+	}
 	return x.attemptFailed(server, "no_answer", err)
 }
 
@@ -257,7 +260,7 @@
 func (x *exchange) logAttempt(server replicas.Entry, reason string, err error, again bool) {
 	level.Info(x.node.log).Log("event", "attempt_failed", "id", x.params.ID, "server", server.ID, "reason", reason,
 		"again", again, "sends", x.sends, "runs", x.runs, "framing", x.received.framing, "end", x.received.end,
-		"inside_event", x.received.insideEvent, "err", err)
+		"inside_event", x.received.insideEvent, "content", formatHash(x.contentHash()), "err", err)
 }
 
 // receivedResponse says how the latest response of a backend server was framed and
@@ -268,6 +271,12 @@
 	insideEvent bool             // the response is a stream and ended inside an event
 }
 
+// brokenOff reports whether the server closed or lost the connection before the body's
+// end.
+func (r receivedResponse) brokenOff() bool {
+	return r.end == httpsend.EndTruncated || r.end == httpsend.EndReset || r.end == httpsend.EndClosed
+}
+
 // recordEnd records how the body of the latest response ended. err is the result of
 // its last read.
 func (x *exchange) recordEnd(err error, insideEvent bool) {
@@ -282,6 +291,9 @@
 		x.abort("caller_left")
 		return attemptDone
 	}
+	if x.received.brokenOff() {
+		x.connectionLost(server)
+	}
 	return x.badResponse(server, "answer_cut", err)
 }
 
--- /dev/null
+++ b/internal/front/ended.go
@@ -0,0 +1,150 @@
+package front
+
+import (
+	"context"
+	"errors"
+	"strconv"
+	"syscall"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/go-kit/log/level"
+
+	"github.com/redwingnotch/redwingnotch/internal/bootclock"
+	"github.com/redwingnotch/redwingnotch/internal/httpsend"
+	"github.com/redwingnotch/redwingnotch/replicas"
+)
+
+// Limits of the evidence for the end of a backend server's process.
+const (
+	lossRetention    = 10 * time.Second       // time for which the end of its server may explain a lost connection
+	endCheckTimeout  = 300 * time.Millisecond // timeout of the connection that shows whether a server still accepts any
+	endCheckInterval = 500 * time.Millisecond // least time between two such connections to one server
+)
+
+// endEvidence says what shows that a backend server's process has ended.
+type endEvidence string
+
+// Evidence for the end of a backend server's process.
+const (
+	endRefused   endEvidence = "refused"   // it refuses connections
+	endRestarted endEvidence = "restarted" // its entry names a later start
+	endRemoved   endEvidence = "removed"   // its entry was removed, although it was not draining
+)
+
+// lostRequests are the requests of this node that lost their connections to one
+// start of a backend server.
+type lostRequests struct {
+	contents  map[uint64]time.Time // contentHash of each request, and when it lost its connection
+	checking  bool                 // a connection that shows whether the server has ended is being made
+	checkedAt time.Time            // when the last such connection was begun
+	ended     bool                 // the server has ended
+}
+
+// contentHash identifies what the request asks for: the same request of a caller that
+// comes again has the same hash at every node.
+func (x *exchange) contentHash() uint64 {
+	if x.content != 0 {
+		return x.content
+	}
+	d := xxhash.New()
+	for _, part := range []string{x.r.Method, x.r.Host, x.r.RequestURI, x.params.Model, x.params.Adapter} {
+		_, _ = d.WriteString(part) // never fails
+		_, _ = d.Write([]byte{0})
+	}
+	_, _ = d.Write(x.body)
+	x.content = max(1, d.Sum64())
+	return x.content
+}
+
+// formatHash returns a content's hash as the logs have it.
+func formatHash(hash uint64) string { return strconv.FormatUint(hash, 16) }
+
+// connectionLost records that an attempt lost its connection to the server after the
+// request was sent. It starts a check whether the server has ended.
+func (x *exchange) connectionLost(server replicas.Entry) {
+	n, now := x.node, bootclock.Now()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	key := keyOf(server)
+	lost := n.lost[key]
+	if lost == nil {
+		n.forgetLosses(now)
+		lost = &lostRequests{contents: map[uint64]time.Time{}}
+		n.lost[key] = lost
+	}
+	lost.contents[x.contentHash()] = now
+	switch {
+	case lost.ended:
+		n.recordEnd(server, []uint64{x.contentHash()}, endRefused)
+	case !lost.checking && now.Sub(lost.checkedAt) >= endCheckInterval:
+		lost.checking, lost.checkedAt = true, now
+		go n.checkEnded(server)
+	}
+}
+
+// forgetLosses removes the requests that lost their connections long ago. The caller
+// holds n.mu.
+func (n *Node) forgetLosses(now time.Time) {
+	for key, lost := range n.lost {
+		for content, at := range lost.contents {
+			if now.Sub(at) > lossRetention {
+				delete(lost.contents, content)
+			}
+		}
+		if len(lost.contents) == 0 && !lost.checking {
+			delete(n.lost, key)
+		}
+	}
+}
+
+// checkEnded connects to a server that closed the connection of a request. A process
+// that has ended refuses; one that only closed the connection accepts another.
+func (n *Node) checkEnded(server replicas.Entry) {
+	ctx, cancel := context.WithTimeout(context.Background(), endCheckTimeout)
+	defer cancel()
+	began := bootclock.Now()
+	conn, err := httpsend.DialTCP(ctx, "tcp", server.Address)
+	if err == nil {
+		err = conn.Close()
+	}
+	refused := errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET)
+	level.Info(n.log).Log("event", "server_check", "server", server.ID, "start", server.Start, "refused", refused,
+		"took_ms", bootclock.Now().Sub(began).Milliseconds(), "err", err)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if lost := n.lost[keyOf(server)]; lost != nil {
+		lost.checking = false
+	}
+	if refused {
+		n.serverEnded(server, endRefused)
+	}
+}
+
+// serverEnded handles evidence that the start of the server that has the entry has
+// ended. The caller holds n.mu.
+func (n *Node) serverEnded(server replicas.Entry, evidence endEvidence) {
+	lost := n.lost[keyOf(server)]
+	if lost == nil || lost.ended {
+		return
+	}
+	n.forgetLosses(bootclock.Now())
+	lost.ended = true
+	contents := make([]uint64, 0, len(lost.contents))
+	for content := range lost.contents {
+		contents = append(contents, content)
+	}
+	n.recordEnd(server, contents, evidence)
+}
+
+// recordEnd records that the server ended under requests with the contents. The caller
+// holds n.mu.
+func (n *Node) recordEnd(server replicas.Entry, contents []uint64, evidence endEvidence) {
+	n.metrics.ServerEnded(string(evidence))
+	first := ""
+	if len(contents) > 0 {
+		first = formatHash(contents[0])
+	}
+	level.Info(n.log).Log("event", "server_ended", "server", server.ID, "start", server.Start, "draining", server.Draining,
+		"evidence", evidence, "contents", len(contents), "content", first)
+}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -57,9 +57,11 @@
 	arrivals         map[arrivalKey]*arrivalCount
 	peers            *peers
 	cells            []*cell
-	lastStoreContact time.Time                  // latest time at which the store is known to have responded
-	fetchingDesired  bool                       // a newer desired state, in force at another node, is being fetched
-	newServers       []newServer                // servers that this node learned of from the store and still publishes
+	lastStoreContact time.Time   // latest time at which the store is known to have responded
+	fetchingDesired  bool        // a newer desired state, in force at another node, is being fetched
+	newServers       []newServer // servers that this node learned of from the store and still publishes
+	sync             desiredSync
+	lost             map[startKey]*lostRequests // requests that lost their connections within lossRetention
 	departing        []departing                // servers that this node learned are draining or removed, and still publishes
 	publishedStatus  map[string]publishedStatus // server statuses as last sent to the other nodes
 	nextRepublished  int                        // position of the next unchanged server status to send again
@@ -89,6 +91,8 @@
 		retryBudgets:    map[string]*dispatch.RetryBudget{},
 		arrivals:        map[arrivalKey]*arrivalCount{},
 		publishedStatus: map[string]publishedStatus{},
+		lost:            map[startKey]*lostRequests{},
+		sync:            desiredSync{confirmed: now},
 	}
 	n.peers = newPeers(now, s)
 	for _, zone := range s.Zones {
@@ -105,6 +109,9 @@
 // error if the node could not start; errors after the start are logged.
 func (n *Node) Run(ctx context.Context) error {
 	level.Info(n.log).Log("event", "start", "zone", n.settings.Zone, "address", n.settings.CallerListen, "first_start", n.settings.FirstStart)
+	if err := n.metrics.ObserveDesiredState(n.observeDesired); err != nil {
+		return err
+	}
 	work, stopWork := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopWork()
 	group, work := errgroup.WithContext(work)
@@ -215,6 +222,7 @@
 		for _, id := range n.table.RemoveExpired(now) {
 			level.Info(n.log).Log("event", "server_gone", "server", id, "reason", "entry did not return after the store outage")
 		}
+		n.logDesiredAge(now)
 		n.dispatchWaiting(now)
 		for _, c := range n.cells {
 			n.reconcileLeadership(ctx, now, c)
--- a/internal/front/peers.go
+++ b/internal/front/peers.go
@@ -338,6 +338,7 @@
 	}
 	n.applyArrivals(now, p, m.Arrivals)
 	n.applyLeaders(now, m)
+	n.noteDesiredVersion(now, m.DesiredVersion)
 	if t := n.desired.Load(); t == nil || m.DesiredVersion > t.Version {
 		n.fetchDesired(m.DesiredVersion)
 	}
--- a/internal/front/serve.go
+++ b/internal/front/serve.go
@@ -38,6 +38,7 @@
 	route        *routes.Route
 	service      string // service that the route selected
 	body         []byte
+	content      uint64 // see contentHash; zero until it is needed
 	arrived      time.Time
 	deadline     time.Time // end of the caller's or the route's time limit, whichever is earlier
 	prefixKey    string    // hash of the parts of the prompt that other requests may share; may be empty
--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -117,5 +117,8 @@
 		x.endUnanswered("time_over")
 		return attemptDone
 	}
+	if x.received.brokenOff() {
+		x.connectionLost(server)
+	}
 	return x.attemptFailed(server, "stream_cut", err)
 }
--- a/internal/front/watch.go
+++ b/internal/front/watch.go
@@ -36,6 +36,7 @@
 	pause        func() time.Duration                             // returns the time between two watches
 	onList       func(objects []platform.Object, revision uint64) // handles the complete list, as of a revision
 	onEvent      func(e platform.Event)                           // handles one change
+	onConfirmed  func(asOf time.Time)                             // handles that all changes up to a time are known; may be nil
 	revision     uint64                                           // revision from which the next watch starts; zero to list first
 	failingSince time.Time                                        // time of the first of the consecutive failures; zero if the last call succeeded
 }
@@ -49,6 +50,9 @@
 			continue
 		}
 		w.recordSuccess(sent)
+		if w.onConfirmed != nil {
+			w.onConfirmed(sent)
+		}
 		sleep(ctx, w.pause())
 	}
 	return nil
@@ -122,6 +126,7 @@
 // watchDesired follows the operators' desired state.
 func (n *Node) watchDesired(ctx context.Context) error {
 	w := &watcher{node: n, kind: platform.KindConfig, timeout: desiredWatchTimeout, pause: func() time.Duration { return 0 }}
+	w.onConfirmed = n.desiredConfirmed
 	w.onList = func(objects []platform.Object, _ uint64) {
 		for _, o := range objects {
 			n.setDesired(o)
@@ -159,6 +164,9 @@
 			return
 		}
 		if n.desired.CompareAndSwap(old, t) {
+			n.mu.Lock()
+			n.noteDesiredVersion(bootclock.Now(), t.Version)
+			n.mu.Unlock()
 			level.Info(n.log).Log("event", "desired_state", "version", t.Version, "routes", len(t.Routes), "services", len(t.Services))
 			return
 		}
@@ -258,6 +266,9 @@
 	}
 	now := bootclock.Now()
 	n.table.Remove(now, id, revision)
+	if !entry.Draining {
+		n.serverEnded(entry, endRemoved)
+	}
 	entry.Revision = max(entry.Revision, revision)
 	n.announceDeparture(entry)
 	level.Info(n.log).Log("event", "server_gone", "server", id, "reason", "entry removed")
@@ -274,6 +285,9 @@
 	if !n.table.SetEntry(bootclock.Now(), entry) {
 		return
 	}
+	if known && before.Start != entry.Start {
+		n.serverEnded(before, endRestarted)
+	}
 	if known && before.Draining == entry.Draining && before.Start == entry.Start {
 		return
 	}
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"sync"
@@ -28,6 +29,7 @@
 	running      metric.Int64UpDownCounter
 	orders       metric.Int64Counter
 	responses    metric.Int64Counter
+	serverEnds   metric.Int64Counter
 	labelOptions sync.Map // labels -> metric.MeasurementOption
 }
 
@@ -97,7 +99,7 @@
 // addInstruments registers all instruments and returns the first error.
 func (m *Metrics) addInstruments() error {
 	meter := m.provider.Meter("redwingnotch")
-	var errs [8]error
+	var errs [9]error
 	m.requests, errs[0] = meter.Int64Counter("redwingnotch_requests", metric.WithDescription("Requests by kind, rank, outcome and code."))
 	m.duration, errs[1] = meter.Float64Histogram("redwingnotch_request_duration", metric.WithUnit("s"),
 		metric.WithDescription("Time from arrival to the end of the answer."), metric.WithExplicitBucketBoundaries(latencyBounds...))
@@ -109,6 +111,8 @@
 	m.orders, errs[6] = meter.Int64Counter("redwingnotch_orders", metric.WithDescription("Orders to backend servers by kind and result."))
 	m.responses, errs[7] = meter.Int64Counter("redwingnotch_server_responses",
 		metric.WithDescription("Responses of backend servers by framing, how the body ended, and whether that was inside an event of a stream."))
+	m.serverEnds, errs[8] = meter.Int64Counter("redwingnotch_server_ends",
+		metric.WithDescription("Backend servers that ended under requests of this node, by evidence."))
 	for _, err := range errs {
 		if err != nil {
 			return err
@@ -156,5 +160,43 @@
 	m.responses.Add(context.Background(), 1, m.labelOption(responseLabels{framing, end, insideEvent}))
 }
 
+// ServerEnded counts a backend server that ended while it ran requests of this node, by
+// the evidence for its end.
+func (m *Metrics) ServerEnded(evidence string) {
+	m.serverEnds.Add(context.Background(), 1, metric.WithAttributes(attribute.String("evidence", evidence)))
+}
+
+// DesiredState says how current a node's desired state is.
+type DesiredState struct {
+	Version      uint64        // version in force; zero if there is none
+	ConfirmedAge time.Duration // time since the store confirmed that no newer version exists; since the start if it never did
+	Behind       time.Duration // time for which a newer version has been known; zero if none is
+}
+
+// ObserveDesiredState adds gauges of the node's desired state. Each reading of the
+// metrics calls current.
+func (m *Metrics) ObserveDesiredState(current func() DesiredState) error {
+	meter := m.provider.Meter("redwingnotch")
+	var errs [4]error
+	var version metric.Int64ObservableGauge
+	var age, behind metric.Float64ObservableGauge
+	version, errs[0] = meter.Int64ObservableGauge("redwingnotch_desired_state_version", metric.WithDescription("Version of the desired state in force."))
+	age, errs[1] = meter.Float64ObservableGauge("redwingnotch_desired_state_confirmed_age", metric.WithUnit("s"),
+		metric.WithDescription("Time since the store confirmed that the desired state in force is the newest."))
+	behind, errs[2] = meter.Float64ObservableGauge("redwingnotch_desired_state_behind", metric.WithUnit("s"),
+		metric.WithDescription("Time for which a newer desired state than the one in force has been known."))
+	if err := errors.Join(errs[:]...); err != nil {
+		return fmt.Errorf("metrics: %w", err)
+	}
+	_, errs[3] = meter.RegisterCallback(func(_ context.Context, o metric.Observer) error {
+		d := current()
+		o.ObserveInt64(version, int64(d.Version))
+		o.ObserveFloat64(age, d.ConfirmedAge.Seconds())
+		o.ObserveFloat64(behind, d.Behind.Seconds())
+		return nil
+	}, version, age, behind)
+	return errors.Join(errs[:]...)
+}
+
 // Shutdown flushes the metrics and stops their provider.
 func (m *Metrics) Shutdown(ctx context.Context) error { return m.provider.Shutdown(ctx) }
