--- a/standin/objectapi/http.go
+++ b/standin/objectapi/http.go
@@ -1,10 +1,13 @@
 package objectapi
 
 import (
+	"bytes"
+	"encoding/hex"
 	"encoding/json"
 	"errors"
 	"io"
 	"net/http"
+	"regexp"
 	"strconv"
 	"time"
 
@@ -91,6 +94,9 @@
 		Status:        json.RawMessage("null"),
 	}
 	if obj.Kind == platform.KindConfig || obj.Kind == platform.KindServers {
+		if _, err := json.Marshal(body.Specification); err != nil {
+			body.Specification = rawMark(obj.Value)
+		}
 		return body
 	}
 	spec, err := platform.EncodeSpecification(obj.Writer, obj.Value)
@@ -167,5 +173,34 @@
 	}
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
-	_ = json.NewEncoder(w).Encode(body)
+	var text bytes.Buffer
+	if err := json.NewEncoder(&text).Encode(body); err != nil {
+		panic(err) // what can't be encoded is marked
+	}
+	_, _ = w.Write(replaceRawMarks(text.Bytes())) // fails if the client has left
+}
+
+// Marks around the hexadecimal text of a value that the encoder refuses.
+const (
+	rawMarkBegin = `"<raw:`
+	rawMarkEnd   = `:raw>"`
+)
+
+// rawMark returns a JSON string that stands for a value which the encoder refuses.
+func rawMark(value []byte) json.RawMessage {
+	return json.RawMessage(rawMarkBegin + hex.EncodeToString(value) + rawMarkEnd)
+}
+
+// rawMarks matches encoded rawMarks; the encoder escapes the brackets.
+var rawMarks = regexp.MustCompile(`"\\u003craw:([0-9a-f]*):raw\\u003e"`)
+
+// replaceRawMarks puts the marked values in the place of their marks.
+func replaceRawMarks(text []byte) []byte {
+	return rawMarks.ReplaceAllFunc(text, func(mark []byte) []byte {
+		value, err := hex.DecodeString(string(rawMarks.FindSubmatch(mark)[1]))
+		if err != nil {
+			panic(err) // the expression matches pairs of digits only
+		}
+		return value
+	})
 }
