Desired state and servers: a watch that hears nothing confirms nothing

Callers got 404 on routes that had been confirmed for seconds, from all nodes at once (CONFIG); requests went on to servers that were known to drain (DRAIN).

Cause: the silence of a watch was taken for the absence of changes. A watch for the desired state waited 15.7 s on a connection that can be dead without a reset, a node read it only if it found another one ahead, and if all connections die at once nobody is. The servers' watch did the same for up to 4.7 s and a pause of 4 s.

Configsync now keeps the time as of which the store confirmed the version in force, by this node's call or by a message of another node with its age. One node confirms for all with watches of 0.4 of config_apply_ms; each node reads over a new connection once the age passes 0.75 of it, after a failed watch, and when another node is ahead. The frequent watchers of servers wait for 0.4 of drain_timeout_ms, and the others end their pause when nobody has confirmed the list for 0.75 of it.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -20,6 +20,7 @@
 	"github.com/go-kit/log/level"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/redwingnotch/redwingnotch/configsync"
 	"github.com/redwingnotch/redwingnotch/dispatch"
 	"github.com/redwingnotch/redwingnotch/internal/bootclock"
 	"github.com/redwingnotch/redwingnotch/internal/closeframe"
@@ -40,6 +41,7 @@
 	log           log.Logger
 	metrics       *telemetry.Metrics
 	store         *platform.Client
+	freshStore    *platform.Client // opens a connection for each call; kept ones may be dead
 	serverClients *serverClients
 
 	desired        atomic.Pointer[routes.Table] // desired state in force; nil until one was read
@@ -57,10 +59,13 @@
 	arrivals         map[arrivalKey]*arrivalCount
 	peers            *peers
 	cells            []*cell
-	lastStoreContact time.Time   // latest time at which the store is known to have responded
-	fetchingDesired  bool        // a newer desired state, in force at another node, is being fetched
-	newServers       []newServer // servers that this node learned of from the store and still publishes
-	sync             desiredSync
+	lastStoreContact time.Time                  // latest time at which the store is known to have responded
+	newServers       []newServer                // servers that this node learned of from the store and still publishes
+	sync             *configsync.Core           // how the desired state is followed
+	cancelWatch      context.CancelFunc         // cancels the latest watch for the desired state
+	serversAsOf      time.Time                  // latest time up to which this node has read all changes of servers
+	desiredStale     bool                       // the latest desired_state_stale has not been followed by desired_state_confirmed
+	desiredLost      time.Time                  // first of the consecutive failed reads of the desired state; zero if the latest succeeded
 	lost             map[startKey]*lostRequests // requests that lost their connections within lossRetention
 	departing        []departing                // servers that this node learned are draining or removed, and still publishes
 	publishedStatus  map[string]publishedStatus // server statuses as last sent to the other nodes
@@ -84,6 +89,7 @@
 			CallTimeout: storeTimeout,
 			WatchMargin: storeTimeout,
 		}),
+		freshStore:      platform.NewClient(platform.Options{BaseURL: "http://" + s.StoreAddress, CallTimeout: storeTimeout, SingleUse: true}),
 		serverClients:   newServerClients(),
 		table:           replicas.NewTable(),
 		queue:           waiting.NewQueue(),
@@ -92,7 +98,7 @@
 		arrivals:        map[arrivalKey]*arrivalCount{},
 		publishedStatus: map[string]publishedStatus{},
 		lost:            map[startKey]*lostRequests{},
-		sync:            desiredSync{confirmed: now},
+		sync:            configsync.New(now, configsync.Settings{ApplyTimeout: s.Bounds.ConfigApplyTimeout}),
 	}
 	n.peers = newPeers(now, s)
 	for _, zone := range s.Zones {
@@ -126,7 +132,6 @@
 	n.peers.socket = socket
 	group.Go(func() error { return n.receive(work) })
 	group.Go(func() error { return n.tick(work) })
-	group.Go(func() error { return n.watchDesired(work) })
 	group.Go(func() error { return n.watchServers(work) })
 	select {
 	case <-ctx.Done():
@@ -222,7 +227,7 @@
 		for _, id := range n.table.RemoveExpired(now) {
 			level.Info(n.log).Log("event", "server_gone", "server", id, "reason", "entry did not return after the store outage")
 		}
-		n.logDesiredAge(now)
+		n.reconcileDesired(ctx, now)
 		n.dispatchWaiting(now)
 		for _, c := range n.cells {
 			n.reconcileLeadership(ctx, now, c)
--- a/internal/front/loads.go
+++ b/internal/front/loads.go
@@ -236,26 +236,3 @@
 		c.loader(now, key.service, n.settings).CountRequests(now, key.model, key.adapter, key.fast, count)
 	}
 }
-
-// fetchDesired reads the desired state from the store because another node has a
-// newer version in force. The caller holds n.mu.
-func (n *Node) fetchDesired(version uint64) {
-	if version == 0 || n.fetchingDesired {
-		return
-	}
-	n.fetchingDesired = true
-	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
-		defer cancel()
-		object, err := n.store.Get(ctx, platform.KindConfig, platform.ConfigName)
-		if err != nil {
-			level.Warn(n.log).Log("event", "desired_state_unread", "version", version, "err", err)
-			time.Sleep(storeRetryDelay)
-		} else {
-			n.setDesired(object)
-		}
-		n.mu.Lock()
-		defer n.mu.Unlock()
-		n.fetchingDesired = false
-	}()
-}
--- a/internal/front/peers.go
+++ b/internal/front/peers.go
@@ -34,24 +34,34 @@
 	Node           string                  `json:"n"`
 	IP             string                  `json:"a"` // IP of the sender, which identifies it
 	Zone           string                  `json:"z"`
-	VMClass        int                     `json:"m,omitempty"` // size of the sender's VM, see vmClass
-	Partial        bool                    `json:"i,omitempty"` // it holds only what changes often, see Node.partial
-	Incarnation    int64                   `json:"r"`           // start of the sender's process by the time of day, in Unix nanoseconds
-	Sequence       uint64                  `json:"q"`           // rises with each message of an incarnation
-	CallerAddr     string                  `json:"f"`           // the sender's address for callers
-	Ready          bool                    `json:"y,omitempty"` // the sender takes requests
-	Stopping       bool                    `json:"x,omitempty"` // the sender is stopping
-	DesiredVersion uint64                  `json:"d,omitempty"` // version of the desired state in force; zero if there is none
-	StoreAgeMS     int64                   `json:"s"`           // milliseconds since the store last responded to the sender
-	Leaders        map[string]*leaderState `json:"h,omitempty"` // by cell: the sender's leadership of the cell, or its orders as a former leader
-	InFlight       map[string]int          `json:"l,omitempty"` // requests in flight, by backend server
-	Demand         []demandState           `json:"w,omitempty"` // models and adapters for which requests wait
-	Arrivals       []arrivalState          `json:"c,omitempty"` // numbers of requests that arrived at the sender
-	Statuses       []replicas.ServerStatus `json:"v,omitempty"` // statuses of backend servers in the cells that the sender leads
-	Down           []string                `json:"u,omitempty"` // backend servers to which the sender recently failed to connect
-	Departing      []departing             `json:"g,omitempty"` // backend servers that are draining or removed
-	NewServers     []replicas.Entry        `json:"e,omitempty"` // backend servers that the sender read from the store within newServersPublishedFor
-	KnownIPs       []string                `json:"k,omitempty"` // IPs of other nodes that are alive; partial messages name some of them
+	VMClass        int                     `json:"m,omitempty"`  // size of the sender's VM, see vmClass
+	Partial        bool                    `json:"i,omitempty"`  // it holds only what changes often, see Node.partial
+	Incarnation    int64                   `json:"r"`            // start of the sender's process by the time of day, in Unix nanoseconds
+	Sequence       uint64                  `json:"q"`            // rises with each message of an incarnation
+	CallerAddr     string                  `json:"f"`            // the sender's address for callers
+	Ready          bool                    `json:"y,omitempty"`  // the sender takes requests
+	Stopping       bool                    `json:"x,omitempty"`  // the sender is stopping
+	DesiredVersion uint64                  `json:"d,omitempty"`  // version of the desired state in force; zero if there is none
+	ConfirmedAgeMS *int64                  `json:"da,omitempty"` // milliseconds since the store confirmed that no newer desired state exists; nil from builds that do not tell
+	ServersAgeMS   *int64                  `json:"sa,omitempty"` // milliseconds since the sender had read all changes of servers; nil from builds that do not tell
+	StoreAgeMS     int64                   `json:"s"`            // milliseconds since the store last responded to the sender
+	Leaders        map[string]*leaderState `json:"h,omitempty"`  // by cell: the sender's leadership of the cell, or its orders as a former leader
+	InFlight       map[string]int          `json:"l,omitempty"`  // requests in flight, by backend server
+	Demand         []demandState           `json:"w,omitempty"`  // models and adapters for which requests wait
+	Arrivals       []arrivalState          `json:"c,omitempty"`  // numbers of requests that arrived at the sender
+	Statuses       []replicas.ServerStatus `json:"v,omitempty"`  // statuses of backend servers in the cells that the sender leads
+	Down           []string                `json:"u,omitempty"`  // backend servers to which the sender recently failed to connect
+	Departing      []departing             `json:"g,omitempty"`  // backend servers that are draining or removed
+	NewServers     []replicas.Entry        `json:"e,omitempty"`  // backend servers that the sender read from the store within newServersPublishedFor
+	KnownIPs       []string                `json:"k,omitempty"`  // IPs of other nodes that are alive; partial messages name some of them
+}
+
+// confirmedAge returns the age of the desired state's confirmation, negative if unknown.
+func (m *message) confirmedAge() time.Duration {
+	if m.ConfirmedAgeMS == nil {
+		return -1
+	}
+	return time.Duration(*m.ConfirmedAgeMS) * time.Millisecond
 }
 
 // leaderState is what a node publishes about its leadership of a cell.
@@ -338,10 +348,7 @@
 	}
 	n.applyArrivals(now, p, m.Arrivals)
 	n.applyLeaders(now, m)
-	n.noteDesiredVersion(now, m.DesiredVersion)
-	if t := n.desired.Load(); t == nil || m.DesiredVersion > t.Version {
-		n.fetchDesired(m.DesiredVersion)
-	}
+	n.sync.PeerReported(now, m.DesiredVersion, m.confirmedAge())
 	n.dispatchWaiting(now)
 }
 
--- a/internal/front/sync.go
+++ b/internal/front/sync.go
@@ -1,76 +1,155 @@
 package front
 
 import (
+	"context"
+	"errors"
 	"time"
 
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
+	"github.com/redwingnotch/redwingnotch/configsync"
 	"github.com/redwingnotch/redwingnotch/internal/bootclock"
 	"github.com/redwingnotch/redwingnotch/internal/telemetry"
+	"github.com/redwingnotch/redwingnotch/platform"
+	"github.com/redwingnotch/redwingnotch/routes"
 )
 
-// desiredSync says how current the desired state in force is. Guarded by Node.mu.
-type desiredSync struct {
-	confirmed   time.Time // latest time as of which the store is known to hold no version above the one in force
-	newest      uint64    // highest version that this node knows of
-	newestSince time.Time // when this node learned of newest
-	stale       bool      // confirmed is older than Bounds.ConfigApplyTimeout
+// reconcileDesired starts the calls that are due to follow the desired state. The
+// caller holds n.mu.
+func (n *Node) reconcileDesired(ctx context.Context, now time.Time) {
+	n.logDesiredStatus(now)
+	actions := n.sync.Tick(now, n.confirms(now))
+	if actions.CancelWatch {
+		n.cancelWatch()
+	}
+	if actions.Read {
+		go n.readDesired(ctx)
+	}
+	if actions.Watch != nil {
+		ctx, cancel := context.WithTimeout(ctx, actions.Watch.Timeout)
+		n.cancelWatch = cancel
+		go n.watchDesired(ctx, cancel, *actions.Watch)
+	}
 }
 
-// desiredConfirmed records that the store held no version above the one in force as of
-// the time.
-func (n *Node) desiredConfirmed(asOf time.Time) {
+// confirms reports whether this node confirms the desired state for the nodes that it
+// reaches. The caller holds n.mu.
+func (n *Node) confirms(now time.Time) bool { return n.peers.successorPosition(now, "") == 0 }
+
+// readDesired reads the desired state and puts it in force.
+func (n *Node) readDesired(ctx context.Context) {
+	sent := bootclock.Now()
+	objects, revision, err := n.freshStore.List(ctx, platform.KindConfig, "")
+	for _, o := range objects {
+		err = errors.Join(err, n.setDesired(o))
+	}
+	now := bootclock.Now()
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if asOf.After(n.sync.confirmed) {
-		n.sync.confirmed = asOf
+	if ctx.Err() != nil {
+		return
+	}
+	if err == nil {
+		n.storeResponded(now, sent, 0)
+	}
+	n.logStore(now, err)
+	stale := n.sync.Status(now).Stale
+	n.sync.ReadDone(now, sent, revision, err, n.confirms(now))
+	if stale && err == nil {
+		n.publish(now, sendAllNow) // others may be about to read as well
 	}
 }
 
-// noteDesiredVersion records that a version of the desired state exists. The caller
-// holds n.mu.
-func (n *Node) noteDesiredVersion(now time.Time, version uint64) {
-	if version > n.sync.newest {
-		n.sync.newest, n.sync.newestSince = version, now
+// watchDesired waits for a change of the desired state and puts it in force.
+func (n *Node) watchDesired(ctx context.Context, cancel context.CancelFunc, w configsync.Watch) {
+	defer cancel()
+	sent := bootclock.Now()
+	events, revision, err := n.store.Watch(ctx, platform.KindConfig, w.Revision, w.Wait)
+	for _, e := range events {
+		if !e.Deleted {
+			err = errors.Join(err, n.setDesired(e.Object))
+		}
+	}
+	now := bootclock.Now()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if errors.Is(err, platform.ErrCompacted) {
+		n.sync.Compacted()
+		return
+	}
+	if err == nil {
+		n.storeResponded(now, sent, w.Wait)
 	}
+	n.sync.WatchDone(now, sent, revision, len(events) > 0, err, n.confirms(now))
+	n.dispatchWaiting(now)
 }
 
-// desiredStatus returns how current the desired state in force is. The caller holds
-// n.mu.
-func (n *Node) desiredStatus(now time.Time) telemetry.DesiredState {
-	s := telemetry.DesiredState{ConfirmedAge: now.Sub(n.sync.confirmed)}
-	if t := n.desired.Load(); t != nil {
-		s.Version = t.Version
+// setDesired puts a desired state in force if it is newer.
+func (n *Node) setDesired(o platform.Object) error {
+	if o.Name != platform.ConfigName {
+		return nil
+	}
+	t, err := platform.DecodeDesired(o.Value)
+	if err != nil {
+		level.Error(n.log).Log("event", "desired_state_unreadable", "revision", o.Version, "err", err)
 	}
-	if n.sync.newest > s.Version {
-		s.Behind = now.Sub(n.sync.newestSince)
+	if t == nil {
+		return err
+	}
+	n.putInForce(t)
+	return nil
+}
+
+// putInForce puts the table in force unless the one in force is as new or newer.
+func (n *Node) putInForce(t *routes.Table) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if old := n.desired.Load(); old != nil && old.Version >= t.Version {
+		return
 	}
-	return s
+	now := bootclock.Now()
+	n.desired.Store(t)
+	n.sync.PutInForce(now, t.Version)
+	level.Info(n.log).Log("event", "desired_state", "version", t.Version, "routes", len(t.Routes), "services", len(t.Services))
+	n.publish(now, sendAllNow)
 }
 
-// observeDesired is desiredStatus for the metrics.
+// observeDesired is the desired state's status for the metrics.
 func (n *Node) observeDesired() telemetry.DesiredState {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.desiredStatus(bootclock.Now())
+	s := n.sync.Status(bootclock.Now())
+	return telemetry.DesiredState{Version: s.Version, ConfirmedAge: s.ConfirmedAge, Behind: s.Behind}
 }
 
-// logDesiredAge logs when the confirmation of the desired state becomes older than the
+// logDesiredStatus logs when the confirmation of the desired state becomes older than the
 // time within which a new one must be in force, and when it is renewed. The caller
 // holds n.mu.
-func (n *Node) logDesiredAge(now time.Time) {
-	status := n.desiredStatus(now)
-	stale := status.ConfirmedAge > n.settings.Bounds.ConfigApplyTimeout
-	if stale == n.sync.stale {
+func (n *Node) logDesiredStatus(now time.Time) {
+	status := n.sync.Status(now)
+	if status.Stale == n.desiredStale {
 		return
 	}
-	n.sync.stale = stale
-	logger := log.With(level.Info(n.log), "version", status.Version, "newest", n.sync.newest,
+	n.desiredStale = status.Stale
+	logger := log.With(level.Info(n.log), "version", status.Version, "newest", status.Newest,
 		"age_ms", status.ConfirmedAge.Milliseconds(), "behind_ms", status.Behind.Milliseconds())
-	if stale {
+	if status.Stale {
 		logger.Log("event", "desired_state_stale")
 		return
 	}
 	logger.Log("event", "desired_state_confirmed")
 }
+
+// logStore logs the first failed read of the desired state and the first that works
+// again. The caller holds n.mu.
+func (n *Node) logStore(now time.Time, err error) {
+	switch {
+	case err != nil && n.desiredLost.IsZero():
+		n.desiredLost = now
+		level.Warn(n.log).Log("event", "store_lost", "kind", platform.KindConfig, "err", err)
+	case err == nil && !n.desiredLost.IsZero():
+		level.Info(n.log).Log("event", "store_back", "kind", platform.KindConfig, "away_ms", now.Sub(n.desiredLost).Milliseconds())
+		n.desiredLost = time.Time{}
+	}
+}
--- a/internal/front/tell.go
+++ b/internal/front/tell.go
@@ -173,7 +173,8 @@
 		Down: n.table.Unreachable(now), KnownIPs: p.aliveIPs(now),
 	}
 	if t := n.desired.Load(); t != nil {
-		m.DesiredVersion = t.Version
+		age := n.sync.Status(now).ConfirmedAge.Milliseconds()
+		m.DesiredVersion, m.ConfirmedAgeMS = t.Version, &age
 	}
 	for _, w := range n.queue.Demand(now, n.table) {
 		m.Demand = append(m.Demand, demandState{Service: w.Service, Model: w.Model, Adapter: w.Adapter, Count: w.Count,
@@ -190,6 +191,8 @@
 	for _, s := range n.newServers[max(0, len(n.newServers)-maxNewServersPerMessage):] {
 		m.NewServers = append(m.NewServers, s.entry)
 	}
+	serversAge := now.Sub(n.serversAsOf).Milliseconds()
+	m.ServersAgeMS = &serversAge
 	m.StoreAgeMS = now.Sub(n.lastStoreContact).Milliseconds()
 	for _, c := range n.cells {
 		if leader := n.leaderState(now, c); leader != nil {
--- a/internal/front/watch.go
+++ b/internal/front/watch.go
@@ -10,7 +10,6 @@
 	"github.com/redwingnotch/redwingnotch/internal/bootclock"
 	"github.com/redwingnotch/redwingnotch/platform"
 	"github.com/redwingnotch/redwingnotch/replicas"
-	"github.com/redwingnotch/redwingnotch/routes"
 )
 
 // Limits of calls to the store.
@@ -18,8 +17,8 @@
 	storeTimeout             = 700 * time.Millisecond  // timeout of one call, which usually takes milliseconds
 	storeRetryDelay          = 400 * time.Millisecond  // delay after a failed call
 	relaxedStoreRetryDelay   = 1500 * time.Millisecond // delay after the second and each further consecutive failed call, at nodes that are not among the frequentWatchers
-	desiredWatchTimeout      = 15 * time.Second        // timeout of one watch for the desired state; other nodes also publish newer versions
-	serversWatchTimeout      = 4 * time.Second         // timeout of one watch for servers
+	relaxedServersWatchWait  = 4 * time.Second         // wait of one watch for servers at nodes that are not among the frequentWatchers
+	storePollInterval        = 100 * time.Millisecond  // interval at which a pausing watcher checks whether its pause is to end
 	serversWatchPause        = 500 * time.Millisecond  // pause between two watches for servers, to receive several changes at once
 	relaxedServersWatchPause = 4 * time.Second         // pause between two watches for servers at nodes that are not among the frequentWatchers, in small fleets
 	serversWatchPausePerNode = 200 * time.Millisecond  // pause between two watches for servers, per live node, at nodes that are not among the frequentWatchers in large fleets; keeps the total rate of watches constant
@@ -28,16 +27,24 @@
 	storeRecoveryPeriod      = 3 * time.Second         // time after an outage in which removed entries are still treated as expired by it
 )
 
+// Shares of Bounds.DrainTimeout, within which the nodes must know that a server leaves.
+const (
+	serversWaitShare   = 0.4  // wait of one watch for servers at the frequentWatchers
+	serversMarginShare = 0.2  // time after the wait by which the response must have arrived
+	serversMaxAgeShare = 0.75 // age of the newest confirmed list of servers at which each node reads it by itself
+)
+
 // watcher follows the store objects of one kind.
 type watcher struct {
 	node         *Node
 	kind         platform.Kind
-	timeout      time.Duration                                    // timeout of one watch
+	timeouts     func() (wait, margin time.Duration)              // return the wait of a watch, and the time after it by which the response must have arrived
 	pause        func() time.Duration                             // returns the time between two watches
 	onList       func(objects []platform.Object, revision uint64) // handles the complete list, as of a revision
 	onEvent      func(e platform.Event)                           // handles one change
-	onConfirmed  func(asOf time.Time)                             // handles that all changes up to a time are known; may be nil
 	revision     uint64                                           // revision from which the next watch starts; zero to list first
+	onConfirmed  func(asOf time.Time)                             // handles that all changes up to a time are known
+	overdue      func() bool                                      // reports whether the next call is due at once, whatever the pause
 	failingSince time.Time                                        // time of the first of the consecutive failures; zero if the last call succeeded
 }
 
@@ -50,27 +57,42 @@
 			continue
 		}
 		w.recordSuccess(sent)
-		if w.onConfirmed != nil {
-			w.onConfirmed(sent)
-		}
-		sleep(ctx, w.pause())
+		w.sleepUntilDue(ctx, w.pause())
 	}
 	return nil
 }
 
+// sleepUntilDue waits for the pause, until the next call is overdue, or until the context
+// ends.
+func (w *watcher) sleepUntilDue(ctx context.Context, pause time.Duration) {
+	for end := bootclock.Now().Add(pause); ctx.Err() == nil; {
+		left := end.Sub(bootclock.Now())
+		sleep(ctx, min(left, storePollInterval))
+		if left <= storePollInterval || w.overdue() {
+			return
+		}
+	}
+}
+
 // step makes one call: a list if there is no revision to watch from, else a
 // watch.
 func (w *watcher) step(ctx context.Context) error {
 	if w.revision == 0 {
-		objects, revision, err := w.node.store.List(ctx, w.kind, "")
+		sent := bootclock.Now()
+		objects, revision, err := w.node.freshStore.List(ctx, w.kind, "")
 		if err != nil {
 			return err
 		}
 		w.onList(objects, revision)
+		w.onConfirmed(sent)
 		w.revision = revision
 		return nil
 	}
-	events, revision, err := w.node.store.Watch(ctx, w.kind, w.revision, w.timeout)
+	sent := bootclock.Now()
+	wait, margin := w.timeouts()
+	ctx, cancel := context.WithTimeout(ctx, wait+margin)
+	defer cancel()
+	events, revision, err := w.node.store.Watch(ctx, w.kind, w.revision, wait)
 	if errors.Is(err, platform.ErrCompacted) {
 		w.revision = 0
 		return nil
@@ -82,6 +104,13 @@
 		w.onEvent(e)
 	}
 	w.revision = max(w.revision, revision)
+	asOf := sent
+	if end := sent.Add(wait); len(events) == 0 {
+		if asOf = bootclock.Now(); asOf.After(end) {
+			asOf = end
+		}
+	}
+	w.onConfirmed(asOf)
 	return nil
 }
 
@@ -103,7 +132,8 @@
 
 // recordSuccess records a successful call that was sent at the given time.
 func (w *watcher) recordSuccess(sent time.Time) {
-	w.node.recordStoreContact(sent, w.timeout)
+	wait, _ := w.timeouts()
+	w.node.recordStoreContact(sent, wait)
 	if !w.failingSince.IsZero() {
 		level.Info(w.node.log).Log("event", "store_back", "kind", w.kind, "away_ms", bootclock.Now().Sub(w.failingSince).Milliseconds())
 		w.failingSince = time.Time{}
@@ -123,59 +153,10 @@
 	}
 }
 
-// watchDesired follows the operators' desired state.
-func (n *Node) watchDesired(ctx context.Context) error {
-	w := &watcher{node: n, kind: platform.KindConfig, timeout: desiredWatchTimeout, pause: func() time.Duration { return 0 }}
-	w.onConfirmed = n.desiredConfirmed
-	w.onList = func(objects []platform.Object, _ uint64) {
-		for _, o := range objects {
-			n.setDesired(o)
-		}
-	}
-	w.onEvent = func(e platform.Event) {
-		if !e.Deleted {
-			n.setDesired(e.Object)
-		}
-	}
-	return w.run(ctx)
-}
-
-// setDesired puts a desired state in force if it is newer. One with errors is put
-// in force as far as it is readable, if that includes routes.
-func (n *Node) setDesired(o platform.Object) {
-	if o.Name != platform.ConfigName {
-		return
-	}
-	t, err := platform.DecodeDesired(o.Value)
-	if err != nil {
-		level.Error(n.log).Log("event", "desired_state_unreadable", "revision", o.Version, "err", err)
-		if t == nil || len(t.Routes) == 0 {
-			return
-		}
-	}
-	n.putInForce(t)
-}
-
-// putInForce puts the table in force unless the one in force is as new or newer.
-func (n *Node) putInForce(t *routes.Table) {
-	for {
-		old := n.desired.Load()
-		if old != nil && old.Version >= t.Version {
-			return
-		}
-		if n.desired.CompareAndSwap(old, t) {
-			n.mu.Lock()
-			n.noteDesiredVersion(bootclock.Now(), t.Version)
-			n.mu.Unlock()
-			level.Info(n.log).Log("event", "desired_state", "version", t.Version, "routes", len(t.Routes), "services", len(t.Services))
-			return
-		}
-	}
-}
-
 // watchServers follows the backend servers' entries.
 func (n *Node) watchServers(ctx context.Context) error {
-	w := &watcher{node: n, kind: platform.KindServers, timeout: serversWatchTimeout, pause: n.serversWatchPause}
+	w := &watcher{node: n, kind: platform.KindServers, timeouts: n.serversWatchTimeouts, pause: n.serversWatchPause,
+		onConfirmed: n.serversConfirmed, overdue: n.serversOverdue}
 	var outage bool // entries may have expired because the store was down
 	var outageUntil time.Time
 	afterOutage := func() bool {
@@ -191,6 +172,41 @@
 	return w.run(ctx)
 }
 
+// serversWatchTimeouts returns the wait of a watch for servers and the time after it by
+// which the response must have arrived.
+func (n *Node) serversWatchTimeouts() (wait, margin time.Duration) {
+	drain := float64(n.settings.Bounds.DrainTimeout)
+	wait = relaxedServersWatchWait
+	if n.watchesFrequently() {
+		wait = time.Duration(serversWaitShare * drain)
+	}
+	return wait, time.Duration(serversMarginShare * drain)
+}
+
+// serversConfirmed records that this node knows all changes of servers up to the time.
+func (n *Node) serversConfirmed(asOf time.Time) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if asOf.After(n.serversAsOf) {
+		n.serversAsOf = asOf
+	}
+}
+
+// serversOverdue reports whether neither this node nor another whose changes it receives
+// has confirmed the list of servers for so long that this one reads it by itself.
+func (n *Node) serversOverdue() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := bootclock.Now()
+	age := now.Sub(n.serversAsOf)
+	for _, p := range n.peers.byIP {
+		if p.alive(now) && p.ServersAgeMS != nil {
+			age = min(age, now.Sub(p.received)+time.Duration(*p.ServersAgeMS)*time.Millisecond)
+		}
+	}
+	return age >= time.Duration(serversMaxAgeShare*float64(n.settings.Bounds.DrainTimeout))
+}
+
 // serversWatchPause returns the pause between two watches for servers. Only
 // frequentWatchers nodes watch frequently; they publish new and departing servers to
 // the others. A node that knows no live peers is one of them.
