configsync: the end of a dead watch does not delay a read that is due

A node that was cut off from the store could serve an old version for up to 1.5 s longer: its watch of 15 s failed between two reads and started the delay anew. A failed watch delays the next watch only.

--- a/configsync/configsync.go
+++ b/configsync/configsync.go
@@ -39,6 +39,7 @@
 	revision   uint64    // store revision from which to watch; zero to read first
 	failures   int       // consecutive failed calls
 	nextRead   time.Time // no read is sent before this time
+	nextWatch  time.Time // no watch is sent before this time
 	reading    bool      // a read is in flight
 	watching   bool      // a watch is in flight
 	watchWait  time.Duration
@@ -81,7 +82,7 @@
 		if confirms && c.watchWait == relaxedWait && !c.canceled {
 			c.canceled, a.CancelWatch = true, true
 		}
-	case c.revision != 0:
+	case c.revision != 0 && !now.Before(c.nextWatch):
 		c.watching, c.canceled, c.watchWait = true, false, relaxedWait
 		if confirms {
 			c.watchWait = c.share(confirmWaitShare)
@@ -110,7 +111,7 @@
 // WatchDone handles the end of a watch that was sent at the given time. changed says
 // that it returned changes, which have been put in force; without one the store
 // responded at the end of the wait.
-func (c *Core) WatchDone(now, sent time.Time, revision uint64, changed bool, err error, confirms bool) {
+func (c *Core) WatchDone(now, sent time.Time, revision uint64, changed bool, err error) {
 	c.watching = false
 	if c.canceled {
 		return
@@ -118,10 +119,7 @@
 	if err != nil {
 		// The path may be dead for all calls on it. A read over a new connection
 		// shows what was missed.
-		c.revision = 0
-		if c.failures > 0 {
-			c.fail(now, confirms)
-		}
+		c.revision, c.nextWatch = 0, now.Add(retryDelay)
 		return
 	}
 	c.failures = 0
--- a/configsync/model_test.go
+++ b/configsync/model_test.go
@@ -157,7 +157,7 @@
 		if c.watch == nil {
 			n.core.ReadDone(m.now, c.sent, m.version+1, err, m.confirms(n))
 		} else {
-			n.core.WatchDone(m.now, c.sent, m.version+1, changed, err, m.confirms(n))
+			n.core.WatchDone(m.now, c.sent, m.version+1, changed, err)
 		}
 		return true
 	}
@@ -190,7 +190,7 @@
 			for _, c := range m.calls {
 				if c.node == n && c.watch != nil {
 					c.ended = true
-					n.core.WatchDone(m.now, c.sent, 0, false, errTimeout, m.confirms(n))
+					n.core.WatchDone(m.now, c.sent, 0, false, errTimeout)
 				}
 			}
 		}
--- a/internal/front/sync.go
+++ b/internal/front/sync.go
@@ -81,7 +81,7 @@
 	if err == nil {
 		n.storeResponded(now, sent, w.Wait)
 	}
-	n.sync.WatchDone(now, sent, revision, len(events) > 0, err, n.confirms(now))
+	n.sync.WatchDone(now, sent, revision, len(events) > 0, err)
 	n.dispatchWaiting(now)
 }
 
