entry node: a request that ends each server that runs it is refused by all nodes

Nothing on the users' platform counted the ends: each attempt has another ID, each node sees only its own, and quarantine guards the product's own interface only.

A content is the hash of method, host, path, model and body. A lost connection counts once there is evidence that the server's process ended: it refuses a new connection, its entry names a later start, or its entry was removed. Nodes report the contents that were in flight there in their messages. Package poison merges the reports and refuses a content with three ends that no other content explains, after 1 s in which reports of the same ends arrive. A complete response clears a content at all nodes. Contents, reports and messages are bounded.

TestPoisonRequestIsRefusedOnAllNodes failed before (further servers ended through each node) and passes, as does TestPoisonIsRecognisedByRestarts.

--- a/internal/front/attempt.go
+++ b/internal/front/attempt.go
@@ -310,6 +310,7 @@
 	} else {
 		x.node.observe(server, replicas.Answered, bootclock.Now().Sub(sent))
 	}
+	x.clearContent()
 	length := int64(len(body))
 	if x.r.Method == http.MethodHead {
 		length = resp.ContentLength
--- a/internal/front/ended.go
+++ b/internal/front/ended.go
@@ -147,4 +147,7 @@
 	}
 	level.Info(n.log).Log("event", "server_ended", "server", server.ID, "start", server.Start, "draining", server.Draining,
 		"evidence", evidence, "contents", len(contents), "content", first)
+	if !server.Draining && len(contents) > 0 {
+		n.reportEnd(bootclock.Now(), server, contents)
+	}
 }
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -26,6 +26,7 @@
 	"github.com/redwingnotch/redwingnotch/internal/closeframe"
 	"github.com/redwingnotch/redwingnotch/internal/telemetry"
 	"github.com/redwingnotch/redwingnotch/platform"
+	"github.com/redwingnotch/redwingnotch/poison"
 	"github.com/redwingnotch/redwingnotch/replicas"
 	"github.com/redwingnotch/redwingnotch/routes"
 	"github.com/redwingnotch/redwingnotch/waiting"
@@ -67,6 +68,9 @@
 	desiredStale     bool                       // the latest desired_state_stale has not been followed by desired_state_confirmed
 	desiredLost      time.Time                  // first of the consecutive failed reads of the desired state; zero if the latest succeeded
 	lost             map[startKey]*lostRequests // requests that lost their connections within lossRetention
+	poison           *poison.Table              // contents under which servers ended
+	ends             []poison.Report            // ends of servers under this node's requests that it still publishes
+	innocent         []innocentContent          // contents that this node found innocent and still publishes
 	departing        []departing                // servers that this node learned are draining or removed, and still publishes
 	publishedStatus  map[string]publishedStatus // server statuses as last sent to the other nodes
 	nextRepublished  int                        // position of the next unchanged server status to send again
@@ -98,6 +102,7 @@
 		arrivals:        map[arrivalKey]*arrivalCount{},
 		publishedStatus: map[string]publishedStatus{},
 		lost:            map[startKey]*lostRequests{},
+		poison:          poison.New(),
 		sync:            configsync.New(now, configsync.Settings{ApplyTimeout: s.Bounds.ConfigApplyTimeout}),
 	}
 	n.peers = newPeers(now, s)
@@ -228,6 +233,7 @@
 			level.Info(n.log).Log("event", "server_gone", "server", id, "reason", "entry did not return after the store outage")
 		}
 		n.reconcileDesired(ctx, now)
+		n.decidePoison(now)
 		n.dispatchWaiting(now)
 		for _, c := range n.cells {
 			n.reconcileLeadership(ctx, now, c)
--- a/internal/front/harness_test.go
+++ b/internal/front/harness_test.go
@@ -35,6 +35,7 @@
 	requests []*http.Request
 	bodies   []string
 	handler  func(w http.ResponseWriter, r *http.Request)
+	born     int64 // start that its entry names, Unix milliseconds
 }
 
 func (b *backendServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -148,7 +149,7 @@
 
 // backendServer starts a backend server and registers it as ready.
 func (c *cluster) backendServer(id, service string, handler func(http.ResponseWriter, *http.Request)) *backendServer {
-	b := &backendServer{id: id, handler: handler}
+	b := &backendServer{id: id, handler: handler, born: 1700000000000}
 	b.server = httptest.NewServer(b)
 	c.backends[id] = b
 	c.register(b, service, "ready")
@@ -159,10 +160,18 @@
 func (c *cluster) register(b *backendServer, service, state string) {
 	c.put(platform.KindServers, b.id, map[string]any{
 		"service": service, "address": strings.TrimPrefix(b.server.URL, "http://"), "zone": "z1", "slots": c.slots, "state": state,
-		"models": []map[string]any{{"name": "m", "version": 1, "adapters": []string{}}}, "born": 1700000000000,
+		"models": []map[string]any{{"name": "m", "version": 1, "adapters": []string{}}}, "born": b.born,
 	})
 }
 
+// unregister removes the server's entry from the store, as the platform does once the
+// server is silent.
+func (c *cluster) unregister(id string) {
+	entry, err := c.store.Get(c.t.Context(), platform.KindServers, id)
+	assert.NilError(c.t, err)
+	assert.NilError(c.t, c.store.Delete(c.t.Context(), platform.KindServers, id, entry.Version))
+}
+
 // freePort returns a TCP port of the IP that is free at the moment.
 func freePort(t *testing.T, ip string) int {
 	l, err := net.Listen("tcp", ip+":0")
--- a/internal/front/peers.go
+++ b/internal/front/peers.go
@@ -53,6 +53,9 @@
 	Down           []string                `json:"u,omitempty"`  // backend servers to which the sender recently failed to connect
 	Departing      []departing             `json:"g,omitempty"`  // backend servers that are draining or removed
 	NewServers     []replicas.Entry        `json:"e,omitempty"`  // backend servers that the sender read from the store within newServersPublishedFor
+	Ends           []endState              `json:"b,omitempty"`  // backend servers that ended under the sender's requests
+	Innocent       []uint64                `json:"j,omitempty"`  // hashes of contents that the sender found innocent
+	Refusals       []refusalState          `json:"p,omitempty"`  // contents that the sender refuses; only in full messages
 	KnownIPs       []string                `json:"k,omitempty"`  // IPs of other nodes that are alive; partial messages name some of them
 }
 
@@ -346,6 +349,7 @@
 			level.Info(n.log).Log("event", "server", "server", d.ID, "draining", true, "revision", d.Revision, "source", m.Node)
 		}
 	}
+	n.applySuspects(now, m)
 	n.applyArrivals(now, p, m.Arrivals)
 	n.applyLeaders(now, m)
 	n.sync.PeerReported(now, m.DesiredVersion, m.confirmedAge())
--- a/internal/front/poison_test.go
+++ b/internal/front/poison_test.go
@@ -11,6 +11,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/redwingnotch/redwingnotch/platform"
+	"github.com/redwingnotch/redwingnotch/poison"
 )
 
 // crash ends the server as a process that crashes: its connections are reset and it
@@ -20,6 +21,10 @@
 	b.server.CloseClientConnections()
 }
 
+// maxLateEnds is how many servers may end under a poison request later than
+// contactTimeout after the third.
+const maxLateEnds = 3
+
 // poisonable returns a handler that crashes the server under requests for paths that
 // contain "poison", and holds requests for paths that contain "slow" until then or
 // until release is closed.
@@ -71,27 +76,73 @@
 	statuses := make([]int, 12)
 	for i := range statuses {
 		beside.Go(func() {
-			statuses[i] = c.call(nodes[i%3], http.MethodPost, fmt.Sprint("/safe/slow-", i), fmt.Sprint("beside-", i)).status
+			statuses[i] = c.call(nodes[i%3], http.MethodGet, fmt.Sprint("/safe/slow-", i), fmt.Sprint("beside-", i)).status
 		})
 	}
 	for i := 0; count() < 3; i++ {
 		assert.Assert(t, i < 20, "only %d servers ended", count())
-		c.call(nodes[i%3], http.MethodPost, "/safe/poison", fmt.Sprint("poison-", i))
+		c.call(nodes[i%3], http.MethodGet, "/safe/poison", fmt.Sprint("poison-", i))
 	}
 	time.Sleep(contactTimeout)
 	before := count()
 	for i := range 9 {
-		got := c.call(nodes[i%3], http.MethodPost, "/safe/poison", fmt.Sprint("again-", i))
+		got := c.call(nodes[i%3], http.MethodGet, "/safe/poison", fmt.Sprint("again-", i))
 		assert.Equal(t, got.status, http.StatusServiceUnavailable)
 		assert.Assert(t, got.header.Get("Retry-After") != "")
 	}
 	assert.Equal(t, count(), before, "further servers ended")
 	unblock()
 	beside.Wait()
+	ended.Range(func(id, _ any) bool { c.unregister(id.(string)); return true })
 	for i := range statuses {
-		got := c.call(nodes[(i+1)%3], http.MethodPost, fmt.Sprint("/safe/slow-", i), fmt.Sprint("repeated-", i))
-		assert.Equal(t, got.status, http.StatusOK, "request %d, first answered with %d", i, statuses[i])
+		c.eventually(func() bool {
+			return c.call(nodes[(i+1)%3], http.MethodGet, fmt.Sprint("/safe/slow-", i), fmt.Sprint("repeated-", i)).status == http.StatusOK
+		})
+	}
+	for line := range strings.Lines(c.text()) {
+		innocent := strings.Contains(line, "id=beside-") || strings.Contains(line, "id=repeated-")
+		assert.Assert(t, !innocent || !strings.Contains(line, "poison_request"), line)
+	}
+}
+
+// TestPoisonIsRecognisedByRestarts guards against a request that ends servers which are
+// back at once: they accept connections again, and only their entries name another start.
+func TestPoisonIsRecognisedByRestarts(t *testing.T) {
+	c := newCluster(t)
+	var mu sync.Mutex
+	var ended []time.Time
+	for i := range 6 {
+		var b *backendServer
+		b = c.backendServer(fmt.Sprint("s", i), "plain", func(w http.ResponseWriter, r *http.Request) {
+			if !strings.Contains(r.URL.Path, "poison") {
+				fmt.Fprint(w, "done")
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			ended = append(ended, time.Now())
+			b.born++
+			c.register(b, "plain", "ready")
+			panic(http.ErrAbortHandler)
+		})
+	}
+	port := freePort(t, "127.0.0.1")
+	nodes := []*node{c.node("127.0.0.2", port), c.node("127.0.0.3", port), c.node("127.0.0.4", port)}
+	for i := range 12 {
+		c.call(nodes[i%3], http.MethodGet, "/unsafe/poison", fmt.Sprint("poison-", i))
+		assert.Equal(t, c.call(nodes[i%3], http.MethodGet, "/unsafe/x", fmt.Sprint("other-", i)).status, http.StatusOK)
+		time.Sleep(600 * time.Millisecond)
+	}
+	mu.Lock()
+	defer mu.Unlock()
+	late := 0
+	for _, at := range ended {
+		if len(ended) >= poison.MaxEnds && at.After(ended[poison.MaxEnds-1].Add(contactTimeout)) {
+			late++
+		}
 	}
+	assert.Assert(t, late <= maxLateEnds, "%d servers ended, %d of them late", len(ended), late)
+	assert.Assert(t, strings.Contains(c.text(), "reason=poison_request"))
 }
 
 // TestLostConnectionsOfLiveServerAreNoPoison guards against a request that is refused
--- a/internal/front/serve.go
+++ b/internal/front/serve.go
@@ -191,6 +191,9 @@
 	defer cancel()
 	n.countArrival(x)
 	for {
+		if x.refusedAsPoison() {
+			return
+		}
 		began := bootclock.Now()
 		d, err := n.acquire(ctx, x.waitingRequest())
 		x.waited += bootclock.Now().Sub(began)
--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -95,6 +95,7 @@
 		// caller's framing can't be changed any more, and would claim a complete stream.
 		return x.streamFailed(server, errUnframedEnd)
 	}
+	x.clearContent()
 	if !x.responseStarted && !x.startResponse(resp, unknownLength) {
 		return attemptDone
 	}
--- a/internal/front/tell.go
+++ b/internal/front/tell.go
@@ -147,6 +147,7 @@
 func (n *Node) partial(now time.Time, m message) message {
 	m.Partial = true
 	m.Demand, m.Arrivals, m.Departing, m.KnownIPs = nil, nil, nil, n.peers.nextOf(m.KnownIPs)
+	m.Ends, m.Refusals = latestEnds(m.Ends), nil
 	for _, d := range n.departing {
 		if now.Sub(d.at) < departuresInPartialFor {
 			m.Departing = append(m.Departing, d)
@@ -193,6 +194,7 @@
 	}
 	serversAge := now.Sub(n.serversAsOf).Milliseconds()
 	m.ServersAgeMS = &serversAge
+	n.addSuspects(now, &m)
 	m.StoreAgeMS = now.Sub(n.lastStoreContact).Milliseconds()
 	for _, c := range n.cells {
 		if leader := n.leaderState(now, c); leader != nil {
--- /dev/null
+++ b/poison/poison_test.go
@@ -0,0 +1,105 @@
+package poison_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/redwingnotch/redwingnotch/poison"
+)
+
+const settled = 2 * time.Second // longer than the reports of an end take to arrive
+
+var start = time.Unix(1000, 0)
+
+// record merges a report of each end with the contents.
+func record(t *poison.Table, at time.Time, ends map[poison.End][]poison.Key) {
+	for end, keys := range ends {
+		t.Record(at, poison.Report{End: end, At: at, Keys: keys})
+	}
+}
+
+// TestInnocentBesidePoisonIsNotRefused guards against a request that is refused because it
+// ran beside a poison request each time.
+func TestInnocentBesidePoisonIsNotRefused(t *testing.T) {
+	const bad, innocent = 1, 2
+	table := poison.New()
+	record(table, start, map[poison.End][]poison.Key{1: {bad, innocent}, 2: {bad, innocent}, 3: {bad, innocent}})
+	now := start.Add(settled)
+	assert.Equal(t, len(table.Decide(now)), 0, "nothing tells the two apart")
+	record(table, now, map[poison.End][]poison.Key{4: {bad}})
+	now = now.Add(settled)
+	assert.DeepEqual(t, table.Decide(now), []poison.Key{bad})
+	assert.Equal(t, table.Refused(now, innocent), time.Duration(0))
+	assert.Assert(t, table.Refused(now, bad) > 0)
+	record(table, now, map[poison.End][]poison.Key{5: {innocent}})
+	assert.Equal(t, len(table.Decide(now)), 0, "one end of its own is no evidence yet")
+}
+
+// TestWronglyRefusedContentExplainsNothing guards against a poison request that is not refused,
+// because another content, which was refused before all reports had arrived, has most of
+// its ends.
+func TestWronglyRefusedContentExplainsNothing(t *testing.T) {
+	const bad, innocent = 1, 2
+	table := poison.New()
+	record(table, start, map[poison.End][]poison.Key{1: {innocent}, 2: {innocent}, 3: {innocent}, 4: {innocent}})
+	now := start.Add(settled)
+	assert.DeepEqual(t, table.Decide(now), []poison.Key{innocent})
+	record(table, now, map[poison.End][]poison.Key{1: {bad}, 2: {bad}, 3: {bad}, 4: {bad}, 5: {bad}})
+	assert.DeepEqual(t, table.Decide(now.Add(settled)), []poison.Key{bad})
+}
+
+// TestLateReportOfSameEndIsAwaited guards against a request that is refused before another
+// node's report shows what it ran beside.
+func TestLateReportOfSameEndIsAwaited(t *testing.T) {
+	const bad, innocent = 1, 2
+	table := poison.New()
+	record(table, start, map[poison.End][]poison.Key{1: {innocent}, 2: {innocent}, 3: {innocent}})
+	assert.Equal(t, len(table.Decide(start.Add(100*time.Millisecond))), 0)
+	record(table, start.Add(100*time.Millisecond), map[poison.End][]poison.Key{1: {bad}, 2: {bad}, 3: {bad}, 4: {bad}})
+	assert.DeepEqual(t, table.Decide(start.Add(settled)), []poison.Key{bad})
+}
+
+// TestAnsweredContentIsInnocent guards against the refusal of a request that many callers
+// repeat, after servers ended at which it happened to run.
+func TestAnsweredContentIsInnocent(t *testing.T) {
+	table := poison.New()
+	table.Answered(start, 1)
+	innocent := table.Record(start, poison.Report{End: 1, At: start, Keys: []poison.Key{1, 2}})
+	assert.DeepEqual(t, innocent, []poison.Key{1})
+	record(table, start, map[poison.End][]poison.Key{2: {2}, 3: {2}})
+	assert.DeepEqual(t, table.Decide(start.Add(settled)), []poison.Key{2})
+	assert.Assert(t, table.Cleared(start.Add(settled), 2))
+	assert.Equal(t, table.Refused(start.Add(settled), 2), time.Duration(0))
+}
+
+// TestRefusalEnds checks that a content may run again after RefuseFor, and that a node that
+// has just started learns of it from others.
+func TestRefusalEnds(t *testing.T) {
+	table, starting := poison.New(), poison.New()
+	record(table, start, map[poison.End][]poison.Key{1: {1}, 2: {1}, 3: {1}})
+	now := start.Add(settled)
+	table.Decide(now)
+	for _, r := range table.Refusals(now, 10) {
+		starting.Refuse(now, r.Key, r.Last)
+	}
+	assert.Equal(t, starting.Refused(now, 1), table.Refused(now, 1))
+	assert.Equal(t, table.Refused(start.Add(poison.RefuseFor), 1), time.Duration(0))
+}
+
+// TestTableIsBounded guards against a table that grows with the number of contents that were
+// in flight where servers ended.
+func TestTableIsBounded(t *testing.T) {
+	table := poison.New()
+	key := poison.Key(10)
+	for end := range poison.End(3000) {
+		keys := []poison.Key{1, key, key + 1, key + 2}
+		key += 3
+		table.Record(start, poison.Report{End: end, At: start, Keys: keys})
+		table.Answered(start, key+1_000_000)
+	}
+	assert.Assert(t, table.Size() <= 1024, "%d suspects", table.Size())
+	table.Decide(start.Add(settled))
+	assert.Assert(t, table.Refused(start.Add(settled), 1) > 0, "the content with most ends is retained")
+}
