platform: one odd entry does not stop the following of the others

Another writer's entry that is nested 20,000 deep, or finalizers that are no strings, made the page of the list undecodable: nodes learned of no server any more, and leaders read no leadership. Ports out of range, addresses that are none, and start times and slots beyond all measure became servers; a start of 1e300 converts to other integers on amd64 and arm64. A service name of 200 KB went into the datagrams between nodes, which then could not be sent.

--- a/standin/objectapi/http.go
+++ b/standin/objectapi/http.go
@@ -89,7 +89,7 @@
 // with their writer.
 func objectBody(obj platform.Object) platform.ObjectBody {
 	body := platform.ObjectBody{
-		Metadata:      platform.Metadata{Name: obj.Name, Revision: obj.Version, Finalizers: []string{}},
+		Metadata:      platform.Metadata{Name: obj.Name, Revision: obj.Version, Finalizers: json.RawMessage("[]")},
 		Specification: obj.Value,
 		Status:        json.RawMessage("null"),
 	}
