poison: bounded work, and a content with fewer ends explains nothing

Decide compared all contents at each tick and each report scanned the table. It now runs once reports have settled, compares at most 64 contents, and the table is cleaned at intervals.

--- a/poison/poison.go
+++ b/poison/poison.go
@@ -24,7 +24,9 @@
 	RefuseFor       = 10 * time.Minute // time since the last end for which a content is refused or remembered
 	AnsweredFor     = 30 * time.Second // time for which a complete response shows that a content is innocent
 	settleTime      = time.Second      // time for the reports of other nodes about the same end to arrive, before it counts
+	evictInterval   = 10 * time.Second // interval at which contents that were forgotten are removed
 	maxSuspects     = 1024             // contents under which servers ended
+	maxCandidates   = 64               // contents that one decision compares
 	maxAnswered     = 4096             // contents that got a complete response
 	minOwnEnds      = 2                // unexplained ends that suffice if there are more than MaxEnds in all: two poison requests may have met
 	tiedEnds        = 4                // ends at which contents that share all of them are refused together
@@ -53,10 +55,11 @@
 	refused bool
 }
 
-// add records an end. Above maxEndsRetained the one that was learned first is dropped.
-func (s *suspect) add(now time.Time, end End) {
+// add records an end and reports whether it is new. Above maxEndsRetained the one that was
+// learned first is dropped.
+func (s *suspect) add(now time.Time, end End) bool {
 	if _, known := s.ends[end]; known {
-		return
+		return false
 	}
 	if len(s.ends) >= maxEndsRetained {
 		first := end
@@ -68,12 +71,16 @@
 		delete(s.ends, first)
 	}
 	s.ends[end] = now
+	return true
 }
 
 // Table holds the suspects of one node.
 type Table struct {
-	suspects map[Key]*suspect
-	answered map[Key]time.Time // when a content last got a complete response
+	suspects  map[Key]*suspect
+	answered  map[Key]time.Time // when a content last got a complete response
+	evictedAt time.Time         // when evict was last called
+	newest    time.Time         // when this node learned of the newest end
+	decideAt  time.Time         // when Decide has something to do; zero if nothing
 }
 
 // New returns an empty table.
@@ -93,12 +100,19 @@
 			s = &suspect{ends: map[End]time.Time{}}
 			t.suspects[k] = s
 		}
-		s.add(now, r.End)
+		if s.add(now, r.End) {
+			t.newest = now
+			if t.decideAt.IsZero() {
+				t.decideAt = now.Add(settleTime)
+			}
+		}
 		if r.At.After(s.last) {
 			s.last = r.At
 		}
 	}
-	t.evict(now)
+	if len(t.suspects) > maxSuspects || now.Sub(t.evictedAt) >= evictInterval {
+		t.evict(now)
+	}
 	return innocent
 }
 
@@ -139,7 +153,9 @@
 	if last.After(s.last) {
 		s.last = last
 	}
-	t.evict(now)
+	if len(t.suspects) > maxSuspects {
+		t.evict(now)
+	}
 }
 
 // Refused returns for how long the content is refused; zero if it is not.
@@ -211,6 +227,13 @@
 // only a further end tells the two apart, until there are tiedEnds. It returns the contents that are refused from
 // now on.
 func (t *Table) Decide(now time.Time) []Key {
+	if t.decideAt.IsZero() || now.Before(t.decideAt) {
+		return nil
+	}
+	t.decideAt = time.Time{}
+	if now.Sub(t.newest) < settleTime {
+		t.decideAt = now.Add(settleTime / 4)
+	}
 	var refused []Key
 	for {
 		own := t.unexplained(now)
@@ -234,13 +257,11 @@
 		}
 	}
 	own := map[Key]map[End]time.Time{}
-	for k, s := range t.suspects {
-		if s.refused || len(s.ends) < MaxEnds {
-			continue
-		}
+	for _, k := range t.conspicuous() {
+		s := t.suspects[k]
 		left := maps.Clone(s.ends)
 		for _, other := range refused {
-			if len(other.ends) > len(s.ends) {
+			if len(other.ends) >= len(s.ends) {
 				maps.DeleteFunc(left, func(e End, _ time.Time) bool { _, known := other.ends[e]; return known })
 			}
 		}
@@ -251,6 +272,21 @@
 	return own
 }
 
+// conspicuous returns the maxCandidates contents with the most ends of those that have
+// MaxEnds and are not refused.
+func (t *Table) conspicuous() []Key {
+	var keys []Key
+	for k, s := range t.suspects {
+		if !s.refused && len(s.ends) >= MaxEnds {
+			keys = append(keys, k)
+		}
+	}
+	slices.SortFunc(keys, func(a, b Key) int {
+		return cmp.Or(cmp.Compare(len(t.suspects[b].ends), len(t.suspects[a].ends)), cmp.Compare(a, b))
+	})
+	return keys[:min(maxCandidates, len(keys))]
+}
+
 // settled returns the number of ends that are known for settleTime.
 func settled(now time.Time, ends map[End]time.Time) int {
 	n := 0
@@ -295,11 +331,12 @@
 // evict removes suspects whose last end was long ago, and above maxSuspects those with
 // the fewest ends and then the oldest; refused ones go last.
 func (t *Table) evict(now time.Time) {
+	t.evictedAt = now
 	maps.DeleteFunc(t.suspects, func(_ Key, s *suspect) bool { return now.Sub(s.last) >= RefuseFor })
-	excess := len(t.suspects) - maxSuspects
-	if excess <= 0 {
+	if len(t.suspects) <= maxSuspects {
 		return
 	}
+	excess := len(t.suspects) - maxSuspects + maxSuspects/8 // so that it is not called for each content
 	keys := slices.SortedFunc(maps.Keys(t.suspects), func(a, b Key) int {
 		x, y := t.suspects[a], t.suspects[b]
 		if x.refused != y.refused {
