entry node: the removal of an entry is no evidence of a server's end

Some servers leave without draining: their entries are removed while they go on serving, so a request that had lost a connection there would have been counted as one under which a server ended. Ends are counted once a server, the contents of one server are bounded, and a desired state without a version is not put in force.

--- a/internal/front/ended.go
+++ b/internal/front/ended.go
@@ -3,7 +3,10 @@
 import (
 	"context"
 	"errors"
+	"maps"
+	"slices"
 	"strconv"
+	"strings"
 	"syscall"
 	"time"
 
@@ -29,7 +32,6 @@
 const (
 	endRefused   endEvidence = "refused"   // it refuses connections
 	endRestarted endEvidence = "restarted" // its entry names a later start
-	endRemoved   endEvidence = "removed"   // its entry was removed, although it was not draining
 )
 
 // lostRequests are the requests of this node that lost their connections to one
@@ -60,6 +62,16 @@
 // formatHash returns a content's hash as the logs have it.
 func formatHash(hash uint64) string { return strconv.FormatUint(hash, 16) }
 
+// formatHashes returns the hashes as the logs have them, up to a number of them.
+func formatHashes(hashes []uint64) string {
+	const most = 8
+	var text []string
+	for _, hash := range hashes[:min(most, len(hashes))] {
+		text = append(text, formatHash(hash))
+	}
+	return strings.Join(text, ",")
+}
+
 // connectionLost records that an attempt lost its connection to the server after the
 // request was sent. It starts a check whether the server has ended.
 func (x *exchange) connectionLost(server replicas.Entry) {
@@ -73,10 +85,12 @@
 		lost = &lostRequests{contents: map[uint64]time.Time{}}
 		n.lost[key] = lost
 	}
-	lost.contents[x.contentHash()] = now
+	if len(lost.contents) < maxContentsPerEnd {
+		lost.contents[x.contentHash()] = now
+	}
 	switch {
 	case lost.ended:
-		n.recordEnd(server, []uint64{x.contentHash()}, endRefused)
+		n.reportEnd(now, server, []uint64{x.contentHash()})
 	case !lost.checking && now.Sub(lost.checkedAt) >= endCheckInterval:
 		lost.checking, lost.checkedAt = true, now
 		go n.checkEnded(server)
@@ -130,24 +144,9 @@
 	}
 	n.forgetLosses(bootclock.Now())
 	lost.ended = true
-	contents := make([]uint64, 0, len(lost.contents))
-	for content := range lost.contents {
-		contents = append(contents, content)
-	}
-	n.recordEnd(server, contents, evidence)
-}
-
-// recordEnd records that the server ended under requests with the contents. The caller
-// holds n.mu.
-func (n *Node) recordEnd(server replicas.Entry, contents []uint64, evidence endEvidence) {
 	n.metrics.ServerEnded(string(evidence))
-	first := ""
-	if len(contents) > 0 {
-		first = formatHash(contents[0])
-	}
+	contents := slices.Sorted(maps.Keys(lost.contents))
 	level.Info(n.log).Log("event", "server_ended", "server", server.ID, "start", server.Start, "draining", server.Draining,
-		"evidence", evidence, "contents", len(contents), "content", first)
-	if !server.Draining && len(contents) > 0 {
-		n.reportEnd(bootclock.Now(), server, contents)
-	}
+		"evidence", evidence, "contents", len(contents), "content", formatHashes(contents))
+	n.reportEnd(bootclock.Now(), server, contents)
 }
--- a/internal/front/suspects.go
+++ b/internal/front/suspects.go
@@ -51,9 +51,12 @@
 	return poison.End(xxhash.Sum64String(server.ID + "\x00" + strconv.FormatInt(server.Start, 10)))
 }
 
-// reportEnd records and publishes that a server ended under requests with the contents.
-// The caller holds n.mu.
+// reportEnd records and publishes that a server ended under requests with the contents. A
+// draining server ends whatever it runs. The caller holds n.mu.
 func (n *Node) reportEnd(now time.Time, server replicas.Entry, contents []uint64) {
+	if server.Draining || len(contents) == 0 {
+		return
+	}
 	r := poison.Report{End: endOf(server), At: now}
 	for _, content := range contents[:min(len(contents), maxContentsPerEnd)] {
 		r.Keys = append(r.Keys, poison.Key(content))
--- a/internal/front/sync.go
+++ b/internal/front/sync.go
@@ -94,7 +94,7 @@
 	if err != nil {
 		level.Error(n.log).Log("event", "desired_state_unreadable", "revision", o.Version, "err", err)
 	}
-	if t == nil {
+	if t == nil || t.Version == 0 {
 		return err
 	}
 	n.putInForce(t)
--- a/internal/front/watch.go
+++ b/internal/front/watch.go
@@ -282,9 +282,6 @@
 	}
 	now := bootclock.Now()
 	n.table.Remove(now, id, revision)
-	if !entry.Draining {
-		n.serverEnded(entry, endRemoved)
-	}
 	entry.Revision = max(entry.Revision, revision)
 	n.announceDeparture(entry)
 	level.Info(n.log).Log("event", "server_gone", "server", id, "reason", "entry removed")
