--- a/internal/front/odd_entry_test.go
+++ b/internal/front/odd_entry_test.go
@@ -41,6 +41,7 @@
 		"not an object":    `"\ud800"`,
 	} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			c := newCluster(t)
 			c.backendServer("s1", "plain", text("done"))
 			c.storeRaw("odd", value)
