entry node: within one response only one software version

The version of the server whose first event was passed on now binds every further attempt of the response; a server that names none fits no other. If no server of the version is left, the stream breaks off at once.

--- a/internal/front/harness_test.go
+++ b/internal/front/harness_test.go
@@ -36,6 +36,7 @@
 	bodies   []string
 	handler  func(w http.ResponseWriter, r *http.Request)
 	born     int64 // start that its entry names, Unix milliseconds
+	software string
 }
 
 func (b *backendServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -149,7 +150,7 @@
 
 // backendServer starts a backend server and registers it as ready.
 func (c *cluster) backendServer(id, service string, handler func(http.ResponseWriter, *http.Request)) *backendServer {
-	b := &backendServer{id: id, handler: handler, born: 1700000000000}
+	b := &backendServer{id: id, handler: handler, born: 1700000000000, software: "v1"}
 	b.server = httptest.NewServer(b)
 	c.backends[id] = b
 	c.register(b, service, "ready")
@@ -160,7 +161,7 @@
 func (c *cluster) register(b *backendServer, service, state string) {
 	c.put(platform.KindServers, b.id, map[string]any{
 		"service": service, "address": strings.TrimPrefix(b.server.URL, "http://"), "zone": "z1", "slots": c.slots, "state": state,
-		"models": []map[string]any{{"name": "m", "version": 1, "adapters": []string{}}}, "born": b.born,
+		"models": []map[string]any{{"name": "m", "version": 1, "adapters": []string{}}}, "born": b.born, "version": b.software,
 	})
 }
 
--- a/internal/front/serve.go
+++ b/internal/front/serve.go
@@ -48,6 +48,7 @@
 	runs            int              // attempts that the server may have run
 	excluded        []string         // servers at which an attempt failed
 	lastEventID     string           // ID of the last stream event passed on that had one
+	software        *string          // version of the software of the server whose event was first passed on; nil before
 	sentWithoutID   bool             // an event without an ID was passed on since, which a resumed stream would repeat
 	responseStarted bool             // a part of the response was passed on
 	framedByClose   bool             // the response ends with the caller's connection
@@ -222,6 +223,7 @@
 			SharedTokens: x.sharedTokens,
 			PrefixKey:    x.prefixKey,
 			Excluded:     x.excluded,
+			Software:     x.software,
 		},
 		Priority: x.route.Priority,
 		Arrived:  x.arrived,
--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -45,6 +45,7 @@
 			if !x.startResponse(resp, unknownLength) {
 				return attemptDone
 			}
+			x.software = &server.Software
 		}
 		if _, err := x.w.Write(event); err != nil {
 			x.abort("caller_left")
--- a/replicas/choose.go
+++ b/replicas/choose.go
@@ -28,6 +28,7 @@
 	SharedTokens int      // prompt tokens that other requests share
 	PrefixKey    string   // identifies the shared parts of the prompt; requests with equal keys prefer the same server
 	Excluded     []string // IDs of servers that must not be chosen
+	Software     *string  // version of the software that began the response, which alone may go on with it; nil if none has
 }
 
 // Result is the outcome of a server selection.
@@ -51,7 +52,7 @@
 func (t *Table) Choose(now time.Time, req Requirement) (Entry, Result) {
 	var usable, ready []*Server
 	for _, s := range t.rows {
-		if s.Service != req.Service || s.Draining {
+		if s.Service != req.Service || s.Draining || !req.continuableBy(s) {
 			continue
 		}
 		usable = append(usable, s)
@@ -95,6 +96,12 @@
 	return best.Entry, Chosen
 }
 
+// continuableBy reports whether the server's software may go on with the response. A
+// server that names no version fits no other one.
+func (r *Requirement) continuableBy(s *Server) bool {
+	return r.Software == nil || s.Software != "" && s.Software == *r.Software
+}
+
 // affinityServer returns the server that rendezvous hashing assigns to a long
 // shared prompt, the same on all nodes, or nil if the prompt is too short.
 func affinityServer(req Requirement, ready []*Server) *Server {
--- a/replicas/types.go
+++ b/replicas/types.go
@@ -20,6 +20,7 @@
 	Revision uint64 // store revision of the entry's last change; a higher one is newer
 	Start    int64  // server start in Unix milliseconds; zero if not reported
 	Service  string
+	Software string    // version of the server's software; empty if it names none
 	Address  string    // host:port
 	Zone     string    // availability zone
 	Slots    int       // requests that the server runs at a time
--- a/waiting/waiting.go
+++ b/waiting/waiting.go
@@ -191,7 +191,8 @@
 	}
 	switch result {
 	case replicas.NoUsableServer:
-		if now.Sub(r.Arrived) >= time.Duration(noServerWaitShare*float64(r.Deadline.Sub(r.Arrived))) {
+		// Servers of the version that began a response do not come back in time.
+		if r.Requirement.Software != nil || now.Sub(r.Arrived) >= time.Duration(noServerWaitShare*float64(r.Deadline.Sub(r.Arrived))) {
 			return refuse(d, NoServer, noServerRetryAfter), true
 		}
 	case replicas.NoModel:
