--- a/configsync/configsync.go
+++ b/configsync/configsync.go
@@ -92,8 +92,8 @@
 	return a
 }
 
-// ReadDone handles the end of a read that was sent at the given time. The version is the
-// one that was put in force or already was, and the revision that of the store.
+// ReadDone handles the end of a read that was sent at the given time. What it returned has
+// been put in force; the revision is that of the store.
 func (c *Core) ReadDone(now, sent time.Time, revision uint64, err error, confirms bool) {
 	c.reading = false
 	if err != nil {
--- a/internal/front/suspects.go
+++ b/internal/front/suspects.go
@@ -159,7 +159,7 @@
 		n.publishInnocent(now, n.poison.Record(now, r))
 	}
 	for _, key := range m.Innocent[:min(len(m.Innocent), maxContentsPublished)] {
-		n.poison.Cleared(now, poison.Key(key))
+		n.poison.Answered(now, poison.Key(key))
 	}
 	for _, r := range m.Refusals[:min(len(m.Refusals), maxRefusalsPublished)] {
 		n.poison.Refuse(now, poison.Key(r.Key), now.Add(-time.Duration(r.AgeMS)*time.Millisecond))
--- a/poison/model_test.go
+++ b/poison/model_test.go
@@ -211,7 +211,7 @@
 					other.published = append(other.published, report{innocent: []poison.Key{k}, until: m.now.Add(publishedFor)})
 				}
 				for _, k := range r.innocent {
-					other.table.Cleared(m.now, k)
+					other.table.Answered(m.now, k)
 				}
 			}
 			if m.mutation == startsForgotten {
--- a/poison/poison.go
+++ b/poison/poison.go
@@ -116,24 +116,14 @@
 	return innocent
 }
 
-// Answered records a complete response to a request with the content. It reports whether
-// the content had been a suspect: other nodes do not know yet that it is innocent.
+// Answered records a complete response to a request with the content, from this node or,
+// by its report, from another. It reports whether the content had been a suspect: other
+// nodes may not know yet that it is innocent.
 func (t *Table) Answered(now time.Time, k Key) bool {
 	if len(t.answered) >= maxAnswered {
 		t.forgetAnswered(now)
 	}
 	t.answered[k] = now
-	return t.clear(k)
-}
-
-// Cleared records that another node has found the content innocent, and reports whether
-// this is new.
-func (t *Table) Cleared(now time.Time, k Key) bool {
-	t.answered[k] = now
-	return t.clear(k)
-}
-
-func (t *Table) clear(k Key) bool {
 	_, suspected := t.suspects[k]
 	delete(t.suspects, k)
 	return suspected
@@ -167,9 +157,6 @@
 	return max(0, s.last.Add(RefuseFor).Sub(now))
 }
 
-// Suspected reports whether a server has ended under the content.
-func (t *Table) Suspected(k Key) bool { return t.suspects[k] != nil }
-
 // Refusal is a content that is refused.
 type Refusal struct {
 	Key  Key
--- a/poison/poison_test.go
+++ b/poison/poison_test.go
@@ -70,7 +70,7 @@
 	assert.DeepEqual(t, innocent, []poison.Key{1})
 	record(table, start, map[poison.End][]poison.Key{2: {2}, 3: {2}})
 	assert.DeepEqual(t, table.Decide(start.Add(settled)), []poison.Key{2})
-	assert.Assert(t, table.Cleared(start.Add(settled), 2))
+	assert.Assert(t, table.Answered(start.Add(settled), 2))
 	assert.Equal(t, table.Refused(start.Add(settled), 2), time.Duration(0))
 }
 
