--- a/standin/objectapi/http.go
+++ b/standin/objectapi/http.go
@@ -7,7 +7,6 @@
 	"errors"
 	"io"
 	"net/http"
-	"regexp"
 	"strconv"
 	"time"
 
@@ -182,8 +181,8 @@
 
 // Marks around the hexadecimal text of a value that the encoder refuses.
 const (
-	rawMarkBegin = `"<raw:`
-	rawMarkEnd   = `:raw>"`
+	rawMarkBegin = `"raw-value:`
+	rawMarkEnd   = `:raw-value"`
 )
 
 // rawMark returns a JSON string that stands for a value which the encoder refuses.
@@ -191,16 +190,20 @@
 	return json.RawMessage(rawMarkBegin + hex.EncodeToString(value) + rawMarkEnd)
 }
 
-// rawMarks matches encoded rawMarks; the encoder escapes the brackets.
-var rawMarks = regexp.MustCompile(`"\\u003craw:([0-9a-f]*):raw\\u003e"`)
-
 // replaceRawMarks puts the marked values in the place of their marks.
 func replaceRawMarks(text []byte) []byte {
-	return rawMarks.ReplaceAllFunc(text, func(mark []byte) []byte {
-		value, err := hex.DecodeString(string(rawMarks.FindSubmatch(mark)[1]))
+	var out []byte
+	for {
+		before, rest, found := bytes.Cut(text, []byte(rawMarkBegin))
+		out = append(out, before...)
+		if !found {
+			return out
+		}
+		value, after, _ := bytes.Cut(rest, []byte(rawMarkEnd))
+		raw, err := hex.DecodeString(string(value))
 		if err != nil {
-			panic(err) // the expression matches pairs of digits only
+			panic(err) // rawMark encoded it
 		}
-		return value
-	})
+		out, text = append(out, raw...), after
+	}
 }
