--- a/internal/front/odd_entry_test.go
+++ b/internal/front/odd_entry_test.go
@@ -43,18 +43,19 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			c := newCluster(t)
-			c.backendServer("s1", "plain", text("done"))
+			first := c.backendServer("s1", "plain", text("done"))
 			c.storeRaw("odd", value)
 			port := freePort(t, "127.0.0.1")
 			nodes := []*node{c.node("127.0.0.2", port), c.node("127.0.0.3", port)}
 			c.storeRaw("odder", value)
 			added := c.backendServer("s2", "plain", text("done"))
-			c.eventually(func() bool {
-				for i, n := range nodes {
-					assert.Equal(t, c.call(n, http.MethodGet, "/safe/x", fmt.Sprint("r", i)).status, http.StatusOK)
-				}
-				return added.count() > 0
-			})
+			c.register(first, "plain", "draining")
+			for i, n := range nodes {
+				c.eventually(func() bool {
+					before := added.count()
+					return c.call(n, http.MethodGet, "/safe/x", fmt.Sprint("r", i)).status == http.StatusOK && added.count() > before
+				})
+			}
 			c.eventually(func() bool { return strings.Contains(c.text(), "event=server_entry_unusable server=odder") })
 			for _, n := range nodes {
 				assert.Equal(t, len(n.done), 0, "the node has ended")
