--- a/internal/front/odd_entry_test.go
+++ b/internal/front/odd_entry_test.go
@@ -48,6 +48,9 @@
 			port := freePort(t, "127.0.0.1")
 			nodes := []*node{c.node("127.0.0.2", port), c.node("127.0.0.3", port)}
 			c.storeRaw("odder", value)
+			for i, n := range nodes {
+				assert.Equal(t, c.call(n, http.MethodGet, "/safe/x", fmt.Sprint("before-", i)).status, http.StatusOK)
+			}
 			added := c.backendServer("s2", "plain", text("done"))
 			c.register(first, "plain", "draining")
 			for i, n := range nodes {
