--- a/internal/front/attempt.go
+++ b/internal/front/attempt.go
@@ -260,7 +260,7 @@
 func (x *exchange) logAttempt(server replicas.Entry, reason string, err error, again bool) {
 	level.Info(x.node.log).Log("event", "attempt_failed", "id", x.params.ID, "server", server.ID, "reason", reason,
 		"again", again, "sends", x.sends, "runs", x.runs, "framing", x.received.framing, "end", x.received.end,
-		"inside_event", x.received.insideEvent, "content", formatHash(x.contentHash()), "err", err)
+		"inside_event", x.received.insideEvent, "content", formatHash(x.contentHash()), "parts", x.formatParts(), "err", err)
 }
 
 // receivedResponse says how the latest response of a backend server was framed and
--- a/internal/front/ended.go
+++ b/internal/front/ended.go
@@ -72,6 +72,20 @@
 	return strings.Join(text, ",")
 }
 
+// maxPartsLogged limits the parts of a prompt in one log line.
+const maxPartsLogged = 8
+
+// formatParts returns the IDs of the parts of the request's prompt that other requests may
+// share, as the logs have them.
+func (x *exchange) formatParts() string {
+	var ids []string
+	shared := x.sharedParts()
+	for _, p := range shared[:min(maxPartsLogged, len(shared))] {
+		ids = append(ids, p.ID)
+	}
+	return strings.Join(ids, ",")
+}
+
 // connectionLost records that an attempt lost its connection to the server after the
 // request was sent. It starts a check whether the server has ended.
 func (x *exchange) connectionLost(server replicas.Entry) {
--- a/internal/front/serve.go
+++ b/internal/front/serve.go
@@ -144,19 +144,23 @@
 	return x.deadline
 }
 
-// setSharedPrefix sets prefixKey and sharedTokens by the parts of the prompt that
-// other requests may share: all but the last, which belongs to this request or
-// its session.
+// sharedParts returns the parts of the prompt that other requests may share: all but the
+// last, which belongs to this request or its session.
+func (x *exchange) sharedParts() []platform.PromptPart {
+	return x.params.Prefix[:max(0, len(x.params.Prefix)-1)]
+}
+
+// setSharedPrefix sets prefixKey and sharedTokens by the shared parts.
 func (x *exchange) setSharedPrefix() {
-	parts := x.params.Prefix
-	if len(parts) < 2 {
+	parts := x.sharedParts()
+	if len(parts) == 0 {
 		return
 	}
 	var key strings.Builder
 	key.WriteString(x.params.Model)
 	key.WriteByte('/')
 	key.WriteString(x.params.Adapter)
-	for _, p := range parts[:len(parts)-1] {
+	for _, p := range parts {
 		x.sharedTokens += p.Tokens
 		key.WriteByte(' ')
 		key.WriteString(p.ID)
@@ -309,7 +313,7 @@
 	level.Info(x.node.log).Log("event", "request", "id", x.params.ID, "route", route, "service", x.service,
 		"model", x.params.Model, "adapter", x.params.Adapter, "outcome", x.outcome, "status", x.status, "reason", x.reason,
 		"server", x.server, "sends", x.sends, "runs", x.runs, "framing", x.received.framing, "end", x.received.end,
-		"inside_event", x.received.insideEvent, "waited_ms", ms(x.waited), "first_ms", ms(x.firstByteAfter),
+		"inside_event", x.received.insideEvent, "parts", x.formatParts(), "waited_ms", ms(x.waited), "first_ms", ms(x.firstByteAfter),
 		"total_ms", ms(bootclock.Now().Sub(x.arrived)), "limit_ms", ms(x.deadline.Sub(x.arrived)))
 	x.recordMetrics()
 	if x.outcome == "aborted" {
--- a/internal/front/suspects.go
+++ b/internal/front/suspects.go
@@ -97,6 +97,8 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.poison.Answered(now, key) {
+		level.Info(n.log).Log("event", "content_cleared", "id", x.params.ID, "server", x.server, "content", formatHash(uint64(key)),
+			"framing", x.received.framing, "end", x.received.end)
 		n.publishInnocent(now, []poison.Key{key})
 	}
 }
