poison: what ends servers is a trait that requests share, not a whole request

Cause: the ends were counted by the hash of the whole request, and no two requests with the part are alike, so each content had one end and none was refused.

A request is now known by its traits: its content and each shared part of its prompt, by the ID alone. Nodes report the traits of the requests that lost a server. A response completed under a trait clears the ends before it and weakens those within 30 s after it. Traits that were seen together at each end are refused together only, so that a sound request which shares the others passes and clears them. Reports and messages are cut by suspicion, no longer by hash.

TestPoisonPartIsRefusedOnAllNodes failed before (8 requests later than 3 s after the fifth end) and passes.

--- a/internal/front/attempt.go
+++ b/internal/front/attempt.go
@@ -15,6 +15,7 @@
 	"github.com/redwingnotch/redwingnotch/internal/bootclock"
 	"github.com/redwingnotch/redwingnotch/internal/httpsend"
 	"github.com/redwingnotch/redwingnotch/platform"
+	"github.com/redwingnotch/redwingnotch/poison"
 	"github.com/redwingnotch/redwingnotch/replicas"
 )
 
@@ -63,7 +64,7 @@
 	defer slow.Stop()
 	x.sends++
 	x.server = server.ID
-	x.received = receivedResponse{}
+	x.received, x.attemptBegan = receivedResponse{}, time.Time{}
 	sent := bootclock.Now()
 	resp, err := httpsend.Do(n.serverClients.client(server), x.serverRequest(ctx, server))
 	if err != nil {
@@ -260,7 +261,7 @@
 func (x *exchange) logAttempt(server replicas.Entry, reason string, err error, again bool) {
 	level.Info(x.node.log).Log("event", "attempt_failed", "id", x.params.ID, "server", server.ID, "reason", reason,
 		"again", again, "sends", x.sends, "runs", x.runs, "framing", x.received.framing, "end", x.received.end,
-		"inside_event", x.received.insideEvent, "content", formatHash(x.contentHash()), "parts", x.formatParts(), "err", err)
+		"inside_event", x.received.insideEvent, "content", formatKey(poison.Key(x.contentHash())), "parts", x.formatParts(), "err", err)
 }
 
 // receivedResponse says how the latest response of a backend server was framed and
@@ -310,7 +311,7 @@
 	} else {
 		x.node.observe(server, replicas.Answered, bootclock.Now().Sub(sent))
 	}
-	x.clearContent()
+	x.clearTraits()
 	length := int64(len(body))
 	if x.r.Method == http.MethodHead {
 		length = resp.ContentLength
--- a/internal/front/ended.go
+++ b/internal/front/ended.go
@@ -5,7 +5,6 @@
 	"errors"
 	"maps"
 	"slices"
-	"strconv"
 	"strings"
 	"syscall"
 	"time"
@@ -15,6 +14,7 @@
 
 	"github.com/redwingnotch/redwingnotch/internal/bootclock"
 	"github.com/redwingnotch/redwingnotch/internal/httpsend"
+	"github.com/redwingnotch/redwingnotch/poison"
 	"github.com/redwingnotch/redwingnotch/replicas"
 )
 
@@ -22,6 +22,7 @@
 const (
 	lossRetention    = 10 * time.Second       // time for which the end of its server may explain a lost connection
 	endCheckTimeout  = 300 * time.Millisecond // timeout of the connection that shows whether a server still accepts any
+	maxLostRequests  = 256                    // requests of this node that are remembered for one start of a server
 	endCheckInterval = 500 * time.Millisecond // least time between two such connections to one server
 )
 
@@ -37,10 +38,16 @@
 // lostRequests are the requests of this node that lost their connections to one
 // start of a backend server.
 type lostRequests struct {
-	contents  map[uint64]time.Time // contentHash of each request, and when it lost its connection
-	checking  bool                 // a connection that shows whether the server has ended is being made
-	checkedAt time.Time            // when the last such connection was begun
-	ended     bool                 // the server has ended
+	requests  map[uint64]lostRequest // by contentHash
+	checking  bool                   // a connection that shows whether the server has ended is being made
+	checkedAt time.Time              // when the last such connection was begun
+	ended     bool                   // the server has ended
+}
+
+// lostRequest is a request that lost its connection.
+type lostRequest struct {
+	poison.Request
+	at time.Time
 }
 
 // contentHash identifies what the request asks for: the same request of a caller that
@@ -59,19 +66,6 @@
 	return x.content
 }
 
-// formatHash returns a content's hash as the logs have it.
-func formatHash(hash uint64) string { return strconv.FormatUint(hash, 16) }
-
-// formatHashes returns the hashes as the logs have them, up to a number of them.
-func formatHashes(hashes []uint64) string {
-	const most = 8
-	var text []string
-	for _, hash := range hashes[:min(most, len(hashes))] {
-		text = append(text, formatHash(hash))
-	}
-	return strings.Join(text, ",")
-}
-
 // maxPartsLogged limits the parts of a prompt in one log line.
 const maxPartsLogged = 8
 
@@ -96,15 +90,16 @@
 	lost := n.lost[key]
 	if lost == nil {
 		n.forgetLosses(now)
-		lost = &lostRequests{contents: map[uint64]time.Time{}}
+		lost = &lostRequests{requests: map[uint64]lostRequest{}}
 		n.lost[key] = lost
 	}
-	if len(lost.contents) < maxContentsPerEnd {
-		lost.contents[x.contentHash()] = now
+	request := x.lostRequest(now)
+	if len(lost.requests) < maxLostRequests {
+		lost.requests[x.contentHash()] = lostRequest{request, now}
 	}
 	switch {
 	case lost.ended:
-		n.reportEnd(now, server, []uint64{x.contentHash()})
+		n.reportEnd(now, server, []poison.Request{request})
 	case !lost.checking && now.Sub(lost.checkedAt) >= endCheckInterval:
 		lost.checking, lost.checkedAt = true, now
 		go n.checkEnded(server)
@@ -115,12 +110,8 @@
 // holds n.mu.
 func (n *Node) forgetLosses(now time.Time) {
 	for key, lost := range n.lost {
-		for content, at := range lost.contents {
-			if now.Sub(at) > lossRetention {
-				delete(lost.contents, content)
-			}
-		}
-		if len(lost.contents) == 0 && !lost.checking {
+		maps.DeleteFunc(lost.requests, func(_ uint64, r lostRequest) bool { return now.Sub(r.at) > lossRetention })
+		if len(lost.requests) == 0 && !lost.checking {
 			delete(n.lost, key)
 		}
 	}
@@ -159,8 +150,13 @@
 	n.forgetLosses(bootclock.Now())
 	lost.ended = true
 	n.metrics.ServerEnded(string(evidence))
-	contents := slices.Sorted(maps.Keys(lost.contents))
+	var requests []poison.Request
+	var contents []poison.Key
+	for _, hash := range slices.Sorted(maps.Keys(lost.requests)) {
+		requests = append(requests, lost.requests[hash].Request)
+		contents = append(contents, poison.Key(hash))
+	}
 	level.Info(n.log).Log("event", "server_ended", "server", server.ID, "start", server.Start, "draining", server.Draining,
-		"evidence", evidence, "contents", len(contents), "content", formatHashes(contents))
-	n.reportEnd(bootclock.Now(), server, contents)
+		"evidence", evidence, "contents", len(contents), "content", formatKeys(contents))
+	n.reportEnd(bootclock.Now(), server, requests)
 }
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -68,9 +68,10 @@
 	desiredStale     bool                       // the latest desired_state_stale has not been followed by desired_state_confirmed
 	desiredLost      time.Time                  // first of the consecutive failed reads of the desired state; zero if the latest succeeded
 	lost             map[startKey]*lostRequests // requests that lost their connections within lossRetention
-	poison           *poison.Table              // contents under which servers ended
+	poison           *poison.Table              // traits of requests under which servers ended
+	refusedAt        time.Time                  // when this node last decided to refuse a trait
 	ends             []poison.Report            // ends of servers under this node's requests that it still publishes
-	innocent         []innocentContent          // contents that this node found innocent and still publishes
+	innocent         []innocentTrait            // traits that this node knows to be innocent and still publishes
 	departing        []departing                // servers that this node learned are draining or removed, and still publishes
 	publishedStatus  map[string]publishedStatus // server statuses as last sent to the other nodes
 	nextRepublished  int                        // position of the next unchanged server status to send again
--- a/internal/front/peers.go
+++ b/internal/front/peers.go
@@ -54,8 +54,9 @@
 	Departing      []departing             `json:"g,omitempty"`  // backend servers that are draining or removed
 	NewServers     []replicas.Entry        `json:"e,omitempty"`  // backend servers that the sender read from the store within newServersPublishedFor
 	Ends           []endState              `json:"b,omitempty"`  // backend servers that ended under the sender's requests
-	Innocent       []uint64                `json:"j,omitempty"`  // hashes of contents that the sender found innocent
-	Refusals       []refusalState          `json:"p,omitempty"`  // contents that the sender refuses; only in full messages
+	Innocent       []uint64                `json:"j,omitempty"`  // hashes of traits under which a response was completed
+	InnocentAgeMS  []int64                 `json:"ja,omitempty"` // milliseconds since then, for each of Innocent; missing from builds that do not tell
+	Refusals       []refusalState          `json:"p,omitempty"`  // traits that the sender refuses; in partial messages only while they are new
 	KnownIPs       []string                `json:"k,omitempty"`  // IPs of other nodes that are alive; partial messages name some of them
 }
 
--- a/internal/front/serve.go
+++ b/internal/front/serve.go
@@ -14,6 +14,7 @@
 
 	"github.com/redwingnotch/redwingnotch/internal/bootclock"
 	"github.com/redwingnotch/redwingnotch/platform"
+	"github.com/redwingnotch/redwingnotch/poison"
 	"github.com/redwingnotch/redwingnotch/replicas"
 	"github.com/redwingnotch/redwingnotch/routes"
 	"github.com/redwingnotch/redwingnotch/waiting"
@@ -38,7 +39,8 @@
 	route        *routes.Route
 	service      string // service that the route selected
 	body         []byte
-	content      uint64 // see contentHash; zero until it is needed
+	content      uint64       // see contentHash; zero until it is needed
+	traitKeys    []poison.Key // see traits; nil until they are needed
 	arrived      time.Time
 	deadline     time.Time // end of the caller's or the route's time limit, whichever is earlier
 	prefixKey    string    // hash of the parts of the prompt that other requests may share; may be empty
@@ -54,6 +56,7 @@
 	framedByClose   bool             // the response ends with the caller's connection
 	status          int              // status of the final response; zero if the connection was closed instead
 	outcome         string           // how the request ended, for the log and the metrics
+	attemptBegan    time.Time        // when the latest attempt's first event arrived; zero before
 	received        receivedResponse // end of the latest response of a server
 	server          string           // ID of the last server that the request was sent to
 	waited          time.Duration    // total time until a server was assigned, over all attempts
--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -40,6 +40,9 @@
 		if gap != nil {
 			gap.Reset(x.gapTimeout())
 		}
+		if x.attemptBegan.IsZero() {
+			x.attemptBegan = bootclock.Now()
+		}
 		if !x.responseStarted {
 			x.node.observe(server, replicas.Answered, bootclock.Now().Sub(sent))
 			if !x.startResponse(resp, unknownLength) {
@@ -96,7 +99,7 @@
 		// caller's framing can't be changed any more, and would claim a complete stream.
 		return x.streamFailed(server, errUnframedEnd)
 	}
-	x.clearContent()
+	x.clearTraits()
 	if !x.responseStarted && !x.startResponse(resp, unknownLength) {
 		return attemptDone
 	}
--- a/internal/front/tell.go
+++ b/internal/front/tell.go
@@ -147,7 +147,7 @@
 func (n *Node) partial(now time.Time, m message) message {
 	m.Partial = true
 	m.Demand, m.Arrivals, m.Departing, m.KnownIPs = nil, nil, nil, n.peers.nextOf(m.KnownIPs)
-	m.Ends, m.Refusals = latestEnds(m.Ends), nil
+	m.Ends, m.Refusals = latestEnds(m.Ends), n.latestRefusals(now, m.Refusals)
 	for _, d := range n.departing {
 		if now.Sub(d.at) < departuresInPartialFor {
 			m.Departing = append(m.Departing, d)
--- a/poison/poison.go
+++ b/poison/poison.go
@@ -1,11 +1,15 @@
-// Package poison recognises requests that end each backend server that runs them. Each
-// entry node reports under which contents a server's process ended; all nodes merge
-// the reports and refuse a content once MaxEnds servers have ended under it that no
-// other content explains. A content that got a complete response is innocent. Other
-// than package quarantine it needs no controller that grants each attempt: contents
-// are not isolated from each other, so the requests that ran beside a poison request
-// are told from it by the ends that they do not share. Table does no I/O, takes the time
-// as a parameter and is not safe for concurrent use.
+// Package poison recognises what ends each backend server that runs it. A request is known
+// by its traits: its whole content, and whatever other requests may share with it. Each
+// entry node reports under which requests a server's process ended; all nodes merge the
+// reports and refuse requests with a trait once MaxEnds servers have ended under it that
+// nothing else explains. A trait under which a response was completed is innocent of the
+// ends before. Traits that were seen together each time are refused together only: a
+// sound request with some of them passes, and shows which are innocent.
+//
+// Other than package quarantine it needs no controller that grants each attempt: requests
+// are not isolated from each other, so those that ran beside a poison request are told
+// from it by the ends that they do not share. Table does no I/O, takes the time as a
+// parameter and is not safe for concurrent use.
 package poison
 
 import (
@@ -15,188 +19,230 @@
 	"time"
 )
 
-// MaxEnds is the number of servers that must have ended under a content before it is
+// MaxEnds is the number of servers that must have ended under a trait before it is
 // refused.
 const MaxEnds = 3
 
 // Limits of a Table.
 const (
-	RefuseFor       = 10 * time.Minute // time since the last end for which a content is refused or remembered
-	AnsweredFor     = 30 * time.Second // time for which a complete response shows that a content is innocent
-	settleTime      = time.Second      // time for the reports of other nodes about the same end to arrive, before it counts
-	evictInterval   = 10 * time.Second // interval at which contents that were forgotten are removed
-	maxSuspects     = 1024             // contents under which servers ended
-	maxCandidates   = 64               // contents that one decision compares
-	maxAnswered     = 4096             // contents that got a complete response
-	minOwnEnds      = 2                // unexplained ends that suffice if there are more than MaxEnds in all: two poison requests may have met
-	tiedEnds        = 4                // ends at which contents that share all of them are refused together
-	maxEndsRetained = 8                // ends of one content; enough to tell it from others
-	maxKeysPerEnd   = 256              // contents of one report
+	RefuseFor        = 10 * time.Minute // time since the last end for which a trait is refused or remembered
+	AnsweredFor      = 30 * time.Second // time after a complete response in which an end under the trait is weak evidence
+	settleTime       = time.Second      // time for the reports of other nodes about the same end to arrive, before it counts
+	evictInterval    = 10 * time.Second // interval at which traits that were forgotten are removed
+	maxSuspects      = 2048             // traits under which servers ended
+	maxCandidates    = 64               // traits that one decision compares
+	maxAnswered      = 8192             // traits that got a complete response
+	minOwnEnds       = 2                // unexplained ends that suffice if there are more than MaxEnds in all: two poison traits may have met
+	weakEnds         = 5                // ends that suffice if some are weak evidence, over weakSpan at least
+	weakSpan         = time.Second      // the ends of servers that fail together are no more than one event
+	tiedEnds         = 4                // ends at which traits that share all of them do not wait for a further one
+	maxEndsRetained  = 8                // ends of one trait; enough to tell it from others
+	maxTraits        = 16               // traits of one request
+	maxWith          = 16               // traits that are remembered as seen with another one at one end
+	maxRequestsOfEnd = 256              // requests of one report
 )
 
-// Key is the hash of a content: of all of a request that comes again when its caller
-// repeats it.
+// Key is the hash of a trait.
 type Key uint64
 
 // End identifies the end of one start of a backend server.
 type End uint64
 
-// Report says under which contents of one node's requests a server's process ended.
+// Request is a request that lost its connection when a server ended.
+type Request struct {
+	Traits []Key
+	Weak   bool // the server had been answering it for a while, so it is unlikely to be the cause
+	First  bool // only the first trait is reported on; it was seen with the others, which need not be those of one request
+}
+
+// Report says under which of one node's requests a server's process ended.
 type Report struct {
-	End  End
-	At   time.Time
-	Keys []Key
+	End      End
+	At       time.Time
+	Requests []Request
+}
+
+// occurrence is an end under a suspect.
+type occurrence struct {
+	learned time.Time // when this node learned of it
+	at      time.Time // when the server ended
+	weak    bool
+	with    []Key // traits of the requests with the suspect
 }
 
-// suspect is a content under which servers ended.
+// suspect is a trait under which servers ended.
 type suspect struct {
-	ends    map[End]time.Time // when this node learned of each
-	last    time.Time         // latest end
-	refused bool
+	ends map[End]*occurrence
+	last time.Time // latest end
 }
 
 // add records an end and reports whether it is new. Above maxEndsRetained the one that was
 // learned first is dropped.
-func (s *suspect) add(now time.Time, end End) bool {
-	if _, known := s.ends[end]; known {
+func (s *suspect) add(now time.Time, end End, o occurrence) bool {
+	known := s.ends[end]
+	if known != nil {
+		known.weak = known.weak && o.weak
+		known.addWith(o.with)
 		return false
 	}
 	if len(s.ends) >= maxEndsRetained {
-		first := end
-		for e, learned := range s.ends {
-			if first == end || learned.Before(s.ends[first]) || learned.Equal(s.ends[first]) && e < first {
-				first = e
-			}
-		}
-		delete(s.ends, first)
+		delete(s.ends, s.firstEnd())
+	}
+	o.learned = now
+	with := o.with
+	o.with = nil
+	o.addWith(with)
+	s.ends[end] = &o
+	if o.at.After(s.last) {
+		s.last = o.at
 	}
-	s.ends[end] = now
 	return true
 }
 
-// Table holds the suspects of one node.
+// firstEnd returns the end that was learned first.
+func (s *suspect) firstEnd() End {
+	return slices.MinFunc(slices.Collect(maps.Keys(s.ends)), func(a, b End) int {
+		return cmp.Or(s.ends[a].learned.Compare(s.ends[b].learned), cmp.Compare(a, b))
+	})
+}
+
+// addWith adds traits that were seen with the suspect, up to maxWith.
+func (o *occurrence) addWith(traits []Key) {
+	for _, k := range traits {
+		if len(o.with) < maxWith && !slices.Contains(o.with, k) {
+			o.with = append(o.with, k)
+		}
+	}
+}
+
+// Table holds the suspects and refusals of one node.
 type Table struct {
 	suspects  map[Key]*suspect
-	answered  map[Key]time.Time // when a content last got a complete response
-	evictedAt time.Time         // when evict was last called
-	newest    time.Time         // when this node learned of the newest end
-	decideAt  time.Time         // when Decide has something to do; zero if nothing
+	answered  map[Key]time.Time // when a response to a request with the trait was last completed
+	verdicts  []*verdict
+	evictedAt time.Time // when evict was last called
+	newest    time.Time // when this node learned of the newest end
+	decideAt  time.Time // when Decide has something to do; zero if nothing
 }
 
 // New returns an empty table.
 func New() *Table { return &Table{suspects: map[Key]*suspect{}, answered: map[Key]time.Time{}} }
 
-// Record merges a report of this or another node. It returns the contents in it that are
-// known to be innocent, which the reporting node may not know.
+// Presumed reports whether a response to a request with the trait was completed within
+// AnsweredFor.
+func (t *Table) Presumed(now time.Time, k Key) bool {
+	at, known := t.answered[k]
+	return known && now.Sub(at) < AnsweredFor
+}
+
+// AnsweredAt returns when a response to a request with the trait was last completed; zero if
+// that is not known.
+func (t *Table) AnsweredAt(k Key) time.Time { return t.answered[k] }
+
+// Record merges a report of this or another node. It returns the traits in it whose
+// responses this node knows of and the reporting node may not: see Answered.
 func (t *Table) Record(now time.Time, r Report) []Key {
-	var innocent []Key
-	for _, k := range r.Keys[:min(len(r.Keys), maxKeysPerEnd)] {
-		if at, known := t.answered[k]; known && now.Sub(at) < AnsweredFor {
-			innocent = append(innocent, k)
-			continue
-		}
-		s := t.suspects[k]
-		if s == nil {
-			s = &suspect{ends: map[End]time.Time{}}
-			t.suspects[k] = s
-		}
-		if s.add(now, r.End) {
-			t.newest = now
-			if t.decideAt.IsZero() {
-				t.decideAt = now.Add(settleTime)
+	var presumed []Key
+	for _, request := range r.Requests[:min(len(r.Requests), maxRequestsOfEnd)] {
+		traits := request.Traits[:min(len(request.Traits), maxTraits)]
+		for i, k := range traits {
+			if i > 0 && request.First {
+				break
 			}
-		}
-		if r.At.After(s.last) {
-			s.last = r.At
+			o := occurrence{at: r.At, weak: request.Weak, with: without(traits, k)}
+			if at, known := t.answered[k]; known && !at.Before(r.At) {
+				continue
+			} else if known && r.At.Sub(at) < AnsweredFor && !o.weak {
+				o.weak = true
+				presumed = append(presumed, k)
+			}
+			t.record(now, r.End, k, o)
 		}
 	}
 	if len(t.suspects) > maxSuspects || now.Sub(t.evictedAt) >= evictInterval {
 		t.evict(now)
 	}
-	return innocent
-}
-
-// Answered records a complete response to a request with the content, from this node or,
-// by its report, from another. It reports whether the content had been a suspect: other
-// nodes may not know yet that it is innocent.
-func (t *Table) Answered(now time.Time, k Key) bool {
-	if len(t.answered) >= maxAnswered {
-		t.forgetAnswered(now)
-	}
-	t.answered[k] = now
-	_, suspected := t.suspects[k]
-	delete(t.suspects, k)
-	return suspected
+	return presumed
 }
 
-// Refuse records that another node refuses the content.
-func (t *Table) Refuse(now time.Time, k Key, last time.Time) {
-	if _, known := t.answered[k]; known && now.Sub(t.answered[k]) < AnsweredFor {
-		return
-	}
+// record adds an end under a trait.
+func (t *Table) record(now time.Time, end End, k Key, o occurrence) {
 	s := t.suspects[k]
 	if s == nil {
-		s = &suspect{ends: map[End]time.Time{}}
+		s = &suspect{ends: map[End]*occurrence{}}
 		t.suspects[k] = s
 	}
-	s.refused = true
-	if last.After(s.last) {
-		s.last = last
+	if !s.add(now, end, o) {
+		return
 	}
-	if len(t.suspects) > maxSuspects {
-		t.evict(now)
+	for _, v := range t.verdicts {
+		if slices.Contains(v.traits, k) && o.at.After(v.last) {
+			v.last = o.at
+		}
+	}
+	t.newest = now
+	if t.decideAt.IsZero() {
+		t.decideAt = now.Add(settleTime)
 	}
 }
 
-// Refused returns for how long the content is refused; zero if it is not.
-func (t *Table) Refused(now time.Time, k Key) time.Duration {
-	s := t.suspects[k]
-	if s == nil || !s.refused {
-		return 0
-	}
-	return max(0, s.last.Add(RefuseFor).Sub(now))
+// without returns the keys but one.
+func without(keys []Key, k Key) []Key {
+	return slices.DeleteFunc(slices.Clone(keys), func(other Key) bool { return other == k })
 }
 
-// Refusal is a content that is refused.
-type Refusal struct {
-	Key  Key
-	Last time.Time // latest end of a server under it
+// Answered records that a response to a request with the traits was completed, at a node
+// that may be another one. It reports whether one of them had been a suspect or was
+// refused: other nodes may not know yet that it is innocent.
+func (t *Table) Answered(now, at time.Time, traits ...Key) bool {
+	suspected := false
+	for _, k := range traits {
+		if !at.After(t.answered[k]) {
+			continue
+		}
+		if len(t.answered) >= maxAnswered {
+			t.forgetAnswered(now)
+		}
+		t.answered[k] = at
+		suspected = t.clear(k, at) || suspected
+	}
+	return suspected
 }
 
-// Refusals returns up to limit refused contents, the latest first.
-func (t *Table) Refusals(now time.Time, limit int) []Refusal {
-	var refusals []Refusal
-	for k, s := range t.suspects {
-		if s.refused && now.Sub(s.last) < RefuseFor {
-			refusals = append(refusals, Refusal{k, s.last})
+// clear drops the ends under the trait up to a time, weakens those soon after it, and takes
+// the trait out of the refusals. It reports whether that changed anything.
+func (t *Table) clear(k Key, at time.Time) bool {
+	s := t.suspects[k]
+	if s != nil {
+		maps.DeleteFunc(s.ends, func(_ End, o *occurrence) bool { return !o.at.After(at) })
+		for _, o := range s.ends {
+			o.weak = o.weak || o.at.Sub(at) < AnsweredFor
+		}
+		if len(s.ends) == 0 {
+			delete(t.suspects, k)
 		}
 	}
-	slices.SortFunc(refusals, func(a, b Refusal) int {
-		return cmp.Or(b.Last.Compare(a.Last), cmp.Compare(a.Key, b.Key))
-	})
-	return refusals[:min(limit, len(refusals))]
+	return t.acquit(k, at) || s != nil
 }
 
-// Reports returns reports of the ends of up to limit contents that have two or more but
+// Reports returns reports of the ends of up to limit suspects that have two or more and
 // are not refused. Nodes pass them on, since those that reported them first may be gone.
 func (t *Table) Reports(limit int) []Report {
 	var keys []Key
 	for k, s := range t.suspects {
-		if !s.refused && len(s.ends) >= minOwnEnds {
+		if len(s.ends) >= minOwnEnds && !t.refusesAlone(k) {
 			keys = append(keys, k)
 		}
 	}
-	slices.SortFunc(keys, func(a, b Key) int {
-		x, y := t.suspects[a], t.suspects[b]
-		return cmp.Or(cmp.Compare(len(y.ends), len(x.ends)), y.last.Compare(x.last), cmp.Compare(a, b))
-	})
+	t.sortBySuspicion(keys)
 	byEnd := map[End]*Report{}
 	for _, k := range keys[:min(limit, len(keys))] {
-		for end, learned := range t.suspects[k].ends {
+		for end, o := range t.suspects[k].ends {
 			if byEnd[end] == nil {
-				byEnd[end] = &Report{End: end, At: learned}
+				byEnd[end] = &Report{End: end, At: o.at}
 			}
-			byEnd[end].Keys = append(byEnd[end].Keys, k)
+			request := Request{Traits: append([]Key{k}, o.with...), Weak: o.weak, First: true}
+			byEnd[end].Requests = append(byEnd[end].Requests, request)
 		}
 	}
 	var reports []Report
@@ -206,140 +252,60 @@
 	return reports
 }
 
-// Size returns the number of suspects.
-func (t *Table) Size() int { return len(t.suspects) }
-
-// Decide refuses each content under which MaxEnds servers have ended that no refused
-// content explains, unless all of these ends are also those of another such content:
-// only a further end tells the two apart, until there are tiedEnds. It returns the contents that are refused from
-// now on.
-func (t *Table) Decide(now time.Time) []Key {
-	if t.decideAt.IsZero() || now.Before(t.decideAt) {
-		return nil
-	}
-	t.decideAt = time.Time{}
-	if now.Sub(t.newest) < settleTime {
-		t.decideAt = now.Add(settleTime / 4)
-	}
-	var refused []Key
-	for {
-		own := t.unexplained(now)
-		k, found := culprit(own)
-		if !found {
-			return refused
-		}
-		t.suspects[k].refused = true
-		refused = append(refused, k)
-	}
-}
-
-// unexplained returns, for each content that is not refused and conspicuous by its ends
-// which are known for settleTime, those ends that no refused content explains. One
-// with fewer ends explains nothing: it may be the one that was in bad company.
-func (t *Table) unexplained(now time.Time) map[Key]map[End]time.Time {
-	var refused []*suspect
-	for _, s := range t.suspects {
-		if s.refused {
-			refused = append(refused, s)
-		}
-	}
-	own := map[Key]map[End]time.Time{}
-	for _, k := range t.conspicuous() {
-		s := t.suspects[k]
-		left := maps.Clone(s.ends)
-		for _, other := range refused {
-			if len(other.ends) >= len(s.ends) {
-				maps.DeleteFunc(left, func(e End, _ time.Time) bool { _, known := other.ends[e]; return known })
-			}
-		}
-		if alone := settled(now, left); alone >= MaxEnds || alone >= minOwnEnds && len(s.ends) > MaxEnds {
-			own[k] = left
-		}
-	}
-	return own
-}
-
-// conspicuous returns the maxCandidates contents with the most ends of those that have
-// MaxEnds and are not refused.
-func (t *Table) conspicuous() []Key {
-	var keys []Key
-	for k, s := range t.suspects {
-		if !s.refused && len(s.ends) >= MaxEnds {
-			keys = append(keys, k)
-		}
+// sortBySuspicion sorts suspects: those with the most strong ends first, then those with
+// the most ends and the latest.
+func (t *Table) sortBySuspicion(keys []Key) {
+	strong := make(map[Key]int, len(keys))
+	for _, k := range keys {
+		strong[k] = t.suspects[k].strong()
 	}
 	slices.SortFunc(keys, func(a, b Key) int {
-		return cmp.Or(cmp.Compare(len(t.suspects[b].ends), len(t.suspects[a].ends)), cmp.Compare(a, b))
+		x, y := t.suspects[a], t.suspects[b]
+		return cmp.Or(cmp.Compare(strong[b], strong[a]), cmp.Compare(len(y.ends), len(x.ends)), y.last.Compare(x.last), cmp.Compare(a, b))
 	})
-	return keys[:min(maxCandidates, len(keys))]
 }
 
-// settled returns the number of ends that are known for settleTime.
-func settled(now time.Time, ends map[End]time.Time) int {
+// strong returns the number of ends that are not weak evidence.
+func (s *suspect) strong() int {
 	n := 0
-	for _, learned := range ends {
-		if now.Sub(learned) >= settleTime {
+	for _, o := range s.ends {
+		if !o.weak {
 			n++
 		}
 	}
 	return n
 }
 
-// culprit returns the content with the most ends of those whose ends no other content
-// has all of, or that has tiedEnds.
-func culprit(own map[Key]map[End]time.Time) (Key, bool) {
-	var best Key
-	found := false
-	for k, ends := range own {
-		alike := false
-		for other, others := range own {
-			if other != k && len(ends) < tiedEnds && isSubset(ends, others) {
-				alike = true
-				break
-			}
-		}
-		if !alike && (!found || len(ends) > len(own[best]) || len(ends) == len(own[best]) && k < best) {
-			best, found = k, true
-		}
-	}
-	return best, found
-}
-
-// isSubset reports whether b holds all of a.
-func isSubset(a, b map[End]time.Time) bool {
-	for e := range a {
-		if _, held := b[e]; !held {
-			return false
-		}
-	}
-	return true
-}
+// Size returns the number of suspects.
+func (t *Table) Size() int { return len(t.suspects) }
 
-// evict removes suspects whose last end was long ago, and above maxSuspects those with
-// the fewest ends and then the oldest; refused ones go last.
+// evict removes suspects whose last end was long ago, and above maxSuspects those of the
+// least suspicion; those that are refused go last.
 func (t *Table) evict(now time.Time) {
 	t.evictedAt = now
+	t.expire(now)
 	maps.DeleteFunc(t.suspects, func(_ Key, s *suspect) bool { return now.Sub(s.last) >= RefuseFor })
 	if len(t.suspects) <= maxSuspects {
 		return
 	}
-	excess := len(t.suspects) - maxSuspects + maxSuspects/8 // so that it is not called for each content
-	keys := slices.SortedFunc(maps.Keys(t.suspects), func(a, b Key) int {
-		x, y := t.suspects[a], t.suspects[b]
-		if x.refused != y.refused {
-			if y.refused {
-				return -1
-			}
-			return 1
+	keys := slices.Collect(maps.Keys(t.suspects))
+	t.sortBySuspicion(keys)
+	refused := map[Key]bool{}
+	for _, v := range t.verdicts {
+		for _, k := range v.traits {
+			refused[k] = true
+		}
+	}
+	excess := len(keys) - maxSuspects + maxSuspects/8 // so that it is not called for each trait
+	for _, k := range slices.Backward(keys) {
+		if excess > 0 && !refused[k] {
+			delete(t.suspects, k)
+			excess--
 		}
-		return cmp.Or(cmp.Compare(len(x.ends), len(y.ends)), x.last.Compare(y.last), cmp.Compare(a, b))
-	})
-	for _, k := range keys[:excess] {
-		delete(t.suspects, k)
 	}
 }
 
-// forgetAnswered removes the contents whose responses are older than AnsweredFor, and the
+// forgetAnswered removes the traits whose responses are older than AnsweredFor, and the
 // older half if that leaves too many.
 func (t *Table) forgetAnswered(now time.Time) {
 	maps.DeleteFunc(t.answered, func(_ Key, at time.Time) bool { return now.Sub(at) >= AnsweredFor })
