entry node: only a response that is proved complete clears a trait

A request under which a server crashed counted as innocent for 30 s, at all nodes, if its response had neither a length nor chunks: the crash closes the connection as a complete response does. A server's 500 cleared it as well, although the server may not have begun to run it.

A 2xx response framed by length or chunks clears traits at once. One that ended with its connection does so when the server responds to a request that was sent later, within 1 s; if it is found to have ended, the request is among those that lost it. A refused connection, another node's failure to connect and its report of the end count as evidence, so that no connection is made just for these responses.

TestServerErrorClearsNoContent fails if errors clear traits (7), and TestUnframedResponsesOfLiveServersClearContents if nothing shows that a server lived on (refused in the fourth round).

--- a/internal/front/attempt.go
+++ b/internal/front/attempt.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/url"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -82,6 +83,7 @@
 		return x.requestNotRun(server, resp)
 	}
 	x.runs++
+	n.serverAlive(server, sent)
 	if resp.Header.Get(platform.HeaderRequestID) != x.params.ID {
 		return x.badResponse(server, "answer_of_another_request", nil)
 	}
@@ -182,6 +184,9 @@
 		if errors.Is(err, httpsend.ErrNotSent) {
 			observation = replicas.Failed
 		}
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			n.connectionRefused(server)
+		}
 		n.observe(server, observation, 0)
 		if x.sends < maxSends {
 			return x.retryElsewhere(server, "unreachable", err) // nothing was sent, so no retry budget is used
@@ -311,7 +316,7 @@
 	} else {
 		x.node.observe(server, replicas.Answered, bootclock.Now().Sub(sent))
 	}
-	x.clearTraits()
+	x.responseComplete(server, resp)
 	length := int64(len(body))
 	if x.r.Method == http.MethodHead {
 		length = resp.ContentLength
--- a/internal/front/ended.go
+++ b/internal/front/ended.go
@@ -20,10 +20,11 @@
 
 // Limits of the evidence for the end of a backend server's process.
 const (
-	lossRetention    = 10 * time.Second       // time for which the end of its server may explain a lost connection
-	endCheckTimeout  = 300 * time.Millisecond // timeout of the connection that shows whether a server still accepts any
-	maxLostRequests  = 256                    // requests of this node that are remembered for one start of a server
-	endCheckInterval = 500 * time.Millisecond // least time between two such connections to one server
+	lossRetention     = 10 * time.Second       // time for which the end of its server may explain a lost connection
+	endCheckTimeout   = 300 * time.Millisecond // timeout of the connection that shows whether a server still accepts any
+	unprovenRetention = time.Second            // time after a response that ended with its connection in which the server's next response, or its end, shows what it was
+	maxLostRequests   = 256                    // requests of this node that are remembered for one start of a server
+	endCheckInterval  = 500 * time.Millisecond // least time between two such connections to one server
 )
 
 // endEvidence says what shows that a backend server's process has ended.
@@ -33,21 +34,24 @@
 const (
 	endRefused   endEvidence = "refused"   // it refuses connections
 	endRestarted endEvidence = "restarted" // its entry names a later start
+	endReported  endEvidence = "reported"  // another node has evidence
 )
 
 // lostRequests are the requests of this node that lost their connections to one
 // start of a backend server.
 type lostRequests struct {
+	server    replicas.Entry         // its entry when the first of them was lost
 	requests  map[uint64]lostRequest // by contentHash
 	checking  bool                   // a connection that shows whether the server has ended is being made
 	checkedAt time.Time              // when the last such connection was begun
 	ended     bool                   // the server has ended
 }
 
-// lostRequest is a request that lost its connection.
+// lostRequest is a request that lost its connection, or whose response ended with it.
 type lostRequest struct {
 	poison.Request
-	at time.Time
+	at       time.Time
+	unproven bool // the response ended with its connection: it is complete if the server lives on
 }
 
 // contentHash identifies what the request asks for: the same request of a caller that
@@ -86,31 +90,89 @@
 	n, now := x.node, bootclock.Now()
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	key := keyOf(server)
-	lost := n.lost[key]
+	request := lostRequest{Request: x.lostRequest(now), at: now}
+	lost := n.addLost(now, server, x.contentHash(), request)
+	switch {
+	case lost.ended:
+		n.reportEnd(now, server, []poison.Request{request.Request})
+	default:
+		n.startCheck(now, lost)
+	}
+}
+
+// startCheck starts a check whether the server has ended, unless one was made just before.
+// The caller holds n.mu.
+func (n *Node) startCheck(now time.Time, lost *lostRequests) {
+	if lost.ended || lost.checking || now.Sub(lost.checkedAt) < endCheckInterval {
+		return
+	}
+	lost.checking, lost.checkedAt = true, now
+	go n.checkEnded(lost.server)
+}
+
+// serverDown handles another node's report that it failed to connect to the server. The
+// caller holds n.mu.
+func (n *Node) serverDown(now time.Time, id string) {
+	n.forgetLosses(now)
+	for key, lost := range n.lost {
+		if key.id == id && len(lost.requests) > 0 {
+			n.startCheck(now, lost)
+		}
+	}
+}
+
+// addLost adds a request to those that lost their connections to the server. The caller
+// holds n.mu.
+func (n *Node) addLost(now time.Time, server replicas.Entry, hash uint64, r lostRequest) *lostRequests {
+	lost := n.lost[keyOf(server)]
 	if lost == nil {
 		n.forgetLosses(now)
-		lost = &lostRequests{requests: map[uint64]lostRequest{}}
-		n.lost[key] = lost
+		lost = &lostRequests{server: server, requests: map[uint64]lostRequest{}}
+		n.lost[keyOf(server)] = lost
 	}
-	request := x.lostRequest(now)
 	if len(lost.requests) < maxLostRequests {
-		lost.requests[x.contentHash()] = lostRequest{request, now}
+		lost.requests[hash] = r
 	}
-	switch {
-	case lost.ended:
-		n.reportEnd(now, server, []poison.Request{request})
-	case !lost.checking && now.Sub(lost.checkedAt) >= endCheckInterval:
-		lost.checking, lost.checkedAt = true, now
-		go n.checkEnded(server)
+	return lost
+}
+
+// responseClosed records a response that ended with its connection. Whether it was
+// complete shows soon: the server responds to a later request, or has ended.
+func (x *exchange) responseClosed(server replicas.Entry) {
+	n, now := x.node, bootclock.Now()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.addLost(now, server, x.contentHash(), lostRequest{Request: x.lostRequest(now), at: now, unproven: true})
+}
+
+// serverAlive records that the server responded to a request that was sent at the given
+// time: responses that ended with their connections shortly before were complete.
+func (n *Node) serverAlive(server replicas.Entry, sent time.Time) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	lost, now := n.lost[keyOf(server)], bootclock.Now()
+	if lost == nil {
+		return
+	}
+	n.forgetLosses(now)
+	for hash, r := range lost.requests {
+		if !r.unproven || !r.at.Before(sent) {
+			continue
+		}
+		delete(lost.requests, hash)
+		if n.poison.Answered(now, r.at, r.Traits...) {
+			n.publishInnocent(now, r.Traits)
+		}
 	}
 }
 
-// forgetLosses removes the requests that lost their connections long ago. The caller
+// forgetLosses removes the requests that lost their connections too long ago. The caller
 // holds n.mu.
 func (n *Node) forgetLosses(now time.Time) {
 	for key, lost := range n.lost {
-		maps.DeleteFunc(lost.requests, func(_ uint64, r lostRequest) bool { return now.Sub(r.at) > lossRetention })
+		maps.DeleteFunc(lost.requests, func(_ uint64, r lostRequest) bool {
+			return now.Sub(r.at) > lossRetention || r.unproven && now.Sub(r.at) > unprovenRetention
+		})
 		if len(lost.requests) == 0 && !lost.checking {
 			delete(n.lost, key)
 		}
@@ -140,14 +202,31 @@
 	}
 }
 
+// connectionRefused handles a server that refused a connection for a request.
+func (n *Node) connectionRefused(server replicas.Entry) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.serverEnded(server, endRefused)
+}
+
+// endReportedBy handles another node's report that a server has ended. The caller holds
+// n.mu.
+func (n *Node) endReportedBy(end poison.End) {
+	for _, lost := range n.lost {
+		if !lost.ended && endOf(lost.server) == end {
+			n.serverEnded(lost.server, endReported)
+		}
+	}
+}
+
 // serverEnded handles evidence that the start of the server that has the entry has
 // ended. The caller holds n.mu.
 func (n *Node) serverEnded(server replicas.Entry, evidence endEvidence) {
+	n.forgetLosses(bootclock.Now())
 	lost := n.lost[keyOf(server)]
-	if lost == nil || lost.ended {
+	if lost == nil || lost.ended || len(lost.requests) == 0 {
 		return
 	}
-	n.forgetLosses(bootclock.Now())
 	lost.ended = true
 	n.metrics.ServerEnded(string(evidence))
 	var requests []poison.Request
--- a/internal/front/peers.go
+++ b/internal/front/peers.go
@@ -336,6 +336,7 @@
 	n.table.SetPeerLoad(now, m.IP, m.InFlight)
 	for _, server := range m.Down {
 		n.table.MarkUnreachable(now, server)
+		n.serverDown(now, server)
 	}
 	p.demand = p.demand[:0]
 	for _, s := range m.Demand {
--- a/internal/front/poison_part_test.go
+++ b/internal/front/poison_part_test.go
@@ -27,10 +27,10 @@
 
 // crashes are the servers of a cluster that crash under requests with badPart.
 type crashes struct {
-	c       *cluster
-	mu      sync.Mutex
-	runs    int // requests with badPart that reached servers
-	ended   []string // IDs of the servers that ended
+	c     *cluster
+	mu    sync.Mutex
+	runs  int      // requests with badPart that reached servers
+	ended []string // IDs of the servers that ended
 }
 
 // hasBadPart reports whether a part of the request's prompt other than the last is badPart.
@@ -123,6 +123,20 @@
 	}
 }
 
+// closeFramed writes a response whose body ends with its connection.
+func closeFramed(w http.ResponseWriter) {
+	conn, _, err := w.(http.Hijacker).Hijack()
+	if err != nil {
+		panic(err)
+	}
+	head := "HTTP/1.1 200 OK\r\n"
+	for _, name := range []string{platform.HeaderRequestID, platform.HeaderStamp} {
+		head += name + ": " + w.Header().Get(name) + "\r\n"
+	}
+	_, _ = io.WriteString(conn, head+"Connection: close\r\n\r\nsome") // the node may have left
+	_ = conn.Close()
+}
+
 // threeNodes starts three nodes that exchange messages.
 func (c *cluster) threeNodes() []*node {
 	port := freePort(c.t, "127.0.0.1")
@@ -175,18 +189,7 @@
 // that its end can't be told from a complete one.
 func TestUnframedResponseClearsNoContent(t *testing.T) {
 	c := newCluster(t)
-	k := crashingServers(c, 16, func(w http.ResponseWriter) {
-		conn, _, err := w.(http.Hijacker).Hijack()
-		if err != nil {
-			panic(err)
-		}
-		head := "HTTP/1.1 200 OK\r\n"
-		for _, name := range []string{platform.HeaderRequestID, platform.HeaderStamp} {
-			head += name + ": " + w.Header().Get(name) + "\r\n"
-		}
-		_, _ = io.WriteString(conn, head+"Connection: close\r\n\r\nsome") // the node may have left
-		_ = conn.Close()
-	})
+	k := crashingServers(c, 16, closeFramed)
 	nodes := c.threeNodes()
 	k.crashUntil(maxPartEnds, nodes)
 	time.Sleep(contactTimeout)
@@ -222,3 +225,47 @@
 	assert.Assert(t, waited < 2*time.Second, "refused after %v", waited)
 	assert.Assert(t, strings.Contains(c.text(), "reason=poison_request"))
 }
+
+// TestServerErrorClearsNoContent guards against a poison request that counts as innocent because
+// some servers answer it with an error before they begin to run it.
+func TestServerErrorClearsNoContent(t *testing.T) {
+	c := newCluster(t)
+	k := crashingServers(c, 16, nil)
+	failing := c.backendServer("failing", "plain", func(w http.ResponseWriter, r *http.Request) {
+		w.WriteHeader(http.StatusInternalServerError)
+	})
+	nodes := c.threeNodes()
+	k.crashUntil(maxPartEnds, nodes)
+	assert.Assert(t, failing.count() > 0)
+	time.Sleep(contactTimeout)
+	k.assertRefused(nodes, "late")
+}
+
+// TestUnframedResponsesOfLiveServersClearContents guards against the refusal of requests all
+// of whose responses end with their connections: none of them would ever count as complete.
+func TestUnframedResponsesOfLiveServersClearContents(t *testing.T) {
+	c := newCluster(t)
+	n := c.node("127.0.0.1", 0)
+	for round := range 4 {
+		down := false
+		unframed := func(w http.ResponseWriter, r *http.Request) {
+			if down {
+				closeConnection(w, r)
+			}
+			closeFramed(w)
+		}
+		b := c.backendServer(fmt.Sprint("s", round), "plain", unframed)
+		c.eventually(func() bool { return strings.Contains(c.text(), "event=server server="+b.id) })
+		for i := range 2 {
+			got := c.call(n, http.MethodPost, "/unsafe/x", "same", platform.HeaderPromptPrefix, "first:1,second:1,own:1")
+			assert.Equal(t, got.status, http.StatusOK, "round %d, request %d", round, i)
+		}
+		down = true
+		b.server.Listener.Close()
+		c.call(n, http.MethodPost, "/unsafe/x", "same", platform.HeaderPromptPrefix, "first:1,second:1,own:1")
+		c.unregister(b.id)
+		delete(c.backends, b.id)
+		c.eventually(func() bool { return strings.Contains(c.text(), "event=server_gone server="+b.id) })
+		time.Sleep(time.Second)
+	}
+}
--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -99,7 +99,7 @@
 		// caller's framing can't be changed any more, and would claim a complete stream.
 		return x.streamFailed(server, errUnframedEnd)
 	}
-	x.clearTraits()
+	x.responseComplete(server, resp)
 	if !x.responseStarted && !x.startResponse(resp, unknownLength) {
 		return attemptDone
 	}
--- a/internal/front/suspects.go
+++ b/internal/front/suspects.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"net/http"
 	"slices"
 	"strconv"
 	"time"
@@ -9,6 +10,7 @@
 	"github.com/go-kit/log/level"
 
 	"github.com/redwingnotch/redwingnotch/internal/bootclock"
+	"github.com/redwingnotch/redwingnotch/internal/httpsend"
 	"github.com/redwingnotch/redwingnotch/poison"
 	"github.com/redwingnotch/redwingnotch/replicas"
 )
@@ -134,6 +136,18 @@
 	return true
 }
 
+// responseComplete handles a response that was received to its end. A response that ended
+// with its connection is no proof that the server lived on, and an error none that it ran
+// the request.
+func (x *exchange) responseComplete(server replicas.Entry, resp *http.Response) {
+	switch {
+	case x.received.framing == httpsend.FramingClose:
+		x.responseClosed(server)
+	case resp.StatusCode < http.StatusMultipleChoices:
+		x.clearTraits()
+	}
+}
+
 // clearTraits records that a server completed the response to the request, so its traits
 // end no servers.
 func (x *exchange) clearTraits() {
@@ -263,6 +277,7 @@
 // caller holds n.mu.
 func (n *Node) applySuspects(now time.Time, m message) {
 	for _, e := range m.Ends[:min(len(m.Ends), maxEndsPerMessage)] {
+		n.endReportedBy(poison.End(e.End))
 		n.publishInnocent(now, n.poison.Record(now, e.decode(now)))
 	}
 	for i, key := range m.Innocent[:min(len(m.Innocent), maxTraitsPublished)] {
