entry node: a request that waits is refused as soon as its traits are

New refusals, of this node or another, now end the waiting requests that they concern at once, and the check is made under the same lock that queues or assigns a request.

TestWaitingPoisonIsRefusedAtOnce failed before (sent, 504) and passes: refused within 2 s while the only server is busy.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -53,7 +53,7 @@
 	mu               sync.Mutex // guards the fields below
 	table            *replicas.Table
 	queue            *waiting.Queue
-	waiters          map[uint64]chan waiting.Decision // by key of the waiting request; each channel has room for its decision
+	waiters          map[uint64]waiter // by key of the waiting request
 	nextKey          uint64
 	retryBudgets     map[string]*dispatch.RetryBudget // by service
 	maxNodesSeen     int                              // most nodes seen alive at the same time, this one included
@@ -98,7 +98,7 @@
 		serverClients:   newServerClients(),
 		table:           replicas.NewTable(),
 		queue:           waiting.NewQueue(),
-		waiters:         map[uint64]chan waiting.Decision{},
+		waiters:         map[uint64]waiter{},
 		retryBudgets:    map[string]*dispatch.RetryBudget{},
 		arrivals:        map[arrivalKey]*arrivalCount{},
 		publishedStatus: map[string]publishedStatus{},
@@ -265,20 +265,35 @@
 		return
 	}
 	for _, d := range n.queue.Dispatch(now, n.waitingState(now)) {
-		n.waiters[d.Key] <- d // buffered
-		delete(n.waiters, d.Key)
+		n.decideWaiter(d)
 	}
 }
 
+// waiter is a request in the queue.
+type waiter struct {
+	decided chan waiting.Decision // has room for the decision
+	traits  []poison.Key
+}
+
+// decideWaiter hands a request that left the queue its decision. The caller holds n.mu.
+func (n *Node) decideWaiter(d waiting.Decision) {
+	n.waiters[d.Key].decided <- d // buffered
+	delete(n.waiters, d.Key)
+}
+
 // acquire waits until the request is assigned to a server or refused. If ctx ends
 // first, it returns the cause.
-func (n *Node) acquire(ctx context.Context, r waiting.Request) (waiting.Decision, error) {
+func (n *Node) acquire(ctx context.Context, r waiting.Request, traits []poison.Key) (waiting.Decision, error) {
 	now := bootclock.Now()
 	n.mu.Lock()
 	if n.refuse.Load() {
 		n.mu.Unlock()
 		return waiting.Decision{Refused: waiting.Stopping, RetryAfter: shortRetryAfter}, nil
 	}
+	if left := n.refusedFor(now, traits); left > 0 {
+		n.mu.Unlock()
+		return waiting.Decision{Refused: reasonPoison, RetryAfter: left}, nil
+	}
 	n.nextKey++
 	r.Key = n.nextKey
 	d, done := n.queue.Offer(now, r, n.waitingState(now))
@@ -287,7 +302,7 @@
 		return d, nil
 	}
 	decided := make(chan waiting.Decision, 1)
-	n.waiters[r.Key] = decided
+	n.waiters[r.Key] = waiter{decided, traits}
 	if r.Requirement.Model != "" {
 		n.publish(now, sendLeadersNow)
 	}
--- a/internal/front/serve.go
+++ b/internal/front/serve.go
@@ -199,11 +199,8 @@
 	defer cancel()
 	n.countArrival(x)
 	for {
-		if x.refusedAsPoison() {
-			return
-		}
 		began := bootclock.Now()
-		d, err := n.acquire(ctx, x.waitingRequest())
+		d, err := n.acquire(ctx, x.waitingRequest(), x.traits())
 		x.waited += bootclock.Now().Sub(began)
 		if err != nil {
 			x.waitEnded()
--- a/internal/front/stop.go
+++ b/internal/front/stop.go
@@ -43,7 +43,6 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for _, d := range n.queue.RefuseAll(bootclock.Now()) {
-		n.waiters[d.Key] <- d // buffered
-		delete(n.waiters, d.Key)
+		n.decideWaiter(d)
 	}
 }
--- a/internal/front/suspects.go
+++ b/internal/front/suspects.go
@@ -13,6 +13,7 @@
 	"github.com/redwingnotch/redwingnotch/internal/httpsend"
 	"github.com/redwingnotch/redwingnotch/poison"
 	"github.com/redwingnotch/redwingnotch/replicas"
+	"github.com/redwingnotch/redwingnotch/waiting"
 )
 
 // Limits of what messages between nodes say of servers that ended under requests.
@@ -28,7 +29,7 @@
 
 // reasonPoison is the reason of requests that are refused because servers ended under
 // their traits.
-const reasonPoison = "poison_request"
+const reasonPoison waiting.Reason = "poison_request"
 
 // endState is the encoded form of a poison.Report. Builds that know contents only send no
 // flags: each key is then a request of its own.
@@ -111,29 +112,31 @@
 	}
 	if len(refused) > 0 {
 		n.refusedAt = now
+		n.refuseWaitingPoison(now)
 		n.publish(now, sendAllNow)
 	}
 }
 
-// refusedAsPoison ends the request if its traits are refused, and reports whether it did.
-func (x *exchange) refusedAsPoison() bool {
-	n, now := x.node, bootclock.Now()
-	n.mu.Lock()
-	left := n.poison.Refused(now, x.traits())
-	if left > 0 && n.confirms(now) && n.poison.Trial(now, x.traits()) {
-		left = 0
-		level.Info(n.log).Log("event", "poison_trial", "id", x.params.ID, "traits", formatKeys(x.traits()))
+// refusedFor returns for how long a request with the traits is refused; zero if it may run,
+// also as a trial. The caller holds n.mu.
+func (n *Node) refusedFor(now time.Time, traits []poison.Key) time.Duration {
+	left := n.poison.Refused(now, traits)
+	if left > 0 && n.confirms(now) && n.poison.Trial(now, traits) {
+		level.Info(n.log).Log("event", "poison_trial", "traits", formatKeys(traits))
+		return 0
 	}
-	n.mu.Unlock()
-	switch {
-	case left <= 0:
-		return false
-	case x.responseStarted || x.runs > 0:
-		x.endUnanswered(reasonPoison)
-	default:
-		x.refuse(reasonPoison, left)
+	return left
+}
+
+// refuseWaitingPoison refuses the requests in the queue whose traits have become known to
+// end servers. The caller holds n.mu.
+func (n *Node) refuseWaitingPoison(now time.Time) {
+	for key, w := range n.waiters {
+		if left := n.poison.Refused(now, w.traits); left > 0 {
+			n.queue.Cancel(key)
+			n.decideWaiter(waiting.Decision{Key: key, Refused: reasonPoison, RetryAfter: left})
+		}
 	}
-	return true
 }
 
 // responseComplete handles a response that was received to its end. A response that ended
@@ -287,7 +290,11 @@
 		}
 		n.poison.Answered(now, at, poison.Key(key))
 	}
+	added := false
 	for _, r := range m.Refusals[:min(len(m.Refusals), maxRefusalsPublished)] {
-		n.poison.Refuse(now, poison.Refusal{Traits: append(hashes[poison.Key](r.With), poison.Key(r.Key)), Last: now.Add(-time.Duration(r.AgeMS) * time.Millisecond), Ends: hashes[poison.End](r.Ends)})
+		added = n.poison.Refuse(now, poison.Refusal{Traits: append(hashes[poison.Key](r.With), poison.Key(r.Key)), Last: now.Add(-time.Duration(r.AgeMS) * time.Millisecond), Ends: hashes[poison.End](r.Ends)}) || added
+	}
+	if added {
+		n.refuseWaitingPoison(now)
 	}
 }
