entry node: a new ID at the address of a lost server shows that it ended

A later start at the address is evidence now. A server that began to drain after the request was sent counts as draining.

--- a/internal/front/ended.go
+++ b/internal/front/ended.go
@@ -34,6 +34,7 @@
 const (
 	endRefused   endEvidence = "refused"   // it refuses connections
 	endRestarted endEvidence = "restarted" // its entry names a later start
+	endReplaced  endEvidence = "replaced"  // a later start with another ID has its address
 	endReported  endEvidence = "reported"  // another node has evidence
 )
 
@@ -209,6 +210,22 @@
 	n.serverEnded(server, endRefused)
 }
 
+// entryChanged compares an entry with the servers that lost requests. A later start at the
+// address of one shows that it has ended; one that drains ends by itself. The caller holds
+// n.mu.
+func (n *Node) entryChanged(entry replicas.Entry) {
+	for key, lost := range n.lost {
+		switch {
+		case key.id == entry.ID && key.start == entry.Start:
+			lost.server.Draining = lost.server.Draining || entry.Draining
+		case key.id == entry.ID:
+			n.serverEnded(lost.server, endRestarted)
+		case key.id != entry.ID && key.address == entry.Address && key.start < entry.Start:
+			n.serverEnded(lost.server, endReplaced)
+		}
+	}
+}
+
 // endReportedBy handles another node's report that a server has ended. The caller holds
 // n.mu.
 func (n *Node) endReportedBy(end poison.End) {
@@ -228,6 +245,7 @@
 		return
 	}
 	lost.ended = true
+	server = lost.server
 	n.metrics.ServerEnded(string(evidence))
 	var requests []poison.Request
 	var contents []poison.Key
--- a/internal/front/poison_test.go
+++ b/internal/front/poison_test.go
@@ -108,12 +108,28 @@
 // TestPoisonIsRecognisedByRestarts guards against a request that ends servers which are
 // back at once: they accept connections again, and only their entries name another start.
 func TestPoisonIsRecognisedByRestarts(t *testing.T) {
+	testPoisonAtServersThatAreBack(t, func(c *cluster, b *backendServer) { c.register(b, "plain", "ready") })
+}
+
+// TestPoisonIsRecognisedByNewIDAtAddress guards against a request that ends servers which are
+// back at once under another ID at the same address: no entry names a later start of them.
+func TestPoisonIsRecognisedByNewIDAtAddress(t *testing.T) {
+	testPoisonAtServersThatAreBack(t, func(c *cluster, b *backendServer) {
+		c.unregister(b.id)
+		b.id = fmt.Sprint(strings.TrimRight(b.id, "+0123456789"), b.born)
+		c.register(b, "plain", "ready")
+	})
+}
+
+// testPoisonAtServersThatAreBack sends a request under which servers end that are back at
+// once, and checks that it is refused.
+func testPoisonAtServersThatAreBack(t *testing.T, back func(c *cluster, b *backendServer)) {
 	c := newCluster(t)
 	var mu sync.Mutex
 	var ended []time.Time
 	for i := range 6 {
 		var b *backendServer
-		b = c.backendServer(fmt.Sprint("s", i), "plain", func(w http.ResponseWriter, r *http.Request) {
+		b = c.backendServer(fmt.Sprint("s", i, "-"), "plain", func(w http.ResponseWriter, r *http.Request) {
 			if !strings.Contains(r.URL.Path, "poison") {
 				fmt.Fprint(w, "done")
 				return
@@ -122,7 +138,7 @@
 			defer mu.Unlock()
 			ended = append(ended, time.Now())
 			b.born++
-			c.register(b, "plain", "ready")
+			back(c, b)
 			panic(http.ErrAbortHandler)
 		})
 	}
--- a/internal/front/watch.go
+++ b/internal/front/watch.go
@@ -298,9 +298,7 @@
 	if !n.table.SetEntry(bootclock.Now(), entry) {
 		return
 	}
-	if known && before.Start != entry.Start {
-		n.serverEnded(before, endRestarted)
-	}
+	n.entryChanged(entry)
 	if known && before.Draining == entry.Draining && before.Start == entry.Start {
 		return
 	}
