entry node: refusals of poison requests are kept in the store

All nodes that knew of a part under which servers end could be killed at one moment; those that came back sent it on (9 requests later than 3 s after the fifth end in the test). The two first nodes in the order of succession keep one object of the kind refusals in the platform's store up to date; each node reads it before it takes requests, for at most 3 s after its start.

TestPoisonPartIsRefusedAfterAllNodesRestart failed before and passes.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -48,6 +48,7 @@
 	desired        atomic.Pointer[routes.Table] // desired state in force; nil until one was read
 	stopping       atomic.Bool                  // a graceful stop has begun
 	refuse         atomic.Bool                  // new requests are refused, because the process will exit soon
+	refusalsKnown  atomic.Bool                  // what was refused before this node's start has been read, or could not be for too long
 	activeRequests atomic.Int64                 // callers' requests in progress
 
 	mu               sync.Mutex // guards the fields below
@@ -70,6 +71,7 @@
 	lost             map[startKey]*lostRequests // requests that lost their connections within lossRetention
 	poison           *poison.Table              // traits of requests under which servers ended
 	refusedAt        time.Time                  // when this node last decided to refuse a trait
+	refusals         refusalsState              // what is known of the refusals in the store
 	ends             []poison.Report            // ends of servers under this node's requests that it still publishes
 	innocent         []innocentTrait            // traits that this node knows to be innocent and still publishes
 	departing        []departing                // servers that this node learned are draining or removed, and still publishes
@@ -235,6 +237,7 @@
 		}
 		n.reconcileDesired(ctx, now)
 		n.decidePoison(now)
+		n.reconcileRefusals(ctx, now)
 		n.dispatchWaiting(now)
 		for _, c := range n.cells {
 			n.reconcileLeadership(ctx, now, c)
--- a/internal/front/serve.go
+++ b/internal/front/serve.go
@@ -88,6 +88,10 @@
 		x.refuse("no_desired_state", unconfiguredRetryAfter)
 		return false
 	}
+	if !x.node.refusalsKnown.Load() {
+		x.refuse("refusals_unread", unconfiguredRetryAfter)
+		return false
+	}
 	if x.node.refuse.Load() {
 		x.refuse("stopping", shortRetryAfter)
 		return false
--- a/poison/decide.go
+++ b/poison/decide.go
@@ -228,6 +228,7 @@
 	for _, v := range t.verdicts {
 		if t.covered(v) {
 			released = append(released, t.refusal(v))
+			t.changes++
 		} else {
 			kept = append(kept, v)
 		}
--- a/poison/poison.go
+++ b/poison/poison.go
@@ -120,6 +120,7 @@
 	suspects  map[Key]*suspect
 	answered  map[Key]time.Time // when a response to a request with the trait was last completed
 	verdicts  []*verdict
+	changes   uint64    // number of changes of what is refused
 	evictedAt time.Time // when evict was last called
 	newest    time.Time // when this node learned of the newest end
 	decideAt  time.Time // when Decide has something to do; zero if nothing
@@ -276,6 +277,10 @@
 	return n
 }
 
+// Changes returns a number that rises whenever other requests are refused than before, but
+// for refusals that end by RefuseFor.
+func (t *Table) Changes() uint64 { return t.changes }
+
 // Size returns the number of suspects.
 func (t *Table) Size() int { return len(t.suspects) }
 
--- a/poison/verdict.go
+++ b/poison/verdict.go
@@ -106,6 +106,7 @@
 	}
 	t.verdicts = slices.DeleteFunc(t.verdicts, func(known *verdict) bool { return v.holdsAll(known.traits) })
 	t.verdicts = append(t.verdicts, v)
+	t.changes++
 	if len(t.verdicts) > maxVerdicts {
 		t.expire(now)
 		t.dropOldest()
@@ -135,6 +136,7 @@
 		}
 	}
 	if found {
+		t.changes++
 		t.verdicts = slices.DeleteFunc(t.verdicts, func(v *verdict) bool { return len(v.traits) == 0 })
 	}
 	return found
