entry node: a refusal is believed only if it belongs to the request

Now the ID must be the request's; without one the response must be the first on its connection. A connection that delivered another request's response is closed, so that what follows on it reaches no other request.

Orders and reports use a connection each. The store's responses carry no ID; its client is unchanged.

--- a/internal/front/attempt.go
+++ b/internal/front/attempt.go
@@ -79,13 +79,13 @@
 		n.setReportedLoad(server, load)
 	}
 	x.received = receivedResponse{framing: httpsend.FramingOf(resp)}
-	if platform.NotRun(resp) {
+	if platform.NotRun(resp) && x.answersThis(resp) {
 		return x.requestNotRun(server, resp)
 	}
 	x.runs++
 	n.serverAlive(server, sent)
 	if resp.Header.Get(platform.HeaderRequestID) != x.params.ID {
-		return x.badResponse(server, "answer_of_another_request", nil)
+		return x.badResponse(server, "answer_of_another_request", httpsend.CloseConn(resp))
 	}
 	if resp.StatusCode < http.StatusMultipleChoices && (resp.Header.Get(platform.HeaderStamp) == "" || resp.Header.Get("Content-Encoding") != "") {
 		return x.badResponse(server, "answer_without_stamp", nil)
@@ -111,6 +111,13 @@
 	return x.forwardWhole(server, resp, body, sent)
 }
 
+// answersThis reports whether a response that says that the request was not run is a
+// response to it, not an earlier one that the server has sent once more.
+func (x *exchange) answersThis(resp *http.Response) bool {
+	id := resp.Header.Get(platform.HeaderRequestID)
+	return id == x.params.ID || id == "" && !httpsend.Reused(resp)
+}
+
 // responseTimeout returns how long the attempt may go without a response. A
 // request that can't be sent again waits until its deadline.
 func (x *exchange) responseTimeout() time.Duration {
--- a/internal/httpsend/track.go
+++ b/internal/httpsend/track.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"net/http/httptrace"
 	"sync"
 	"syscall"
@@ -125,11 +126,52 @@
 	writesBefore uint64 // writes counted on the connection before this request
 }
 
+// callKey is the context key of the call that tracks a request.
+type callKey struct{}
+
+// callOf returns the call that tracks the request of a response of Do, nil if none does.
+func callOf(resp *http.Response) *call {
+	if resp.Request == nil {
+		return nil
+	}
+	c, _ := resp.Request.Context().Value(callKey{}).(*call)
+	return c
+}
+
+// Reused reports whether an earlier request may have used the connection on which the
+// response of Do arrived. If none has, the response can't belong to another request.
+func Reused(resp *http.Response) bool {
+	c := callOf(resp)
+	if c == nil {
+		return true
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.reused || c.untracked
+}
+
+// CloseConn closes the connection on which the response of Do arrived, so that what the
+// server still sends on it reaches no other request.
+func CloseConn(resp *http.Response) error {
+	err := resp.Body.Close()
+	c := callOf(resp)
+	if c == nil {
+		return err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, u := range c.connUses {
+		u.conn.blockWrites()
+		err = errors.Join(err, u.conn.Close())
+	}
+	return err
+}
+
 // track returns a context whose HTTP request the returned call tracks.
 func track(ctx context.Context) (context.Context, *call) {
 	c := &call{}
 	trace := &httptrace.ClientTrace{GotConn: c.gotConn}
-	return httptrace.WithClientTrace(ctx, trace), c
+	return httptrace.WithClientTrace(context.WithValue(ctx, callKey{}, c), trace), c
 }
 
 // gotConn records the connection of the next try. The standard client retries some
