entry node: a resumed stream that repeats events is not joined

The first event with an ID of a resumed stream must follow the last one that was passed on; otherwise the attempt counts as broken.

TestResumedStreamRepeatsNoEvents failed before for streams that begin at the first and at the last event, and passes.

--- a/internal/front/framing_test.go
+++ b/internal/front/framing_test.go
@@ -215,6 +215,29 @@
 	}
 }
 
+// TestResumedStreamRepeatsNoEvents guards against events that come twice, or belong to another
+// run: the server at which the stream is resumed begins at or before the last event.
+func TestResumedStreamRepeatsNoEvents(t *testing.T) {
+	for _, first := range []int{1, 3} {
+		t.Run(fmt.Sprint("from ", first), func(t *testing.T) {
+			c := newCluster(t)
+			serve := func(rw http.ResponseWriter, r *http.Request) {
+				if r.Header.Get(platform.HeaderLastEventID) == "" {
+					writeEvents(rw, 1, 3, true)
+					return
+				}
+				writeEvents(rw, first, 6, false)
+			}
+			c.backendServer("s1", "llm", serve)
+			c.backendServer("s2", "llm", serve)
+			n := c.node("127.0.0.1", 0)
+			got := c.call(n, http.MethodPost, "/proof/x", "r1", platform.HeaderModel, "m")
+			assert.Equal(t, got.body, eventText(1, 3))
+			assert.Assert(t, got.truncated)
+		})
+	}
+}
+
 // TestStreamWithoutIDsIsNotResumed guards against events that come twice: the stream broke
 // after an event without an ID, and the next server would begin behind the last ID.
 func TestStreamWithoutIDsIsNotResumed(t *testing.T) {
--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/redwingnotch/redwingnotch/internal/bootclock"
@@ -32,11 +33,18 @@
 	}
 	reader := &eventReader{r: bufio.NewReader(resp.Body)}
 	flusher := http.NewResponseController(x.w)
+	resumed := x.responseStarted // no event with an ID has come since the stream was resumed
 	for events := 0; ; events++ {
 		event, id, err := reader.next()
 		if err != nil {
 			return x.streamEnded(server, resp, streamEnd{events: events, rest: event, err: err})
 		}
+		if resumed && id != "" {
+			if !follows(id, x.lastEventID) {
+				return x.streamFailed(server, errEventRepeated)
+			}
+			resumed = false
+		}
 		if gap != nil {
 			gap.Reset(x.gapTimeout())
 		}
@@ -66,6 +74,21 @@
 	}
 }
 
+// errEventRepeated means that a resumed stream does not begin after the last event that was
+// passed on.
+var errEventRepeated = errors.New("resumed stream repeats events")
+
+// follows reports whether an event may come after the last one. IDs that are numbers
+// increase; of others it is known only that they differ.
+func follows(id, last string) bool {
+	a, errA := strconv.ParseUint(id, 10, 64)
+	b, errB := strconv.ParseUint(last, 10, 64)
+	if errA != nil || errB != nil {
+		return id != last
+	}
+	return a > b
+}
+
 // gapTimeout returns the pause after which a resumable stream is resumed at
 // another server.
 func (x *exchange) gapTimeout() time.Duration { return max(minGapTimeout, gapFactor*x.route.MaxGap) }
