entry node: an odd message of another node does not end the process

A message in which the state of a cell's leader is null was dereferenced: one datagram ended the process (an operators' report, looked for here). Messages are cleaned where they are decoded, and an address that is none is no peer: it was sent messages as well.

--- a/internal/front/peers.go
+++ b/internal/front/peers.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"net"
 	"slices"
 	"strconv"
@@ -162,7 +163,7 @@
 // add returns the peer at the IP and adds it, as not alive, if it is unknown. It
 // returns nil for this node's own IP.
 func (p *peers) add(now time.Time, ip string) *peer {
-	if ip == p.settings.IP {
+	if ip == p.settings.IP || net.ParseIP(ip) == nil {
 		return nil
 	}
 	if p.byIP[ip] == nil {
@@ -295,8 +296,8 @@
 			sleep(ctx, sendInterval)
 			continue
 		}
-		var m message
-		if err := json.Unmarshal(buffer[:size], &m); err != nil || m.Node == "" || m.IP == "" {
+		m, err := decodeMessage(buffer[:size])
+		if err != nil {
 			level.Warn(n.log).Log("event", "peer_message_unreadable", "bytes", size, "err", err)
 			continue
 		}
@@ -304,6 +305,22 @@
 	}
 }
 
+// errNoSender means that a message names no sender.
+var errNoSender = errors.New("message names no sender")
+
+// decodeMessage decodes a message of another node, without the parts that can't be used.
+func decodeMessage(data []byte) (message, error) {
+	var m message
+	if err := json.Unmarshal(data, &m); err != nil {
+		return message{}, fmt.Errorf("decode message: %w", err)
+	}
+	if m.Node == "" || m.IP == "" {
+		return message{}, errNoSender
+	}
+	maps.DeleteFunc(m.Leaders, func(_ string, l *leaderState) bool { return l == nil })
+	return m, nil
+}
+
 // received replaces the state known of another node by that in its message,
 // unless a later one was received before.
 func (n *Node) received(m message) {
