entry node: callers that send or read a byte now and then are ended

The product's own interface limits the time for a request's body and for each write; the users' ingress had neither. The body must arrive by the request's deadline, else 408, and the response must be read by 500 ms after it. Slow streams of callers that read are not affected.

--- a/internal/front/serve.go
+++ b/internal/front/serve.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"time"
@@ -23,6 +24,7 @@
 // Limits of requests.
 const (
 	defaultTimeLimit       = 30 * time.Second        // time limit if neither the caller nor the route sets one
+	writeGrace             = 500 * time.Millisecond  // time after a request's deadline in which its response may still be written
 	responseGrace          = 100 * time.Millisecond  // time after a request's deadline for a response that is being received
 	unconfiguredRetryAfter = 500 * time.Millisecond  // Retry-After of a node without a desired state; by then the caller may reach another node
 	shortRetryAfter        = 20 * time.Millisecond   // Retry-After if another attempt can succeed at once: at another node, or after a request that did not run
@@ -74,7 +76,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	defer x.log()
-	if x.admit() {
+	if x.admit() && x.limitWrites() {
 		x.run()
 		x.finishResponse()
 	}
@@ -117,6 +119,17 @@
 	return x.readBody(table.Limits.MaxBodyBytes)
 }
 
+// limitWrites ends the connection of a caller that has not read the response by writeGrace
+// after the deadline. It returns false if the caller has left.
+func (x *exchange) limitWrites() bool {
+	limit := x.deadline.Add(writeGrace).Sub(bootclock.Now())
+	if err := http.NewResponseController(x.w).SetWriteDeadline(time.Now().Add(limit)); err != nil {
+		x.abort("caller_left")
+		return false
+	}
+	return true
+}
+
 // timeLimit returns the shorter of the route's and the caller's time limits.
 func (x *exchange) timeLimit() time.Duration {
 	limit := defaultTimeLimit
@@ -181,17 +194,32 @@
 	if limit <= 0 {
 		limit = maxBodyBytes
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, limit))
+	control := http.NewResponseController(x.w)
+	err := control.SetReadDeadline(time.Now().Add(x.deadline.Sub(bootclock.Now())))
+	var body []byte
+	if err == nil {
+		body, err = io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, limit))
+	}
 	var large *http.MaxBytesError
 	switch {
 	case errors.As(err, &large):
 		x.fail(http.StatusRequestEntityTooLarge, "body_too_large")
 		return false
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		x.w.Header().Set("Connection", "close")
+		x.outcome, x.reason = "refused", "body_too_slow"
+		x.writeEmpty(http.StatusRequestTimeout)
+		return false
 	case err != nil:
 		x.abort("caller_left")
 		return false
 	}
 	x.body = body
+	// The server goes on reading to notice that the caller leaves.
+	if err := control.SetReadDeadline(time.Time{}); err != nil {
+		x.abort("caller_left")
+		return false
+	}
 	return true
 }
 
--- a/internal/front/slow_caller_test.go
+++ b/internal/front/slow_caller_test.go
@@ -56,6 +56,7 @@
 			time.Sleep(50 * time.Millisecond)
 		}
 	})
+	assert.NilError(t, conn.SetReadDeadline(began.Add(2*routeTimeout)))
 	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
 	took := time.Since(began)
 	conn.Close()
@@ -81,6 +82,10 @@
 			}
 			return
 		}
+		if !strings.HasSuffix(r.URL.Path, "/chat/x") {
+			w.WriteHeader(http.StatusNotFound) // the node asks for reports as well
+			return
+		}
 		for i := 1; ; i++ {
 			if _, err := fmt.Fprintf(w, "id: %d\ndata: %s\n\n", i, strings.Repeat("x", 64<<10)); err != nil || r.Context().Err() != nil {
 				ended <- time.Now()
