loader: an order whose result is unknown is not guessed from a report

In the trace a slow leader has sent two loads and two unloads that all name three accepted orders and got no response; a report then says four. The loader took that for the latest order, an unload, and put a model into the room that an earlier load had taken.

While orders of unknown result name the same number, a rise of it leaves the state unknown until a report that was requested 500 ms later. Reports that were requested within 500 ms after an order for a model was accepted are not believed: they may show the new number beside older models. Adapters whose load was accepted lately stay counted if a report does not list them yet, also where the response was lost.

The stand-in server now answers an adapter that it holds already with 'holds', as the platform does.

--- a/internal/front/repeated_refusal_test.go
+++ b/internal/front/repeated_refusal_test.go
@@ -58,6 +58,7 @@
 	for _, status := range []int{http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusMisdirectedRequest, http.StatusBadRequest} {
 		for _, withID := range []bool{true, false} {
 			t.Run(fmt.Sprint(status, ", with ID ", withID), func(t *testing.T) {
+				t.Parallel()
 				c := newCluster(t)
 				s := &repeatingServer{status: status, withID: withID, runs: map[string]int{}}
 				for i := range 3 {
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -225,7 +225,7 @@
 	if !s.local || s.reportPending || now.Before(s.nextReport) || s.entry.Draining {
 		return
 	}
-	s.reportPending = true
+	s.reportPending, s.reportSentAt = true, now
 	s.nextReport = now.Add(reportTimeout)
 	c.effects.ReportRequests = append(c.effects.ReportRequests, s.entry)
 }
@@ -255,7 +255,12 @@
 		if r.Orders <= s.order.order.After {
 			return // no response yet: the server may still carry out the order
 		}
-		s.order.accepted, s.acceptedOrders = true, r.Orders // the response was lost
+		if !s.doubtful && r.Orders == s.order.order.After+1 {
+			c.acceptedUnheard(now, s)
+		}
+	}
+	if !c.reportSettled(now, s, r.Orders) {
+		return
 	}
 	if r.Busy {
 		s.nextReport = now.Add(busyReportDelay)
@@ -271,15 +276,51 @@
 		c.endOrder(s)
 	}
 	s.unconfirmed = nil
-	if !s.known || r.Orders != s.acceptedOrders || !sameHoldings(s.holds, r.Holds) {
+	if !s.known || !sameHoldings(s.holds, r.Holds) {
 		c.effects.Changed = true
 	}
-	s.known, s.acceptedOrders = !r.Busy, r.Orders
+	s.known = !r.Busy
 	s.setHolds(now, r.Holds)
 	s.addArrivingAdapters(now, r.Arriving)
 	s.inMemory, s.onDisk = r.InMemory, r.OnDisk
 }
 
+// acceptedUnheard handles an order that the server has accepted although its response was
+// lost.
+func (c *Core) acceptedUnheard(now time.Time, s *server) {
+	o := s.order.order
+	if o.Adapter != "" {
+		c.adapterDone(now, s, o, replicas.OrderAccepted)
+		return
+	}
+	s.order.accepted = true
+	s.acceptModelOrder(now, o.After+1)
+}
+
+// reportSettled reports whether what a report says of models can be believed. If the server
+// has accepted orders that can't be told from others of unknown result, or that another
+// node sent, its state is unknown until a report that was requested confirmReportDelay
+// later: what an earlier one says of models may be older than its number of orders.
+func (c *Core) reportSettled(now time.Time, s *server, orders uint64) bool {
+	if !s.reported {
+		s.reported, s.acceptedOrders = true, orders
+	}
+	if orders != s.acceptedOrders {
+		if s.order != nil {
+			c.endOrder(s)
+		}
+		s.acceptModelOrder(now, orders)
+		s.known, s.unconfirmed = false, nil
+		c.effects.Changed = true
+	}
+	if s.reportSentAt.Before(s.settledAt) {
+		s.nextReport = later(now.Add(busyReportDelay), s.settledAt)
+		return false
+	}
+	s.settledAt = time.Time{}
+	return true
+}
+
 // sameHoldings reports whether the models and their numbers of adapters are the same.
 func sameHoldings(have map[string]*heldModel, hs []replicas.Holding) bool {
 	if len(have) != len(hs) {
@@ -304,89 +345,6 @@
 
 func orderID(o replicas.Order) string { return o.ServerID + "/" + o.Model }
 
-// HandleOrderResult processes the result of an order to a server with the given start time.
-// It is ignored if the server has restarted or has another order since.
-func (c *Core) HandleOrderResult(now time.Time, o replicas.Order, start int64, result replicas.OrderResult) {
-	s := c.servers[o.ServerID]
-	if s == nil || s.entry.Start != start || s.order == nil || s.order.order != o {
-		return
-	}
-	c.effects.Changed = true
-	if o.Adapter != "" {
-		c.adapterDone(now, s, o, result)
-		return
-	}
-	switch result {
-	case replicas.OrderAccepted:
-		s.acceptedOrders = o.After + 1
-		s.order.accepted = true
-		s.unconfirmed = nil
-		s.nextReport = s.order.expectedEnd
-		if o.Unload {
-			s.order.expectedEnd = now.Add(idleUnloadTime)
-		}
-		if !s.order.usesStore {
-			s.nextReport = s.order.expectedEnd.Add(confirmReportDelay)
-		}
-	case replicas.OrderUnknown:
-		// The server may still carry it out later. An order sent again names the
-		// same number of accepted orders, so at most one of the two is accepted.
-		c.endOrder(s)
-		s.nextReport = now
-	default:
-		c.handleRefusal(now, s)
-	}
-}
-
-// handleRefusal handles an order that a server did not accept. If an earlier one was assumed to
-// be complete, it is in progress again until a report ends it; else the server's state is unknown.
-func (c *Core) handleRefusal(now time.Time, s *server) {
-	c.endOrder(s)
-	s.nextReport = now.Add(refusalReportDelay)
-	if s.unconfirmed == nil {
-		s.known = false
-		return
-	}
-	s.order, s.unconfirmed = s.unconfirmed, nil
-	s.order.overdue = true
-}
-
-// expireOrder drops an order without a result within orderTimeout, and ends an accepted one at
-// its expected end; store loads and overdue orders end only with a report. A dropped order is
-// rejected once another one is accepted, as both name the same number of accepted orders.
-func (c *Core) expireOrder(now time.Time, s *server) {
-	if s.order != nil && !s.order.accepted && now.Sub(s.order.sentAt) > orderTimeout {
-		c.endOrder(s)
-	}
-	if s.order == nil || !s.order.accepted || now.Before(s.order.expectedEnd) {
-		return
-	}
-	if s.order.order.Adapter != "" {
-		s.order = nil
-		c.effects.Changed = true
-		return
-	}
-	if !s.order.usesStore && !s.order.overdue {
-		c.assumeComplete(now, s)
-	}
-}
-
-// assumeComplete treats an order as complete before a report says so. A server that
-// is still busy refuses the next order; a report then shows its state.
-func (c *Core) assumeComplete(now time.Time, s *server) {
-	o := s.order.order
-	if o.Unload {
-		delete(s.holds, o.Model)
-	} else {
-		s.holds[o.Model] = &heldModel{adapterUsed: map[string]time.Time{}, heldSince: now}
-		s.inMemory, s.onDisk = withModel(s.inMemory, o.Model), withModel(s.onDisk, o.Model)
-	}
-	s.unconfirmed = s.order
-	c.endOrder(s)
-	s.nextReport = now.Add(confirmReportDelay)
-	c.effects.Changed = true
-}
-
 func withModel(models []string, model string) []string {
 	if slices.Contains(models, model) {
 		return models
--- a/loader/loader_test.go
+++ b/loader/loader_test.go
@@ -1,6 +1,7 @@
 package loader_test
 
 import (
+	"errors"
 	"fmt"
 	"testing"
 	"time"
@@ -49,9 +50,50 @@
 	loseMessage func() bool                      // reports whether the next message is lost
 	orderLog    []string                         // sent orders, for failure messages
 
+	late        func() (time.Duration, bool) // returns after how long an order is carried out whose response is lost, and whether the next is one; nil for none
+	lateOrders  []lateOrder
+	reportFails func() bool // reports whether the next report does not arrive; nil for none
+	liveOrders  bool        // a report's number of orders is current, its other values are old
+
 	storeConcurrency int // loads that the weight store runs concurrently at full speed; zero for any number
 }
 
+// lateOrder is an order that a server carries out long after it was sent.
+type lateOrder struct {
+	at    time.Time
+	order replicas.Order
+	start int64
+}
+
+// runLateOrders carries out the late orders that are due, at servers that have not restarted.
+func (c *cluster) runLateOrders() {
+	var left []lateOrder
+	for _, l := range c.lateOrders {
+		s := c.server(l.order.ServerID)
+		switch {
+		case c.now.Before(l.at):
+			left = append(left, l)
+		case s.entry.Start == l.start:
+			c.orderLog = append(c.orderLog, fmt.Sprintf("%v %s late: unload=%v %s/%s after %d: %v", c.now.Sub(startTime), l.order.ServerID,
+				l.order.Unload, l.order.Model, l.order.Adapter, l.order.After, s.execute(c.now, l.order, c.engine)))
+		}
+	}
+	c.lateOrders = left
+}
+
+// report returns the report of a server that arrives now, or an error.
+func (c *cluster) report(id string) (replicas.Report, error) {
+	if c.reportFails != nil && c.reportFails() {
+		return replicas.Report{}, errors.New("no report")
+	}
+	s := c.server(id)
+	r := s.laggedReport(c.now)
+	if c.liveOrders {
+		r.Orders = s.acceptedOrders
+	}
+	return r, nil
+}
+
 // storeLoadsInProgress counts the loads from the weight store in progress.
 func (c *cluster) storeLoadsInProgress() int {
 	n := 0
@@ -119,6 +161,8 @@
 		delete(s.holds[o.Model], o.Adapter)
 		s.acceptedOrders++
 		return replicas.OrderHolds
+	case o.Adapter != "" && s.holds[o.Model][o.Adapter]:
+		return replicas.OrderHolds
 	case o.Adapter != "":
 		if s.holds[o.Model] == nil || adapters+1 > e.AdapterSlots || mb+m.AdapterSizeMB > e.WeightsMB {
 			s.crashed = fmt.Sprintf("adapter %s/%s beside %v", o.Model, o.Adapter, s.holds)
@@ -191,6 +235,7 @@
 // step advances the time by one tick, runs each loader and carries out its effects.
 func (c *cluster) step() {
 	c.now = c.now.Add(tick)
+	c.runLateOrders()
 	var entries []replicas.Entry
 	for _, s := range c.servers {
 		s.step(c.now)
@@ -208,12 +253,20 @@
 			MayOrder:       func(string) bool { return true },
 		})
 		for _, e := range effects.ReportRequests {
-			core.HandleReport(c.now, e.ID, e.Start, c.server(e.ID).laggedReport(c.now), nil)
+			r, err := c.report(e.ID)
+			core.HandleReport(c.now, e.ID, e.Start, r, err)
 		}
 		for _, o := range effects.Orders {
 			c.orderLog = append(c.orderLog, fmt.Sprintf("%v %s unload=%v %s/%s", c.now.Sub(startTime), o.Order.ServerID, o.Order.Unload, o.Order.Model, o.Order.Adapter))
 			result := replicas.OrderUnknown
 			lost := c.loseMessage()
+			if c.late != nil {
+				if delay, late := c.late(); late {
+					c.lateOrders = append(c.lateOrders, lateOrder{c.now.Add(delay), o.Order, o.Server.Start})
+					core.HandleOrderResult(c.now, o.Order, o.Server.Start, replicas.OrderUnknown)
+					continue
+				}
+			}
 			if !lost || c.loseMessage() {
 				s := c.server(o.Server.ID)
 				result = s.execute(c.now, o.Order, c.engine)
--- a/loader/plans.go
+++ b/loader/plans.go
@@ -315,7 +315,7 @@
 	done := result == replicas.OrderAccepted && !o.Unload || result == replicas.OrderHolds && o.Unload
 	switch {
 	case done && held != nil:
-		s.acceptedOrders = o.After + 1
+		s.accept(o.After + 1)
 		if o.Unload {
 			delete(held.adapterUsed, o.Adapter)
 			s.order = nil
@@ -326,11 +326,12 @@
 	case result == replicas.OrderAccepted:
 		// Running requests may still use the adapter: it occupies its slot and memory
 		// until a report no longer lists it.
-		s.acceptedOrders, s.order = o.After+1, nil
+		s.accept(o.After + 1)
+		s.order = nil
 		s.known, s.nextReport = false, now.Add(refusalReportDelay)
 	case result == replicas.OrderUnknown:
 		s.order = nil
-		s.nextReport = now
+		s.doubtful, s.nextReport = true, now
 	default:
 		c.handleRefusal(now, s)
 	}
--- a/loader/server.go
+++ b/loader/server.go
@@ -29,6 +29,10 @@
 	inMemory       []string               // models with weights in host memory
 	onDisk         []string               // models with weights on disk
 	running        int                    // running requests, as last reported
+	reported       bool                   // a report has arrived
+	doubtful       bool                   // orders of unknown result name acceptedOrders: the server may have accepted one of them, or may yet
+	settledAt      time.Time              // when reports show the result of the last accepted order; zero if they do
+	reportSentAt   time.Time              // when the latest report was requested
 
 	order         *sentOrder // order in progress, or one whose result has not arrived
 	unconfirmed   *sentOrder // order assumed to be complete but not yet reported so
@@ -143,6 +147,17 @@
 	return ""
 }
 
+// accept records that the server has accepted a number of orders. Those that named fewer
+// are rejected from now on.
+func (s *server) accept(orders uint64) { s.acceptedOrders, s.doubtful = orders, false }
+
+// acceptModelOrder records the same of an order for a model. Reports that are requested
+// within confirmReportDelay may still show the models before it.
+func (s *server) acceptModelOrder(now time.Time, orders uint64) {
+	s.accept(orders)
+	s.settledAt = now.Add(confirmReportDelay)
+}
+
 // loadPending reports whether a load of the model is ordered or planned at the server.
 func (s *server) loadPending(model string) bool {
 	if s.remoteStatus != nil {
@@ -240,6 +255,14 @@
 				held.adapterUsed[a] = old.adapterUsed[a]
 			}
 		}
+		if old != nil {
+			// A report may be older than a load that the server accepted meanwhile.
+			for a, used := range old.adapterUsed {
+				if _, listed := held.adapterUsed[a]; !listed && now.Sub(used) < confirmReportDelay {
+					held.adapterUsed[a] = used
+				}
+			}
+		}
 		s.holds[h.Model] = held
 	}
 }
