entry node: what messages say of poison requests fits in a datagram

With 1,024 traits of ends, as many innocent ones and 64 refusals with their ends a message could exceed a datagram; it is then not sent, and the nodes no longer know of each other.

--- a/internal/front/suspects.go
+++ b/internal/front/suspects.go
@@ -23,8 +23,9 @@
 	maxEndsPerMessage    = 64                      // ends in one message
 	maxRequestsPerEnd    = 64                      // requests of one end in one message
 	maxSuspectsPublished = 8                       // suspects whose ends a node passes on, besides those that it saw itself
-	maxTraitsPublished   = 1024                    // traits of all ends in one message, and innocent ones
-	maxRefusalsPublished = 64                      // refusals in one full message
+	maxTraitsPublished   = 512                     // traits of all ends in one message
+	maxInnocentPublished = 256                     // innocent traits in one message
+	maxRefusalsPublished = 32                      // refusals in one message
 )
 
 // reasonPoison is the reason of requests that are refused because servers ended under
@@ -174,7 +175,7 @@
 		case i.at.IsZero():
 		case known >= 0:
 			n.innocent[known] = i
-		case len(n.innocent) < maxTraitsPublished:
+		case len(n.innocent) < maxInnocentPublished:
 			n.innocent = append(n.innocent, i)
 		}
 	}
