--- a/poison/block.go
+++ b/poison/block.go
@@ -31,18 +31,18 @@
 }
 
 // matches reports whether the traits of a request include all of the block's.
-func (v *block) matches(traits []Key) bool {
-	return !slices.ContainsFunc(v.traits, func(k Key) bool { return !slices.Contains(traits, k) })
+func (b *block) matches(traits []Key) bool {
+	return !slices.ContainsFunc(b.traits, func(k Key) bool { return !slices.Contains(traits, k) })
 }
 
 // until returns the time until which the block holds.
-func (v *block) until() time.Time { return v.last.Add(RefuseFor) }
+func (b *block) until() time.Time { return b.last.Add(RefuseFor) }
 
 // Refused returns for how long a request with the traits is refused; zero if it is not.
 func (t *Table) Refused(now time.Time, traits []Key) time.Duration {
 	longest := time.Duration(0)
-	for _, v := range t.blocks {
-		if left := v.until().Sub(now); left > 0 && v.matches(traits) {
+	for _, b := range t.blocks {
+		if left := b.until().Sub(now); left > 0 && b.matches(traits) {
 			longest = max(longest, left)
 		}
 	}
@@ -53,19 +53,19 @@
 // whether the refusal is right. One node of a fleet calls it at a time.
 func (t *Table) Trial(now time.Time, traits []Key) bool {
 	var due []*block
-	for _, v := range t.blocks {
-		if !v.matches(traits) {
+	for _, b := range t.blocks {
+		if !b.matches(traits) {
 			continue
 		}
-		delay := min(RefuseFor, trialAfter<<min(v.trials, 4))
-		if now.Sub(v.last) < delay || now.Sub(v.trialAt) < delay {
+		delay := min(RefuseFor, trialAfter<<min(b.trials, 4))
+		if now.Sub(b.last) < delay || now.Sub(b.trialAt) < delay {
 			return false
 		}
-		due = append(due, v)
+		due = append(due, b)
 	}
-	for _, v := range due {
-		v.trials++
-		v.trialAt = now
+	for _, b := range due {
+		b.trials++
+		b.trialAt = now
 	}
 	return true
 }
@@ -75,37 +75,37 @@
 	if len(r.Traits) == 0 || slices.ContainsFunc(r.Traits, func(k Key) bool { at, known := t.answered[k]; return known && !at.Before(r.Last) }) {
 		return false
 	}
-	v := &block{traits: slices.Sorted(slices.Values(r.Traits)), last: r.Last, ends: r.Ends[:min(len(r.Ends), maxEndsRetained)]}
-	return !t.covered(v) && t.addBlock(now, v)
+	b := &block{traits: slices.Sorted(slices.Values(r.Traits)), last: r.Last, ends: r.Ends[:min(len(r.Ends), maxEndsRetained)]}
+	return !t.covered(b) && t.addBlock(now, b)
 }
 
 // refusal returns the block as it is told to other nodes.
-func (t *Table) refusal(v *block) Refusal {
-	ends := slices.Sorted(maps.Keys(t.endsOf(v)))
-	return Refusal{Traits: v.traits, Last: v.last, Ends: ends[:min(len(ends), maxEndsRetained)]}
+func (t *Table) refusal(b *block) Refusal {
+	ends := slices.Sorted(maps.Keys(t.endsOf(b)))
+	return Refusal{Traits: b.traits, Last: b.last, Ends: ends[:min(len(ends), maxEndsRetained)]}
 }
 
 // addBlock adds a block and removes those that it covers. It reports whether it is new.
-func (t *Table) addBlock(now time.Time, v *block) bool {
+func (t *Table) addBlock(now time.Time, b *block) bool {
 	for _, known := range t.blocks {
-		if slices.Equal(known.traits, v.traits) {
-			if v.last.After(known.last) {
-				known.last = v.last
+		if slices.Equal(known.traits, b.traits) {
+			if b.last.After(known.last) {
+				known.last = b.last
 			}
 			if known.cause == 0 {
-				known.cause = v.cause
+				known.cause = b.cause
 			}
-			if len(v.ends) > len(known.ends) {
-				known.ends = v.ends
+			if len(b.ends) > len(known.ends) {
+				known.ends = b.ends
 			}
 			return false
 		}
-		if known.matches(v.traits) {
+		if known.matches(b.traits) {
 			return false
 		}
 	}
-	t.blocks = slices.DeleteFunc(t.blocks, func(known *block) bool { return v.matches(known.traits) })
-	t.blocks = append(t.blocks, v)
+	t.blocks = slices.DeleteFunc(t.blocks, func(known *block) bool { return b.matches(known.traits) })
+	t.blocks = append(t.blocks, b)
 	t.changes++
 	if len(t.blocks) > maxBlocks {
 		t.expire(now)
@@ -122,37 +122,37 @@
 
 // expire removes the blocks that no longer hold.
 func (t *Table) expire(now time.Time) {
-	t.blocks = slices.DeleteFunc(t.blocks, func(v *block) bool { return !now.Before(v.until()) })
+	t.blocks = slices.DeleteFunc(t.blocks, func(b *block) bool { return !now.Before(b.until()) })
 }
 
 // unblock takes a trait with a response of the given time out of the blocks whose last end
 // was before. It reports whether there were any.
 func (t *Table) unblock(k Key, at time.Time) bool {
 	found := false
-	for _, v := range t.blocks {
-		if i := slices.Index(v.traits, k); i >= 0 && !at.Before(v.last) {
-			v.traits = slices.Delete(slices.Clone(v.traits), i, i+1)
+	for _, b := range t.blocks {
+		if i := slices.Index(b.traits, k); i >= 0 && !at.Before(b.last) {
+			b.traits = slices.Delete(slices.Clone(b.traits), i, i+1)
 			found = true
 		}
 	}
 	if found {
 		t.changes++
-		t.blocks = slices.DeleteFunc(t.blocks, func(v *block) bool { return len(v.traits) == 0 })
+		t.blocks = slices.DeleteFunc(t.blocks, func(b *block) bool { return len(b.traits) == 0 })
 	}
 	return found
 }
 
 // refusesAlone reports whether the trait alone suffices for a refusal.
 func (t *Table) refusesAlone(k Key) bool {
-	return slices.ContainsFunc(t.blocks, func(v *block) bool { return len(v.traits) == 1 && v.traits[0] == k })
+	return slices.ContainsFunc(t.blocks, func(b *block) bool { return len(b.traits) == 1 && b.traits[0] == k })
 }
 
 // Refusals returns up to limit refusals, the latest first.
 func (t *Table) Refusals(now time.Time, limit int) []Refusal {
 	var refusals []Refusal
-	for _, v := range t.blocks {
-		if now.Before(v.until()) {
-			refusals = append(refusals, t.refusal(v))
+	for _, b := range t.blocks {
+		if now.Before(b.until()) {
+			refusals = append(refusals, t.refusal(b))
 		}
 	}
 	slices.SortFunc(refusals, func(a, b Refusal) int {
--- a/poison/decide.go
+++ b/poison/decide.go
@@ -33,9 +33,9 @@
 			return refused, t.release()
 		}
 		settled[c.key] = true
-		v := &block{traits: c.traits, cause: c.key, last: t.suspects[c.key].last}
-		if t.addBlock(now, v) {
-			refused = append(refused, t.refusal(v))
+		b := &block{traits: c.traits, cause: c.key, last: t.suspects[c.key].last}
+		if t.addBlock(now, b) {
+			refused = append(refused, t.refusal(b))
 		}
 	}
 	t.decideAt = now.Add(settleTime / 4)
@@ -111,9 +111,9 @@
 func (t *Table) unexplained(k Key) map[End]*occurrence {
 	s := t.suspects[k]
 	left := maps.Clone(s.ends)
-	for _, v := range t.blocks {
-		ends := t.endsOf(v)
-		if !slices.Contains(v.traits, k) && len(ends) < len(s.ends) {
+	for _, b := range t.blocks {
+		ends := t.endsOf(b)
+		if !slices.Contains(b.traits, k) && len(ends) < len(s.ends) {
 			continue
 		}
 		for end := range ends {
@@ -125,14 +125,14 @@
 
 // endsOf returns the ends under requests that held all traits of the block, as known here
 // or to the node that decided.
-func (t *Table) endsOf(v *block) map[End]bool {
+func (t *Table) endsOf(b *block) map[End]bool {
 	ends := map[End]bool{}
-	for _, end := range v.ends {
+	for _, end := range b.ends {
 		ends[end] = true
 	}
-	cause := t.causeOf(v)
+	cause := t.causeOf(b)
 	if s := t.suspects[cause]; s != nil {
-		others := without(v.traits, cause)
+		others := without(b.traits, cause)
 		for end, o := range s.ends {
 			if !slices.ContainsFunc(others, func(k Key) bool { return !slices.Contains(o.with, k) }) {
 				ends[end] = true
@@ -144,11 +144,11 @@
 
 // causeOf returns the trait whose ends led to the block. If another node decided, it is
 // the one with the fewest ends here.
-func (t *Table) causeOf(v *block) Key {
-	cause := v.cause
-	for _, k := range v.traits {
+func (t *Table) causeOf(b *block) Key {
+	cause := b.cause
+	for _, k := range b.traits {
 		s := t.suspects[k]
-		if v.cause == 0 && s != nil && (cause == 0 || len(s.ends) < len(t.suspects[cause].ends)) {
+		if b.cause == 0 && s != nil && (cause == 0 || len(s.ends) < len(t.suspects[cause].ends)) {
 			cause = k
 		}
 	}
@@ -218,12 +218,12 @@
 func (t *Table) release() []Refusal {
 	var released []Refusal
 	var kept []*block
-	for _, v := range t.blocks {
-		if t.covered(v) {
-			released = append(released, t.refusal(v))
+	for _, b := range t.blocks {
+		if t.covered(b) {
+			released = append(released, t.refusal(b))
 			t.changes++
 		} else {
-			kept = append(kept, v)
+			kept = append(kept, b)
 		}
 	}
 	t.blocks = kept
@@ -232,10 +232,10 @@
 
 // covered reports whether blocks of other traits, with more ends each, explain all ends
 // of the block's cause. A node that knows few of these ends can't tell.
-func (t *Table) covered(v *block) bool {
-	cause := t.causeOf(v)
+func (t *Table) covered(b *block) bool {
+	cause := t.causeOf(b)
 	s := t.suspects[cause]
-	if s == nil || len(s.ends) < max(MaxEnds, len(v.ends)) {
+	if s == nil || len(s.ends) < max(MaxEnds, len(b.ends)) {
 		return false
 	}
 	left := maps.Clone(s.ends)
--- a/poison/poison.go
+++ b/poison/poison.go
@@ -177,9 +177,9 @@
 	if !s.add(now, end, o) {
 		return
 	}
-	for _, v := range t.blocks {
-		if slices.Contains(v.traits, k) && o.at.After(v.last) {
-			v.last = o.at
+	for _, b := range t.blocks {
+		if slices.Contains(b.traits, k) && o.at.After(b.last) {
+			b.last = o.at
 		}
 	}
 	t.newest = now
@@ -297,8 +297,8 @@
 	keys := slices.Collect(maps.Keys(t.suspects))
 	t.sortBySuspicion(keys)
 	refused := map[Key]bool{}
-	for _, v := range t.blocks {
-		for _, k := range v.traits {
+	for _, b := range t.blocks {
+		for _, k := range b.traits {
 			refused[k] = true
 		}
 	}
