entry node: a late response is still delivered to a caller that reads

Each write has 2 s from its beginning now, or until the deadline if that is later, so that a slow caller of a large response has its time.

--- a/internal/front/response.go
+++ b/internal/front/response.go
@@ -20,6 +20,9 @@
 // server that ends with its connection ends with the caller's connection, too. So does a
 // stream to a caller that knows no chunks.
 func (x *exchange) startResponse(resp *http.Response, length int64) bool {
+	if !x.limitWrite() {
+		return false
+	}
 	header := x.w.Header()
 	platform.CopyResponseHeaders(header, resp.Header)
 	switch {
--- a/internal/front/serve.go
+++ b/internal/front/serve.go
@@ -24,7 +24,7 @@
 // Limits of requests.
 const (
 	defaultTimeLimit       = 30 * time.Second        // time limit if neither the caller nor the route sets one
-	writeGrace             = 500 * time.Millisecond  // time after a request's deadline in which its response may still be written
+	writeTimeout           = 2 * time.Second         // least time for a caller to read one part of a response; a late response is still delivered
 	responseGrace          = 100 * time.Millisecond  // time after a request's deadline for a response that is being received
 	unconfiguredRetryAfter = 500 * time.Millisecond  // Retry-After of a node without a desired state; by then the caller may reach another node
 	shortRetryAfter        = 20 * time.Millisecond   // Retry-After if another attempt can succeed at once: at another node, or after a request that did not run
@@ -76,7 +76,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	defer x.log()
-	if x.admit() && x.limitWrites() {
+	if x.limitWrite() && x.admit() {
 		x.run()
 		x.finishResponse()
 	}
@@ -119,10 +119,11 @@
 	return x.readBody(table.Limits.MaxBodyBytes)
 }
 
-// limitWrites ends the connection of a caller that has not read the response by writeGrace
-// after the deadline. It returns false if the caller has left.
-func (x *exchange) limitWrites() bool {
-	limit := x.deadline.Add(writeGrace).Sub(bootclock.Now())
+// limitWrite ends the connection of a caller that does not read what is written next by the
+// request's deadline, or within writeTimeout if that is later. It returns false if the
+// caller has left.
+func (x *exchange) limitWrite() bool {
+	limit := max(writeTimeout, x.deadline.Sub(bootclock.Now()))
 	if err := http.NewResponseController(x.w).SetWriteDeadline(time.Now().Add(limit)); err != nil {
 		x.abort("caller_left")
 		return false
@@ -325,7 +326,9 @@
 		x.w.Header().Set(platform.HeaderRequestID, x.params.ID)
 	}
 	x.w.Header().Set("Content-Length", "0")
-	x.w.WriteHeader(status)
+	if x.limitWrite() {
+		x.w.WriteHeader(status)
+	}
 }
 
 // abort marks the caller's connection to be closed, so that a partial response
--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -58,6 +58,9 @@
 			}
 			x.software = &server.Software
 		}
+		if !x.limitWrite() {
+			return attemptDone
+		}
 		if _, err := x.w.Write(event); err != nil {
 			x.abort("caller_left")
 			return attemptDone
