--- a/review/cmd/cases/main.go
+++ b/review/cmd/cases/main.go
@@ -28,6 +28,7 @@
 	"withdrawn-adapter":    withdrawnAdapter,
 	"replaced-model":       replacedModel,
 	"leaving-after-outage": leavingAfterOutage,
+	"rejoined":             rejoined,
 }
 
 func main() { os.Exit(run()) }
--- a/review/lab/deployment.go
+++ b/review/lab/deployment.go
@@ -36,12 +36,12 @@
 		return d, err
 	}
 	for i, zone := range Zones {
-		e, err := d.AddReplica(fmt.Sprintf("i-e%d", i+1), Engine, zone, 24, Stream(12, 80*time.Millisecond), &EngineCapacity, held...)
+		e, err := d.AddReplica(fmt.Sprintf("i-e%d", i+1), Engine, zone, "v1", 24, Stream("v1", 12, 80*time.Millisecond), &EngineCapacity, held...)
 		if err != nil {
 			return d, err
 		}
 		d.Engines = append(d.Engines, e)
-		o, err := d.AddReplica(fmt.Sprintf("i-o%d", i+1), Orders, zone, 6, Plain(15*time.Millisecond), nil)
+		o, err := d.AddReplica(fmt.Sprintf("i-o%d", i+1), Orders, zone, "v1", 6, Plain(15*time.Millisecond), nil)
 		if err != nil {
 			return d, err
 		}
@@ -52,8 +52,8 @@
 }
 
 // AddReplica starts one more replica, which holds the models.
-func (d *Deployment) AddReplica(id, service, zone string, slots int, work http.HandlerFunc, capacity *Capacity, models ...string) (*Replica, error) {
-	r, err := StartReplica(d.Record, d.Store, id, service, zone, slots, work, capacity, models...)
+func (d *Deployment) AddReplica(id, service, zone, software string, slots int, work http.HandlerFunc, capacity *Capacity, models ...string) (*Replica, error) {
+	r, err := StartReplica(d.Record, d.Store, id, service, zone, software, slots, work, capacity, models...)
 	if err != nil {
 		return nil, err
 	}
--- a/review/lab/node.go
+++ b/review/lab/node.go
@@ -190,7 +190,7 @@
 		if stopped {
 			return
 		}
-		n.record.Logf("node %s ends by itself: %v", n.Name, err)
+		n.record.Logf("node %s has ended: %v", n.Name, err)
 		time.Sleep(RestartDelay)
 		if err := n.start(); err != nil {
 			n.record.Logf("node %s: %v", n.Name, err)
@@ -199,6 +199,15 @@
 	}
 }
 
+// Kill kills the process, which is then started again.
+func (n *Node) Kill() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.record.Logf("node %s is killed", n.Name)
+	n.exits--
+	_ = n.cmd.Process.Kill() // fails if it has ended
+}
+
 // Exits returns how often the process ended by itself.
 func (n *Node) Exits() int {
 	n.mu.Lock()
--- a/review/lab/replica.go
+++ b/review/lab/replica.go
@@ -40,6 +40,7 @@
 	ID, Service, Zone string
 	Slots             int
 	Work              http.HandlerFunc // writes the body of an answer
+	Software          string           // version of the replica's software
 
 	record   *Record
 	store    *Store
@@ -62,8 +63,8 @@
 }
 
 // StartReplica starts a replica that holds the models, and registers it.
-func StartReplica(record *Record, store *Store, id, service, zone string, slots int, work http.HandlerFunc, capacity *Capacity, models ...string) (*Replica, error) {
-	r := &Replica{ID: id, Service: service, Zone: zone, Slots: slots, Work: work, record: record, store: store, capacity: capacity,
+func StartReplica(record *Record, store *Store, id, service, zone, software string, slots int, work http.HandlerFunc, capacity *Capacity, models ...string) (*Replica, error) {
+	r := &Replica{ID: id, Service: service, Zone: zone, Software: software, Slots: slots, Work: work, record: record, store: store, capacity: capacity,
 		born: time.Now().UnixMilli(), state: "ready", holds: map[string][]string{}, ran: map[string]time.Time{}, closed: make(chan struct{})}
 	for _, m := range models {
 		r.holds[m] = []string{}
@@ -105,7 +106,7 @@
 	}
 	r.beats++
 	return r.store.Write(platform.KindServers, r.ID, map[string]any{
-		"service": r.Service, "address": r.Address(), "zone": r.Zone, "version": "v1", "slots": r.Slots, "state": r.state,
+		"service": r.Service, "address": r.Address(), "zone": r.Zone, "version": r.Software, "slots": r.Slots, "state": r.state,
 		"cold_remaining_ms": 0, "sequence": r.beats, "born": r.born, "stage": "prefill_decode", "models": r.modelList(),
 	})
 }
@@ -387,8 +388,9 @@
 	})
 }
 
-// Stream returns Work that answers with a stream of events, one in each gap.
-func Stream(events int, gap time.Duration) func(http.ResponseWriter, *http.Request) {
+// Stream returns Work that answers with a stream of events, one in each gap, which name the
+// version of the software that made them.
+func Stream(software string, events int, gap time.Duration) http.HandlerFunc {
 	return func(w http.ResponseWriter, req *http.Request) {
 		w.Header().Set("Content-Type", "text/event-stream")
 		first := 0
@@ -396,7 +398,7 @@
 			first = last
 		}
 		for i := first + 1; i <= events; i++ {
-			fmt.Fprintf(w, "id: %d\ndata: piece %d of %s\n\n", i, i, req.Header.Get("Redwingnotch-Request-Id"))
+			fmt.Fprintf(w, "id: %d\ndata: %s\n\n", i, software)
 			if err := http.NewResponseController(w).Flush(); err != nil {
 				return
 			}
