--- a/review/cmd/cases/main.go
+++ b/review/cmd/cases/main.go
@@ -29,6 +29,7 @@
 	"replaced-model":       replacedModel,
 	"leaving-after-outage": leavingAfterOutage,
 	"rejoined":             rejoined,
+	"crashing-request":     crashingRequest,
 }
 
 func main() { os.Exit(run()) }
--- a/review/lab/client.go
+++ b/review/lab/client.go
@@ -1,6 +1,7 @@
 package lab
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -20,6 +21,8 @@
 	record *Record
 	http   *http.Client
 	node   *Node
+
+	Body string // of all requests; empty for one that differs from request to request
 }
 
 // NewClient returns a client of the node.
@@ -74,7 +77,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) { a.Kept = i.Reused }})
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.node.Callers+path, strings.NewReader("body of "+a.ID))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.node.Callers+path, strings.NewReader(cmp.Or(c.Body, "body of "+a.ID)))
 	if err != nil {
 		a.Err = err
 		return a
--- a/review/lab/deployment.go
+++ b/review/lab/deployment.go
@@ -83,6 +83,10 @@
 	}
 	group.Wait()
 	d.Store.Close()
-	_ = os.RemoveAll(d.dir) // what is left is in the temporary folder
+	if os.Getenv("KEEP_LOGS") != "" {
+		fmt.Println("logs of the nodes:", d.dir)
+	} else {
+		_ = os.RemoveAll(d.dir) // what is left is in the temporary folder
+	}
 	_ = d.Record.Close()
 }
--- a/review/lab/replica.go
+++ b/review/lab/replica.go
@@ -4,8 +4,8 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
-	"net/http/httptest"
 	"slices"
 	"strconv"
 	"sync"
@@ -45,13 +45,15 @@
 	record   *Record
 	store    *Store
 	capacity *Capacity
-	server   *httptest.Server
+	address  string
 
 	mu        sync.Mutex
+	server    *http.Server // of the process that runs; replaced at a restart
 	born      int64
 	state     string // of the entry; empty if there is none
 	beats     int
 	holds     map[string][]string // adapters by model
+	onDisk    []string            // models whose weights the disk has, which a restart keeps
 	busy      bool
 	sequence  int
 	running   int
@@ -68,8 +70,11 @@
 		born: time.Now().UnixMilli(), state: "ready", holds: map[string][]string{}, ran: map[string]time.Time{}, closed: make(chan struct{})}
 	for _, m := range models {
 		r.holds[m] = []string{}
+		r.onDisk = append(r.onDisk, m)
+	}
+	if err := r.serve("127.0.0.1:0"); err != nil {
+		return nil, err
 	}
-	r.server = httptest.NewServer(r)
 	if err := r.register(); err != nil {
 		r.Close()
 		return nil, err
@@ -78,8 +83,26 @@
 	return r, nil
 }
 
-// Address returns the replica's host:port.
-func (r *Replica) Address() string { return r.server.Listener.Addr().String() }
+// serve starts to serve at the address.
+func (r *Replica) serve(address string) error {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return err
+	}
+	server := &http.Server{Handler: r}
+	r.mu.Lock()
+	r.address, r.server = l.Addr().String(), server
+	r.mu.Unlock()
+	go func() { _ = server.Serve(l) }() // until it is closed
+	return nil
+}
+
+// end ends the process that runs: its connections close and its address refuses new ones. The
+// caller holds r.mu.
+func (r *Replica) end() {
+	r.refusing = true
+	_ = r.server.Close() // nothing is left to do if it fails
+}
 
 // beat writes the entry at each heartbeat.
 func (r *Replica) beat() {
@@ -106,11 +129,17 @@
 	}
 	r.beats++
 	return r.store.Write(platform.KindServers, r.ID, map[string]any{
-		"service": r.Service, "address": r.Address(), "zone": r.Zone, "version": r.Software, "slots": r.Slots, "state": r.state,
+		"service": r.Service, "address": r.address, "zone": r.Zone, "version": r.Software, "slots": r.Slots, "state": r.state,
 		"cold_remaining_ms": 0, "sequence": r.beats, "born": r.born, "stage": "prefill_decode", "models": r.modelList(),
+		"at_hand": r.atHand(),
 	})
 }
 
+// atHand returns what reports and entries say of copies of weights. The caller holds r.mu.
+func (r *Replica) atHand() map[string]any {
+	return map[string]any{"in_memory": r.heldNames(), "on_disk": append([]string{}, r.onDisk...)}
+}
+
 // modelList returns the held models as reports and entries have them. The caller holds r.mu.
 func (r *Replica) modelList() []map[string]any {
 	list := []map[string]any{}
@@ -121,7 +150,7 @@
 }
 
 func (r *Replica) heldNames() []string {
-	var names []string
+	names := []string{}
 	for name := range r.holds {
 		names = append(names, name)
 	}
@@ -232,6 +261,7 @@
 	_ = json.NewEncoder(w).Encode(map[string]any{ // fails if the caller has left
 		"stage": "prefill_decode", "models": r.modelList(), "busy": r.busy, "sequence": r.sequence, "waiting_requests": 0,
 		"running_requests": r.running, "kv_cache_used": 0, "kv_cache_total": 200000, "handles": 0, "born": r.born,
+		"at_hand": r.atHand(),
 	})
 }
 
@@ -275,7 +305,7 @@
 		}
 		r.sequence++
 		if r.adapterCount()+1 > r.capacity.AdapterSlots || r.usedMB()+m.AdapterSize > r.capacity.WeightsMB {
-			r.crash(fmt.Sprintf("ordered to load adapter %s/%s beside %d others and %.0f of %.0f MB", o.Model, o.Adapter, r.adapterCount(), r.usedMB(), r.capacity.WeightsMB))
+			r.overload(fmt.Sprintf("ordered to load adapter %s/%s beside %d others and %.0f of %.0f MB", o.Model, o.Adapter, r.adapterCount(), r.usedMB(), r.capacity.WeightsMB))
 			return http.StatusAccepted
 		}
 		r.holds[o.Model] = append(adapters, o.Adapter)
@@ -285,11 +315,20 @@
 		}
 		r.sequence++
 		if r.usedMB()+m.WeightsMB > r.capacity.WeightsMB {
-			r.crash(fmt.Sprintf("ordered to load %s of %.0f MB beside %v: %.0f of %.0f MB", o.Model, m.WeightsMB, r.heldNames(), r.usedMB()+m.WeightsMB, r.capacity.WeightsMB))
+			r.overload(fmt.Sprintf("ordered to load %s of %.0f MB beside %v: %.0f of %.0f MB", o.Model, m.WeightsMB, r.heldNames(), r.usedMB()+m.WeightsMB, r.capacity.WeightsMB))
 			return http.StatusAccepted
 		}
 		r.busy = true
-		r.after(time.Duration(m.LoadTimeS*float64(time.Second)), func() { r.holds[o.Model] = []string{} })
+		seconds := m.LoadTimeS
+		if slices.Contains(r.onDisk, o.Model) {
+			seconds = m.DiskLoadS
+		}
+		r.after(time.Duration(seconds*float64(time.Second)), func() {
+			r.holds[o.Model] = []string{}
+			if !slices.Contains(r.onDisk, o.Model) {
+				r.onDisk = append(r.onDisk, o.Model)
+			}
+		})
 	case o.Operation == "unloading" && o.Adapter != "":
 		r.sequence++
 		r.holds[o.Model] = slices.DeleteFunc(slices.Clone(adapters), func(a string) bool { return a == o.Adapter })
@@ -338,20 +377,44 @@
 	return n
 }
 
-// crash ends the replica's process under an order that it has no room for; it is back, empty,
-// after some seconds. The caller holds r.mu.
+// overload crashes the replica under an order that it has no room for. The caller holds r.mu.
+func (r *Replica) overload(why string) {
+	r.broken = append(r.broken, r.ID+": "+why)
+	r.crash(why)
+}
+
+// Crash ends the replica's process; it is back, empty, after some seconds.
+func (r *Replica) Crash(why string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.refusing {
+		r.crash(why)
+	}
+}
+
+// downTime is the time for which a crashed replica is down.
+const downTime = 3 * time.Second
+
+// crash does what Crash does. The caller holds r.mu.
 func (r *Replica) crash(why string) {
 	r.record.Logf("replica %s crashes: %s; %d requests run", r.ID, why, r.running)
-	r.broken = append(r.broken, r.ID+": "+why)
-	r.refusing = true
-	go func() {
-		r.server.CloseClientConnections()
-		time.Sleep(3 * time.Second)
+	r.end()
+	time.AfterFunc(downTime, func() {
+		select {
+		case <-r.closed:
+			return
+		default:
+		}
 		r.mu.Lock()
 		r.refusing, r.busy, r.sequence, r.holds, r.born = false, false, 0, map[string][]string{}, time.Now().UnixMilli()
 		r.mu.Unlock()
+		if err := r.serve(r.address); err != nil {
+			r.record.Logf("replica %s is not back: %v", r.ID, err)
+			return
+		}
+		r.record.Logf("replica %s is back", r.ID)
 		_ = r.register() // written again at the next heartbeat
-	}()
+	})
 }
 
 // Broken returns the orders that the replica had no room for.
@@ -369,13 +432,11 @@
 	return at, ran
 }
 
-// Exit ends the replica's process: its connections close and its address refuses new ones.
+// Exit ends the replica's process for good.
 func (r *Replica) Exit() {
 	r.mu.Lock()
-	r.refusing = true
-	running := r.running
+	r.record.Logf("replica %s exits; %d requests run", r.ID, r.running)
 	r.mu.Unlock()
-	r.record.Logf("replica %s exits; %d requests run", r.ID, running)
 	r.Close()
 }
 
@@ -383,8 +444,9 @@
 func (r *Replica) Close() {
 	r.closeOnce.Do(func() {
 		close(r.closed)
-		_ = r.server.Listener.Close()
-		r.server.CloseClientConnections()
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.end()
 	})
 }
 
