--- a/review/lab/deployment.go
+++ b/review/lab/deployment.go
@@ -61,9 +61,6 @@
 	return r, nil
 }
 
-// Replicas returns all replicas.
-func (d *Deployment) Replicas() []*Replica { return d.replicas }
-
 // Ran returns the replica that began to run a request, nil if none has.
 func (d *Deployment) Ran(id string) *Replica {
 	for _, r := range d.replicas {
