front: a stream that is taken up goes on at the software version that began it

Cause: nothing read Resumes. An attempt that takes a stream up began with no version bound, so any server with the model was chosen, at the stream's first node as well.

Change: package resumption. The node at which a resumable stream begins sends its origin to three nodes, chosen by rendezvous hashing of the request's ID, before it passes the first event on. A node without a record asks the four that rank first. If nobody has one, the only version that the service has had for longer than any stream lasts is taken, if the list of servers was confirmed without a gap for so long; else the request is refused, without Retry-After. The version binds the choice, the wait and the loader's demand. Nodes tell that an entry was removed, not only that the server leaves, so that the digests of their lists agree again at once: TestListedRemovalIsNotUndoneByOlderEntry expects the server to be gone there, not only to drain.

The same cause: a bound request waited for models on servers of other versions, and for servers that had all failed it, until its deadline.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -30,6 +30,7 @@
 	"github.com/redwingnotch/redwingnotch/platform"
 	"github.com/redwingnotch/redwingnotch/poison"
 	"github.com/redwingnotch/redwingnotch/replicas"
+	"github.com/redwingnotch/redwingnotch/resumption"
 	"github.com/redwingnotch/redwingnotch/routes"
 	"github.com/redwingnotch/redwingnotch/waiting"
 )
@@ -69,22 +70,25 @@
 	arrivals           map[arrivalKey]*arrivalCount
 	peers              *peers
 	cells              []*cell
-	lastStoreContact   time.Time                  // latest time at which the store is known to have responded
-	newServers         []newServer                // servers that this node learned of from the store and still publishes
-	sync               *configsync.Core           // how the desired state is followed
-	serversDifferSince time.Time                  // since when the servers differ from those of the node that knows them best; zero if they do not
-	serversAsOf        time.Time                  // latest time up to which this node has read all changes of servers
-	desiredStale       bool                       // the latest desired_state_stale has not been followed by desired_state_confirmed
-	desiredLost        time.Time                  // first of the consecutive failed reads of the desired state; zero if the latest succeeded
-	lost               map[startKey]*lostRequests // requests that lost their connections within lossRetention
-	poison             *poison.Table              // traits of requests under which servers ended
-	refusedAt          time.Time                  // when this node last decided to refuse a trait
-	refusals           refusalsState              // what is known of the refusals in the store
-	ends               []poison.Report            // ends of servers under this node's requests that it still publishes
-	innocent           []innocentTrait            // traits that this node knows to be innocent and still publishes
-	departing          []departing                // servers that this node learned are draining or removed, and still publishes
-	publishedStatus    map[string]publishedStatus // server statuses as last sent to the other nodes
-	nextRepublished    int                        // position of the next unchanged server status to send again
+	lastStoreContact   time.Time                      // latest time at which the store is known to have responded
+	newServers         []newServer                    // servers that this node learned of from the store and still publishes
+	sync               *configsync.Core               // how the desired state is followed
+	serversDifferSince time.Time                      // since when the servers differ from those of the node that knows them best; zero if they do not
+	serversAsOf        time.Time                      // latest time up to which this node has read all changes of servers
+	desiredStale       bool                           // the latest desired_state_stale has not been followed by desired_state_confirmed
+	desiredLost        time.Time                      // first of the consecutive failed reads of the desired state; zero if the latest succeeded
+	lost               map[startKey]*lostRequests     // requests that lost their connections within lossRetention
+	poison             *poison.Table                  // traits of requests under which servers ended
+	refusedAt          time.Time                      // when this node last decided to refuse a trait
+	refusals           refusalsState                  // what is known of the refusals in the store
+	ends               []poison.Report                // ends of servers under this node's requests that it still publishes
+	innocent           []innocentTrait                // traits that this node knows to be innocent and still publishes
+	departing          []departing                    // servers that this node learned are draining or removed, and still publishes
+	streams            *resumption.Records            // origins of streams that may be taken up again
+	streamQuestions    map[uint64]chan receivedAnswer // questions to other nodes about streams, by key
+	serversFollowed    *resumption.History            // span for which this node has known all servers
+	publishedStatus    map[string]publishedStatus     // server statuses as last sent to the other nodes
+	nextRepublished    int                            // position of the next unchanged server status to send again
 
 	lastSent         time.Time     // when the last message was sent to any node
 	lastPeriodicSent time.Time     // when the last periodic message was sent to all nodes
@@ -121,6 +125,9 @@
 		publishedStatus: map[string]publishedStatus{},
 		lost:            map[startKey]*lostRequests{},
 		poison:          poison.New(),
+		streams:         resumption.NewRecords(),
+		streamQuestions: map[uint64]chan receivedAnswer{},
+		serversFollowed: resumption.NewHistory(lapseHeartbeats * s.HeartbeatInterval),
 		sync:            configsync.New(now, configsync.Settings{ApplyTimeout: s.Bounds.ConfigApplyTimeout, Spread: spreadOf(s)}),
 	}
 	n.serverClients = newServerClients(n.dialed)
--- a/internal/front/notices.go
+++ b/internal/front/notices.go
@@ -49,7 +49,7 @@
 	level.Info(n.log).Log("event", "server", "server", server.ID, "service", server.Service, "draining", true, "start", server.Start, "source", "answer")
 	n.metrics.ServerNotice("leaving")
 	if entry, listed := n.table.Entry(server.ID); listed && n.table.SameStart(server) {
-		n.announceDeparture(entry)
+		n.announceDeparture(entry, false)
 	}
 	n.dispatchWaiting(now)
 }
--- a/internal/front/peers.go
+++ b/internal/front/peers.go
@@ -77,6 +77,7 @@
 	Service     string `json:"s"`
 	Model       string `json:"m"`
 	Adapter     string `json:"a,omitempty"`
+	Software    string `json:"v,omitempty"` // version of the servers' software that alone will do
 	Count       int    `json:"n"`           // number of waiting requests
 	Priority    int    `json:"p,omitempty"` // priority of the most urgent request; 0 is the highest
 	RemainingMS int64  `json:"l"`           // milliseconds until the last of the requests times out
@@ -95,7 +96,8 @@
 // departing is a backend server that is draining or removed.
 type departing struct {
 	ID       string    `json:"i"`
-	Revision uint64    `json:"b"` // revision of the server's newest entry
+	Revision uint64    `json:"b"`           // revision of the server's newest entry
+	Removed  bool      `json:"r,omitempty"` // its entry is gone
 	at       time.Time // when this node learned it
 }
 
@@ -206,6 +208,16 @@
 	return n
 }
 
+// anyLately reports whether a message of some other node was received within peerForgetAfter.
+func (p *peers) anyLately(now time.Time) bool {
+	for _, other := range p.byIP {
+		if other.Node != "" && now.Sub(other.received) < peerForgetAfter {
+			return true
+		}
+	}
+	return false
+}
+
 // entryNodes returns the addresses for callers of the other nodes that take
 // requests: of those in the zone, and of all.
 func (p *peers) entryNodes(now time.Time, zone string) (near, all []string) {
--- a/internal/front/received.go
+++ b/internal/front/received.go
@@ -29,6 +29,9 @@
 			sleep(ctx, sendInterval)
 			continue
 		}
+		if n.receiveStreams(buffer[:size]) {
+			continue
+		}
 		m, err := decodeMessage(buffer[:size])
 		if err != nil {
 			level.Warn(n.log).Log("event", "peer_message_unreadable", "bytes", size, "err", err)
@@ -92,16 +95,21 @@
 	p.demand = p.demand[:0]
 	for _, s := range m.Demand {
 		p.demand = append(p.demand, waiting.ModelDemand{Service: s.Service, Model: s.Model, Adapter: s.Adapter, Count: s.Count,
-			Priority: s.Priority, Deadline: now.Add(time.Duration(s.RemainingMS) * time.Millisecond)})
+			Software: s.Software, Priority: s.Priority, Deadline: now.Add(time.Duration(s.RemainingMS) * time.Millisecond)})
 	}
 	for _, e := range m.NewServers {
 		n.applyEntry(e, m.Node)
 	}
 	for _, d := range m.Departing {
-		if n.table.MarkDraining(d.ID, d.Revision) {
+		if d.Removed {
+			n.removedElsewhere(now, d, m.Node)
+		} else if n.table.MarkDraining(d.ID, d.Revision) {
 			level.Info(n.log).Log("event", "server", "server", d.ID, "draining", true, "revision", d.Revision, "source", m.Node)
 		}
 	}
+	if m.ServersDigest != nil && m.ServersAgeMS != nil && *m.ServersDigest == n.table.Digest() {
+		n.serversFollowed.Confirm(now.Add(-time.Duration(*m.ServersAgeMS) * time.Millisecond))
+	}
 	n.applySuspects(now, m)
 	n.applyArrivals(now, p, m.Arrivals)
 	n.applyLeaders(now, m)
@@ -109,6 +117,15 @@
 	n.dispatchWaiting(now)
 }
 
+// removedElsewhere removes a server whose entry another node has seen removed, unless a newer
+// entry is known. The caller holds n.mu.
+func (n *Node) removedElsewhere(now time.Time, d departing, source string) {
+	if e, known := n.table.Entry(d.ID); known && e.Revision <= d.Revision {
+		n.table.Remove(now, d.ID, d.Revision)
+		level.Info(n.log).Log("event", "server_gone", "server", d.ID, "reason", "entry removed", "source", source)
+	}
+}
+
 // replace replaces what is known of a peer by its message.
 func (p *peers) replace(now time.Time, other *peer, m message) {
 	moved := other.Zone != m.Zone
--- a/internal/front/serve.go
+++ b/internal/front/serve.go
@@ -55,7 +55,7 @@
 	excluded        []replicas.Exclusion // servers at which an attempt failed
 	excludeFor      time.Duration        // time for which the server of the latest attempt is excluded; zero for good
 	lastEventID     string               // ID of the last stream event passed on that had one
-	software        *string              // version of the software of the server whose event was first passed on; nil before
+	software        *string              // version of the software of the server that began the stream; nil until one has
 	sentWithoutID   bool                 // an event without an ID was passed on since, which a resumed stream would repeat
 	responseStarted bool                 // a part of the response was passed on
 	framedByClose   bool                 // the response ends with the caller's connection
@@ -246,6 +246,9 @@
 	ctx, end := context.WithCancelCause(ctx)
 	defer end(nil)
 	defer context.AfterFunc(n.ended, func() { end(context.Cause(n.ended)) })()
+	if !x.bindToOrigin(ctx) {
+		return
+	}
 	n.countArrival(x)
 	for {
 		began := bootclock.Now()
@@ -327,10 +330,12 @@
 }
 
 // refuse responds that the request has not run and will not run, and after which
-// time the caller may retry.
+// time the caller may retry; zero if that can't help.
 func (x *exchange) refuse(reason string, retryAfter time.Duration) {
 	x.outcome, x.reason = "refused", reason
-	x.w.Header().Set("Retry-After", platform.RetryAfter(retryAfter))
+	if retryAfter > 0 {
+		x.w.Header().Set("Retry-After", platform.RetryAfter(retryAfter))
+	}
 	x.writeEmpty(http.StatusServiceUnavailable)
 }
 
--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -56,6 +56,7 @@
 		}
 		if !x.responseStarted {
 			x.attemptAnswered(server, bootclock.Now().Sub(sent))
+			x.rememberOrigin(server)
 			if !x.startResponse(resp, unknownLength) {
 				return attemptDone
 			}
--- a/internal/front/tell.go
+++ b/internal/front/tell.go
@@ -175,7 +175,7 @@
 		m.DesiredVersion, m.ConfirmedAgeMS = t.Version, &age
 	}
 	for _, w := range n.queue.Demand(now, n.table) {
-		m.Demand = append(m.Demand, demandState{Service: w.Service, Model: w.Model, Adapter: w.Adapter, Count: w.Count,
+		m.Demand = append(m.Demand, demandState{Service: w.Service, Model: w.Model, Adapter: w.Adapter, Software: w.Software, Count: w.Count,
 			Priority: w.Priority, RemainingMS: w.Deadline.Sub(now).Milliseconds()})
 	}
 	for key, c := range n.arrivals {
--- a/internal/front/watch.go
+++ b/internal/front/watch.go
@@ -192,6 +192,7 @@
 		n.serversAsOf = asOf
 		n.serversDifferSince = time.Time{}
 	}
+	n.serversFollowed.Confirm(asOf)
 	if n.peers.slowdown() > 1 {
 		n.publish(bootclock.Now(), sendAllNow)
 	}
@@ -335,7 +336,7 @@
 	now := bootclock.Now()
 	n.table.Remove(now, id, revision)
 	entry.Revision = max(entry.Revision, revision)
-	n.announceDeparture(entry)
+	n.announceDeparture(entry, true)
 	level.Info(n.log).Log("event", "server_gone", "server", id, "reason", "entry removed")
 }
 
@@ -357,7 +358,7 @@
 	}
 	level.Info(n.log).Log("event", "server", "server", entry.ID, "service", entry.Service, "draining", entry.Draining, "start", entry.Start, "revision", entry.Revision, "source", source)
 	if entry.Draining {
-		n.announceDeparture(entry)
+		n.announceDeparture(entry, false)
 		return
 	}
 	if source != entrySourceStore {
@@ -367,11 +368,11 @@
 	n.publish(bootclock.Now(), sendAllNow)
 }
 
-// announceDeparture publishes that a server is draining or removed. The caller
+// announceDeparture publishes that a server is draining or its entry removed. The caller
 // holds n.mu.
-func (n *Node) announceDeparture(e replicas.Entry) {
+func (n *Node) announceDeparture(e replicas.Entry, removed bool) {
 	now := bootclock.Now()
-	n.departing = append(n.departing, departing{ID: e.ID, Revision: e.Revision, at: now})
+	n.departing = append(n.departing, departing{ID: e.ID, Revision: e.Revision, Removed: removed, at: now})
 	n.publish(now, sendAllNow)
 }
 
--- a/internal/rwnctl/logs.go
+++ b/internal/rwnctl/logs.go
@@ -85,13 +85,31 @@
 	return lines, nil
 }
 
-// relatedLines returns the lines with the request's ID and those of other events
-// from relatedWindow before its arrival to its last line: orders for its model, events
-// of the backend servers that it was sent to and, if the request's lines name a
-// model, changes of leadership. It returns nil if no line has the ID. The lines must
-// be sorted by time.
+// attemptsOf returns the IDs of the request and of those that took the same stream up.
+func attemptsOf(lines []logLine, id string) map[string]bool {
+	first := id
+	for _, l := range lines {
+		if l.fields["id"] == id && l.fields["resumes"] != "" {
+			first = l.fields["resumes"]
+		}
+	}
+	ids := map[string]bool{id: true, first: true}
+	for _, l := range lines {
+		if l.fields["resumes"] == first {
+			ids[l.fields["id"]] = true
+		}
+	}
+	return ids
+}
+
+// relatedLines returns the lines with the IDs of the request and of others that took up its
+// stream, and those of other events from relatedWindow before its arrival to its last line:
+// orders for its model, events of the backend servers that it was sent to and, if the request's
+// lines name a model, changes of leadership. It returns nil if no line has the ID. The lines
+// must be sorted by time.
 func relatedLines(lines []logLine, id string) []logLine {
-	own := slices.DeleteFunc(slices.Clone(lines), func(l logLine) bool { return l.fields["id"] != id })
+	ids := attemptsOf(lines, id)
+	own := slices.DeleteFunc(slices.Clone(lines), func(l logLine) bool { return !ids[l.fields["id"]] })
 	if len(own) == 0 {
 		return nil
 	}
@@ -111,7 +129,7 @@
 	}
 	return slices.DeleteFunc(slices.Clone(lines), func(l logLine) bool {
 		switch {
-		case l.fields["id"] == id:
+		case ids[l.fields["id"]]:
 			return false
 		case l.timestamp.Before(start) || l.timestamp.After(last.timestamp):
 			return true
--- a/internal/rwnctl/logs_test.go
+++ b/internal/rwnctl/logs_test.go
@@ -51,6 +51,24 @@
 	}
 }
 
+// TestExplainShowsAllAttemptsOfAStream guards against a refused resumption that is shown without
+// the attempt that began the stream, or the other way round.
+func TestExplainShowsAllAttemptsOfAStream(t *testing.T) {
+	const log = `ts=2026-12-06T02:00:00.100Z event=request id=first outcome=aborted reason=stream_cut total_ms=100
+ts=2026-12-06T02:00:00.150Z event=request id=other outcome=answered total_ms=10
+ts=2026-12-06T02:00:00.200Z event=stream_resumption id=second resumes=first software=v1 source=peer_record refused=
+ts=2026-12-06T02:00:00.300Z event=request id=second outcome=aborted reason=stream_cut total_ms=100
+ts=2026-12-06T02:00:00.400Z event=stream_resumption id=third resumes=first source=unknown refused=stream_origin_unknown
+ts=2026-12-06T02:00:00.400Z event=request id=third outcome=refused reason=stream_origin_unknown total_ms=100
+`
+	for _, id := range []string{"first", "second", "third"} {
+		got := tool{t: t, in: log}.run("explain", "--log", "-", id)
+		assert.Equal(t, got.code, rwnctl.ExitOK, got.err)
+		assert.Equal(t, strings.Count(got.out, "\n"), 5, got.out)
+		assert.Assert(t, !strings.Contains(got.out, "id=other"), got.out)
+	}
+}
+
 func TestExplainLogReadsStandardInputAndReportsUnknownID(t *testing.T) {
 	data, err := os.ReadFile(frontLog)
 	assert.NilError(t, err)
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -33,6 +33,7 @@
 	notices      metric.Int64Counter
 	connections  metric.Int64Counter
 	storeCalls   metric.Int64Counter
+	resumptions  metric.Int64Counter
 	labelOptions sync.Map // labels -> metric.MeasurementOption
 }
 
@@ -102,7 +103,7 @@
 // addInstruments registers all instruments and returns the first error.
 func (m *Metrics) addInstruments() error {
 	meter := m.provider.Meter("redwingnotch")
-	var errs [12]error
+	var errs [13]error
 	m.requests, errs[0] = meter.Int64Counter("redwingnotch_requests", metric.WithDescription("Requests by kind, rank, outcome and code."))
 	m.duration, errs[1] = meter.Float64Histogram("redwingnotch_request_duration", metric.WithUnit("s"),
 		metric.WithDescription("Time from arrival to the end of the answer."), metric.WithExplicitBucketBoundaries(latencyBounds...))
@@ -121,6 +122,8 @@
 	m.connections, errs[10] = meter.Int64Counter("redwingnotch_server_connections",
 		metric.WithDescription("Connections opened to backend servers, by cause."))
 	m.storeCalls, errs[11] = meter.Int64Counter("redwingnotch_store_calls", metric.WithDescription("Calls to the platform's store by kind of object and call."))
+	m.resumptions, errs[12] = meter.Int64Counter("redwingnotch_stream_resumptions",
+		metric.WithDescription("Streams that callers took up again, by how their origin was known and why they were refused."))
 	for _, err := range errs {
 		if err != nil {
 			return err
@@ -185,6 +188,12 @@
 	m.connections.Add(context.Background(), 1, metric.WithAttributes(attribute.String("cause", cause)))
 }
 
+// StreamResumption counts a stream that its caller takes up again, by the source of its origin
+// and the reason of its refusal, which is empty if it was not refused.
+func (m *Metrics) StreamResumption(source, refused string) {
+	m.resumptions.Add(context.Background(), 1, metric.WithAttributes(attribute.String("source", source), attribute.String("refused", refused)))
+}
+
 // storeCallLabels are the labels of the calls to the store.
 type storeCallLabels struct{ kind, call string }
 
--- a/loader/demand.go
+++ b/loader/demand.go
@@ -145,10 +145,13 @@
 
 // copyCount counts the servers that hold the model and will keep it, and those with
 // a pending load of it.
-func (c *Core) copyCount(model string) int {
+func (c *Core) copyCount(model string) int { return c.copyCountAt(model, "") }
+
+// copyCountAt counts those of them that run a version of the software, all if it is empty.
+func (c *Core) copyCountAt(model, software string) int {
 	n := 0
 	for _, s := range c.servers {
-		if !s.entry.Draining && (s.keeps(model) || s.loadPending(model)) {
+		if !s.entry.Draining && s.runs(software) && (s.keeps(model) || s.loadPending(model)) {
 			n++
 		}
 	}
--- a/loader/loadcost.go
+++ b/loader/loadcost.go
@@ -1,6 +1,10 @@
 package loader
 
-import "time"
+import (
+	"time"
+
+	"github.com/redwingnotch/redwingnotch/waiting"
+)
 
 // Parameters of load costs.
 const (
@@ -19,6 +23,19 @@
 	updatedAt time.Time // time of the latest estimate
 }
 
+// costName returns the name under which cells publish what it costs to load what requests wait
+// for. A model waited for on servers of one version of the software has a cost of its own.
+func costName(d waiting.ModelDemand) string {
+	name := d.Model
+	if d.Adapter != "" {
+		name += "/" + d.Adapter
+	}
+	if d.Software != "" {
+		name += "@" + d.Software
+	}
+	return name
+}
+
 // hasLowestCost records this cell's cost of loading the named model or model/adapter,
 // noEstimate unless canLoad, and reports whether it is the lowest of all live cells.
 // It waits for the costs of other cells for estimateWait at most. Of equal costs,
--- a/loader/plans.go
+++ b/loader/plans.go
@@ -34,12 +34,13 @@
 }
 
 // cheapestServer returns the server of this cell that can load the model at the
-// lowest cost. The last copies of protected models are not evicted for it.
-func (c *Core) cheapestServer(now time.Time, m *routes.Model, protected map[string]bool) (candidate, bool) {
+// lowest cost, of those that run the software unless it is empty. The last copies of protected
+// models are not evicted for it.
+func (c *Core) cheapestServer(now time.Time, m *routes.Model, software string, protected map[string]bool) (candidate, bool) {
 	var found candidate
 	ok := false
 	for _, s := range c.sortedServers() {
-		if !s.local || !s.known || s.entry.Draining || s.plan != nil || s.holds[m.Name] != nil || s.loadPending(m.Name) {
+		if !s.local || !s.known || s.entry.Draining || !s.runs(software) || s.plan != nil || s.holds[m.Name] != nil || s.loadPending(m.Name) {
 			continue
 		}
 		victims, evictedWorth, fits := c.victims(now, s, m, protected)
@@ -120,14 +121,14 @@
 	var queued []string // models that wait for the weight store
 	for _, d := range demand {
 		m := c.engine.Model(d.Model)
-		if m == nil || c.copyCount(d.Model) > 0 || slices.Contains(queued, d.Model) {
+		if m == nil || c.copyCountAt(d.Model, d.Software) > 0 || slices.Contains(queued, d.Model) {
 			continue
 		}
-		if !c.onAnyDisk(d.Model) && !c.canPlanStoreLoad(now, false) {
+		if d.Software == "" && !c.onAnyDisk(d.Model) && !c.canPlanStoreLoad(now, false) {
 			queued = append(queued, d.Model)
 		}
-		choice, ok := c.cheapestServer(now, m, protected)
-		if !c.hasLowestCost(now, d.Model, choice, ok && choice.evictedWorth <= c.evictionLimit(now, d.Model)) {
+		choice, ok := c.cheapestServer(now, m, d.Software, protected)
+		if !c.hasLowestCost(now, costName(d), choice, ok && choice.evictedWorth <= c.evictionLimit(now, d.Model)) {
 			continue
 		}
 		if choice.server.sourceOf(d.Model) == fromStore && !c.canPlanStoreLoad(now, false) {
@@ -209,7 +210,7 @@
 	if gain < minCopyGain {
 		return notPlanned
 	}
-	choice, ok := c.cheapestServer(now, c.engine.Model(name), nil)
+	choice, ok := c.cheapestServer(now, c.engine.Model(name), "", nil)
 	if !c.hasLowestCost(now, name, choice, ok && choice.evictedWorth < gain) {
 		return notPlanned
 	}
@@ -239,7 +240,7 @@
 	if next == nil {
 		return
 	}
-	choice, ok := c.cheapestServer(now, next, nil)
+	choice, ok := c.cheapestServer(now, next, "", nil)
 	if ok && choice.evictedWorth <= preloadEvictionLimit {
 		choice.server.plan = &plan{model: next.Name, victims: choice.victims, plannedAt: now}
 	}
@@ -282,12 +283,12 @@
 // holding its model that has the fewest adapters.
 func (c *Core) orderAdapters(now time.Time, demand []waiting.ModelDemand, token uint64) {
 	for _, d := range demand {
-		if d.Adapter == "" || c.adapterLoadedOrOrdered(d.Model, d.Adapter) {
+		if d.Adapter == "" || c.adapterLoadedOrOrdered(d) {
 			continue
 		}
 		var best *server
 		for _, s := range c.sortedServers() {
-			if s.ready() && s.keeps(d.Model) && c.input.MayOrder(s.entry.ID) && (best == nil || s.adapterCount() < best.adapterCount()) {
+			if s.ready() && s.keeps(d.Model) && s.runs(d.Software) && c.input.MayOrder(s.entry.ID) && (best == nil || s.adapterCount() < best.adapterCount()) {
 				best = s
 			}
 		}
@@ -295,24 +296,24 @@
 		if best != nil {
 			choice.cost = float64(best.adapterCount())
 		}
-		if !c.hasLowestCost(now, d.Model+"/"+d.Adapter, choice, best != nil) {
+		if !c.hasLowestCost(now, costName(d), choice, best != nil) {
 			continue
 		}
 		c.orderAdapter(now, best, d, token)
 	}
 }
 
-// adapterLoadedOrOrdered reports whether a server that keeps the model has the
+// adapterLoadedOrOrdered reports whether a server that will do and keeps the model has the
 // adapter, or was ordered to load it.
-func (c *Core) adapterLoadedOrOrdered(model, adapter string) bool {
+func (c *Core) adapterLoadedOrOrdered(d waiting.ModelDemand) bool {
 	for _, s := range c.servers {
-		if s.entry.Draining || !s.keeps(model) {
+		if s.entry.Draining || !s.keeps(d.Model) || !s.runs(d.Software) {
 			continue
 		}
-		if _, loaded := s.holds[model].adapterUsed[adapter]; loaded {
+		if _, loaded := s.holds[d.Model].adapterUsed[d.Adapter]; loaded {
 			return true
 		}
-		if s.order != nil && !s.order.order.Unload && s.order.order.Model == model && s.order.order.Adapter == adapter {
+		if s.order != nil && !s.order.order.Unload && s.order.order.Model == d.Model && s.order.order.Adapter == d.Adapter {
 			return true
 		}
 	}
--- a/loader/server.go
+++ b/loader/server.go
@@ -105,6 +105,9 @@
 	return used
 }
 
+// runs reports whether the server runs the version of the software; an empty one stands for any.
+func (s *server) runs(software string) bool { return software == "" || s.entry.Software == software }
+
 // adapterCount returns the number of held adapters over all models.
 func (s *server) adapterCount() int {
 	n := 0
--- a/replicas/choose.go
+++ b/replicas/choose.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -105,7 +104,7 @@
 	switch {
 	case service.staying == 0:
 		return Entry{}, AllLeaving
-	case req.Software != nil && !service.runs(&req):
+	case req.Software != nil && !service.mayGoOn(now, &req):
 		return Entry{}, NoUsableServer
 	case c.ready && !c.open, !c.ready && c.shedding:
 		return Entry{}, Paused
@@ -154,11 +153,6 @@
 	}
 }
 
-// runs reports whether some server that stays may go on with the response.
-func (svc *service) runs(req *Requirement) bool {
-	return slices.ContainsFunc(svc.servers, func(s *Server) bool { return !s.Draining && req.continuableBy(s) })
-}
-
 // cost returns the cost of sending a request from the zone to the server, infinite if the
 // server is full or gets no request before its next trial.
 func (s *Server) cost(now time.Time, zone string) float64 {
@@ -207,12 +201,6 @@
 	return x ^ x>>31
 }
 
-// continuableBy reports whether the server's software may go on with the response. A
-// server that names no version fits no other one.
-func (r *Requirement) continuableBy(s *Server) bool {
-	return r.Software == nil || s.Software != "" && s.Software == *r.Software
-}
-
 // affinityHash returns a hash of a long shared prompt, or 0 if the prompt is too short. The
 // server for which the hash of both is highest is preferred, the same one on all nodes.
 func (r *Requirement) affinityHash() uint64 {
--- a/replicas/service.go
+++ b/replicas/service.go
@@ -95,10 +95,11 @@
 }
 
 // unlist removes the server, unless nil, from its service.
-func (t *Table) unlist(s *Server) {
+func (t *Table) unlist(now time.Time, s *Server) {
 	if s == nil {
 		return
 	}
+	t.softwareLeft(now, s.Service, s.Software)
 	svc := t.services[s.Service]
 	svc.unlistModels(s)
 	svc.servers = without(svc.servers, s)
--- a/replicas/table.go
+++ b/replicas/table.go
@@ -78,12 +78,14 @@
 	stateAge    time.Duration             // see SetLeaderStateAge
 	node        string                    // see SpreadBy
 	connections func(Entry) *atomic.Int64 // see CountConnections; may be nil
+
+	departed map[departedSoftware]time.Time // when the last server with that software left
 }
 
 // NewTable returns an empty table.
 func NewTable() *Table {
 	return &Table{rows: map[string]*Server{}, services: map[string]*service{}, removed: map[string]tombstone{}, notices: map[startID]*notice{},
-		peerLoads: map[string]peerLoad{}, planned: map[string]plannedLoads{}}
+		peerLoads: map[string]peerLoad{}, planned: map[string]plannedLoads{}, departed: map[departedSoftware]time.Time{}}
 }
 
 // SetEntry inserts or replaces a server's entry and reports whether it did; an
@@ -100,15 +102,17 @@
 	}
 	delete(t.removed, e.ID)
 	if !t.SameStart(e) {
-		t.unlist(row)
+		t.unlist(now, row)
 		row = t.newServer(e)
 		t.rows[e.ID] = row
 		t.list(row)
 		return true
 	}
 	if row.Service != e.Service {
-		t.unlist(row)
+		t.unlist(now, row)
 		defer t.list(row)
+	} else if row.Software != e.Software {
+		t.softwareLeft(now, row.Service, row.Software)
 	}
 	row.Entry, row.listedDraining = e, e.Draining
 	row.Draining = e.Draining || row.notice.saidLeaving()
@@ -150,7 +154,7 @@
 	if row := t.rows[id]; row != nil {
 		revision = max(revision, row.Revision)
 	}
-	t.unlist(t.rows[id])
+	t.unlist(now, t.rows[id])
 	delete(t.rows, id)
 	t.removed[id] = tombstone{revision: revision, at: now}
 	for other, old := range t.removed {
@@ -332,17 +336,17 @@
 	}
 }
 
-// AbsenceEnd returns when the first of the servers that are said to hold the model or adapter,
-// but did not run a request for it, is asked again; false if there is none.
-func (t *Table) AbsenceEnd(now time.Time, service, model, adapter string) (time.Time, bool) {
+// AbsenceEnd returns when the first of the servers that are said to hold what is required, but
+// did not run a request for it, is asked again; false if there is none.
+func (t *Table) AbsenceEnd(now time.Time, req Requirement) (time.Time, bool) {
 	var first time.Time
-	svc := t.services[service]
+	svc := t.services[req.Service]
 	if svc == nil {
 		return first, false
 	}
-	for _, s := range svc.holders(model) {
-		end := s.absentUntil[targetKey(model, adapter)]
-		if s.Draining || !now.Before(end) || !t.listsHolding(now, s, model, adapter) {
+	for _, s := range svc.holders(req.Model) {
+		end := s.absentUntil[targetKey(req.Model, req.Adapter)]
+		if s.Draining || !now.Before(end) || !req.continuableBy(s) || !t.listsHolding(now, s, req.Model, req.Adapter) {
 			continue
 		}
 		if first.IsZero() || end.Before(first) {
@@ -413,41 +417,41 @@
 	}
 }
 
-// ReadyAt returns when the leaders expect the model to be ready on some server of
-// the service: the earliest end of a load in progress or planned on a server, else
-// of a load that waits for the weight store. It returns false if there is none.
-func (t *Table) ReadyAt(now time.Time, service, model string) (time.Time, bool) {
+// ReadyAt returns when the leaders expect the required model to be ready on some server: the
+// earliest end of a load in progress or planned on a server, else of a load that waits for the
+// weight store, if servers of any software will do. It returns false if there is none.
+func (t *Table) ReadyAt(now time.Time, req Requirement) (time.Time, bool) {
 	var best time.Time
 	for _, s := range t.rows {
-		if s.Service != service || s.status == nil || now.Sub(s.statusAt) >= t.leaderStateAge(statusMaxAge) || s.status.Loading != model {
+		if s.Service != req.Service || !req.continuableBy(s) || s.status == nil || now.Sub(s.statusAt) >= t.leaderStateAge(statusMaxAge) || s.status.Loading != req.Model {
 			continue
 		}
 		if best.IsZero() || s.status.LoadEnds.Before(best) {
 			best = s.status.LoadEnds
 		}
 	}
-	if !best.IsZero() {
-		return best, true
+	if !best.IsZero() || req.Software != nil {
+		return best, !best.IsZero()
 	}
 	for _, p := range t.planned {
-		if ready, known := p.ready[model]; known && now.Sub(p.at) < t.leaderStateAge(plannedLoadsMaxAge) && (best.IsZero() || ready.Before(best)) {
+		if ready, known := p.ready[req.Model]; known && now.Sub(p.at) < t.leaderStateAge(plannedLoadsMaxAge) && (best.IsZero() || ready.Before(best)) {
 			best = ready
 		}
 	}
 	return best, !best.IsZero()
 }
 
-// ShortestLoadTime returns the shortest load time of the model on any server of
-// the service, given the load times from host memory, disk and the weight store.
-func (t *Table) ShortestLoadTime(service, model string, memory, disk, store time.Duration) time.Duration {
+// ShortestLoadTime returns the shortest load time of the required model on any server, given
+// the load times from host memory, disk and the weight store.
+func (t *Table) ShortestLoadTime(req Requirement, memory, disk, store time.Duration) time.Duration {
 	shortest := store
 	for _, s := range t.rows {
-		if s.Service != service || s.Draining {
+		if s.Service != req.Service || s.Draining || !req.continuableBy(s) {
 			continue
 		}
-		if slices.Contains(s.InMemory, model) {
+		if slices.Contains(s.InMemory, req.Model) {
 			shortest = min(shortest, memory)
-		} else if slices.Contains(s.OnDisk, model) {
+		} else if slices.Contains(s.OnDisk, req.Model) {
 			shortest = min(shortest, disk)
 		}
 	}
--- /dev/null
+++ b/resumption/model_test.go
@@ -0,0 +1,417 @@
+package resumption_test
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/redwingnotch/redwingnotch/replicas"
+	"github.com/redwingnotch/redwingnotch/resumption"
+)
+
+var modelSeeds = flag.Int("model-seeds", 15, "number of seeds of the model")
+
+// Times of the model.
+const (
+	step       = 50 * time.Millisecond
+	runTime    = 2 * time.Minute
+	life       = 17 * time.Second // time limit of callers
+	syncEvery  = 300 * time.Millisecond
+	drain      = 2 * time.Second
+	maxGap     = 3600 * time.Millisecond
+	peerAlive  = 1200 * time.Millisecond
+	calmFor    = 3 * time.Second // a node without trouble for so long has to take streams up
+	nodeCount  = 8
+	minTakenUp = 12 // of which half must go on
+	service    = "s"
+)
+
+// mutation is a fault of the nodes that the model must show.
+type mutation uint8
+
+const (
+	sound         mutation = iota
+	forgetRecords          // nodes do not keep the records that others send them
+	guessAtStart           // a node believes what it has seen since its start to be all
+	takeNewest             // a node takes a stream that nobody knows to be of the newest version
+)
+
+// modelServer is a backend server; its fields are the truth.
+type modelServer struct {
+	entry replicas.Entry
+	gone  bool
+}
+
+// modelNode is an entry node.
+type modelNode struct {
+	name         string
+	up           bool
+	troubleUntil time.Time // frozen, cut off, or down, until then
+	frozen       bool
+	trouble      time.Time // end of the last trouble
+	records      *resumption.Records
+	history      *resumption.History
+	table        *replicas.Table
+	heard        map[string]time.Time
+	synced       time.Time
+}
+
+// modelStream is a stream and what its caller has of it.
+type modelStream struct {
+	id      string
+	version string // of the first event
+	node    *modelNode
+	server  *modelServer
+	expires time.Time
+	again   time.Time // when the caller takes it up; zero while it runs
+	tries   int
+}
+
+// model is a fleet in virtual time.
+type model struct {
+	t        *testing.T
+	rng      *rand.Rand
+	now      time.Time
+	mutation mutation
+	nodes    []*modelNode
+	servers  []*modelServer
+	streams  []*modelStream
+	messages []modelMessage
+	revision uint64
+	versions int       // versions so far
+	storeOut time.Time // until when the store is away
+	nextID   int
+
+	joined, takenUp, wentOn int
+}
+
+// modelMessage is a record under way.
+type modelMessage struct {
+	at time.Time
+	to *modelNode
+	r  resumption.Record
+}
+
+func newModel(t *testing.T, seed uint64, m mutation) *model {
+	w := &model{t: t, rng: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1_000_000, 0), mutation: m, versions: 1}
+	for range 8 {
+		w.addServer("v1")
+	}
+	for i := range nodeCount {
+		n := &modelNode{name: fmt.Sprintf("10.0.0.%d", i+1)}
+		w.start(n)
+		w.nodes = append(w.nodes, n)
+	}
+	return w
+}
+
+func (w *model) addServer(version string) {
+	w.nextID++
+	w.revision++
+	id := fmt.Sprintf("i-%d", w.nextID)
+	w.servers = append(w.servers, &modelServer{entry: replicas.Entry{ID: id, Revision: w.revision, Start: int64(w.nextID), Service: service, Software: version, Address: id + ":1", Slots: 100}})
+}
+
+// start gives the node an empty memory.
+func (w *model) start(n *modelNode) {
+	n.up, n.frozen = true, false
+	n.records, n.history, n.table = resumption.NewRecords(), resumption.NewHistory(maxGap), replicas.NewTable()
+	n.heard, n.synced = map[string]time.Time{}, time.Time{}
+}
+
+func (w *model) chance(p float64) bool { return w.rng.Float64() < p }
+
+// able reports whether the node works and reaches others.
+func (w *model) able(n *modelNode) bool { return n.up && !w.now.Before(n.troubleUntil) }
+
+// disturb makes the fleet's troubles.
+func (w *model) disturb() {
+	if w.chance(0.02) {
+		n := w.nodes[w.rng.IntN(len(w.nodes))]
+		w.hit(n, w.rng.IntN(3))
+	}
+	if w.chance(0.002) {
+		share := []float64{0.5, 1}[w.rng.IntN(2)]
+		for _, n := range w.nodes {
+			if w.chance(share) {
+				w.hit(n, 0)
+			}
+		}
+	}
+	if w.chance(0.003) {
+		w.storeOut = w.now.Add(time.Duration(w.rng.IntN(5000)) * time.Millisecond)
+	}
+	if w.chance(0.015) {
+		if w.chance(0.3) {
+			w.versions++
+		}
+		w.addServer(fmt.Sprintf("v%d", max(1, w.versions-w.rng.IntN(2))))
+	}
+	if s := w.servers[w.rng.IntN(len(w.servers))]; w.chance(0.01) && len(w.servers) > 6 {
+		s.gone = true
+		w.revision++
+	}
+}
+
+// hit kills the node, cuts it off or freezes it.
+func (w *model) hit(n *modelNode, kind int) {
+	if !w.able(n) {
+		return
+	}
+	n.troubleUntil = w.now.Add(500*time.Millisecond + time.Duration(w.rng.IntN(5000))*time.Millisecond)
+	n.trouble = n.troubleUntil
+	n.up, n.frozen = kind != 0, kind == 1
+}
+
+// sync lets the node read the servers and hear of the others.
+func (w *model) sync(n *modelNode) {
+	if !n.up && !w.now.Before(n.troubleUntil) {
+		w.start(n)
+	}
+	if !w.able(n) || w.now.Sub(n.synced) < syncEvery || w.now.Before(w.storeOut) {
+		return
+	}
+	n.synced = w.now
+	listed := map[string]bool{}
+	for _, s := range w.servers {
+		if !s.gone {
+			listed[s.entry.ID] = true
+			n.table.SetEntry(w.now, s.entry)
+		}
+	}
+	for _, e := range n.table.Entries() {
+		if !listed[e.ID] {
+			n.table.Remove(w.now, e.ID, w.revision)
+		}
+	}
+	n.history.Confirm(w.now)
+}
+
+func (w *model) hear() {
+	for _, n := range w.nodes {
+		for _, other := range w.nodes {
+			if n != other && w.able(n) && w.able(other) && w.chance(0.9) {
+				n.heard[other.name] = w.now
+			}
+		}
+	}
+}
+
+func (w *model) peers(n *modelNode) []string {
+	var alive []string
+	for name, at := range n.heard {
+		if w.now.Sub(at) < peerAlive {
+			alive = append(alive, name)
+		}
+	}
+	return alive
+}
+
+func (w *model) named(name string) *modelNode {
+	for _, n := range w.nodes {
+		if n.name == name {
+			return n
+		}
+	}
+	return nil
+}
+
+// only is the only version that the node knows the service to have had.
+func (w *model) only(n *modelNode) string {
+	versions := n.table.Softwares(w.now, service, life)
+	if len(versions) != 1 || w.mutation != guessAtStart && !n.history.Covers(w.now, life, drain) {
+		return ""
+	}
+	return versions[0]
+}
+
+// originOf is what the node learns of a stream.
+func (w *model) originOf(n *modelNode, id string) (resumption.Origin, resumption.Source) {
+	if r, found := n.records.Find(w.now, id); found {
+		return r.Origin, resumption.OwnRecord
+	}
+	asked := resumption.HoldersOf(id, w.peers(n), resumption.Asked)
+	var answers []resumption.Answer
+	for _, name := range asked {
+		other := w.named(name)
+		if !w.able(other) || !w.able(n) || w.chance(0.01) {
+			continue
+		}
+		a := resumption.Answer{Origin: resumption.Origin{Service: service, Software: w.only(other)}}
+		if r, found := other.records.Find(w.now, id); found {
+			a = resumption.Answer{Known: true, Origin: r.Origin}
+		}
+		answers = append(answers, a)
+	}
+	origin, source := resumption.Conclude(service, w.only(n), len(n.heard) > 0, answers)
+	if source == resumption.Unknown && w.mutation == takeNewest {
+		if versions := n.table.Softwares(w.now, service, 0); len(versions) > 0 {
+			return resumption.Origin{Service: service, Software: versions[len(versions)-1]}, resumption.OnlyVersion
+		}
+	}
+	return origin, source
+}
+
+// serverOf returns a server that the node knows and that lives, of the version unless empty.
+func (w *model) serverOf(n *modelNode, version string) *modelServer {
+	var found []*modelServer
+	for _, s := range w.servers {
+		if e, known := n.table.Entry(s.entry.ID); known && !s.gone && e.Start == s.entry.Start && (version == "" || e.Software == version) {
+			found = append(found, s)
+		}
+	}
+	if len(found) == 0 {
+		return nil
+	}
+	return found[w.rng.IntN(len(found))]
+}
+
+// begin begins a stream at a node.
+func (w *model) begin() {
+	n := w.nodes[w.rng.IntN(len(w.nodes))]
+	s := w.serverOf(n, "")
+	if !n.up || n.frozen && !w.able(n) || s == nil {
+		return
+	}
+	w.nextID++
+	st := &modelStream{id: fmt.Sprintf("r%d", w.nextID), version: s.entry.Software, node: n, server: s, expires: w.now.Add(life)}
+	r := resumption.Record{ID: st.id, Origin: resumption.Origin{Service: service, Software: s.entry.Software}, Expires: st.expires}
+	n.records.Add(w.now, r)
+	for _, name := range resumption.HoldersOf(st.id, w.peers(n), resumption.Holders) {
+		if w.able(n) && !w.chance(0.05) && w.mutation != forgetRecords {
+			delay := time.Duration(1+w.rng.IntN(5)) * time.Millisecond
+			if w.chance(0.03) {
+				delay = time.Duration(w.rng.IntN(3000)) * time.Millisecond
+			}
+			w.messages = append(w.messages, modelMessage{w.now.Add(delay), w.named(name), r})
+		}
+	}
+	w.streams = append(w.streams, st)
+}
+
+// deliver delivers the records that have arrived.
+func (w *model) deliver() {
+	var left []modelMessage
+	for _, m := range w.messages {
+		switch {
+		case m.at.After(w.now):
+			left = append(left, m)
+		case w.able(m.to):
+			m.to.records.Add(w.now, m.r)
+		}
+	}
+	w.messages = left
+}
+
+// advance goes on with a stream and reports whether it has not ended.
+func (w *model) advance(st *modelStream) bool {
+	if !w.now.Before(st.expires) {
+		return false
+	}
+	if st.again.IsZero() {
+		if w.chance(0.01) {
+			return false // complete
+		}
+		if !st.node.up || st.server.gone || !w.able(st.node) && !st.node.frozen || w.chance(0.02) {
+			st.again = w.now.Add(time.Duration(20+w.rng.IntN(500)) * time.Millisecond)
+		}
+		return true
+	}
+	if w.now.Before(st.again) {
+		return true
+	}
+	n := w.nodes[w.rng.IntN(len(w.nodes))]
+	if !n.up || n.frozen && !w.able(n) {
+		return true // it tries another one
+	}
+	if st.tries++; st.tries > 4 {
+		return false
+	}
+	st.again = w.now.Add(100 * time.Millisecond)
+	origin, source := w.originOf(n, st.id)
+	calm := w.able(n) && w.now.Sub(n.trouble) > calmFor && !w.now.Before(w.storeOut) && w.serversOf(n, st.version) >= 2
+	if calm {
+		w.takenUp++
+	}
+	if source == resumption.Unknown {
+		return true
+	}
+	s := w.serverOf(n, origin.Software)
+	if s == nil {
+		return true
+	}
+	if s.entry.Software != st.version {
+		w.joined++
+	}
+	if calm {
+		w.wentOn++
+	}
+	n.records.Add(w.now, resumption.Record{ID: st.id, Origin: origin, Expires: st.expires})
+	st.node, st.server, st.again = n, s, time.Time{}
+	return true
+}
+
+// serversOf returns how many servers of the version live and are known to the node.
+func (w *model) serversOf(n *modelNode, version string) int {
+	count := 0
+	for _, s := range w.servers {
+		if _, known := n.table.Entry(s.entry.ID); known && !s.gone && s.entry.Software == version {
+			count++
+		}
+	}
+	return count
+}
+
+// run plays the fleet's time.
+func (w *model) run() {
+	for end := w.now.Add(runTime); w.now.Before(end); w.now = w.now.Add(step) {
+		w.disturb()
+		w.hear()
+		for _, n := range w.nodes {
+			w.sync(n)
+		}
+		w.deliver()
+		if w.chance(0.5) {
+			w.begin()
+		}
+		var left []*modelStream
+		for _, st := range w.streams {
+			if w.advance(st) {
+				left = append(left, st)
+			}
+		}
+		w.streams = left
+	}
+}
+
+// TestModelStreamsKeepTheirVersion guards against streams that hold events of two software
+// versions, and against nodes that refuse most of those that could go on.
+func TestModelStreamsKeepTheirVersion(t *testing.T) {
+	for seed := range uint64(*modelSeeds) {
+		w := newModel(t, seed, sound)
+		w.run()
+		assert.Equal(t, w.joined, 0, "seed %d: streams hold events of two versions", seed)
+		if w.takenUp >= minTakenUp {
+			assert.Assert(t, 2*w.wentOn >= w.takenUp, "seed %d: %d of %d streams went on", seed, w.wentOn, w.takenUp)
+		}
+	}
+}
+
+// TestModelShowsMutations checks that the model would show the faults that it guards against.
+func TestModelShowsMutations(t *testing.T) {
+	for name, m := range map[string]mutation{"forgotten records": forgetRecords, "guess at the start": guessAtStart, "newest version": takeNewest} {
+		t.Run(name, func(t *testing.T) {
+			shown := false
+			for seed := uint64(0); seed < 40 && !shown; seed++ {
+				w := newModel(t, seed, m)
+				w.run()
+				shown = w.joined > 0 || w.takenUp >= minTakenUp && 2*w.wentOn < w.takenUp
+			}
+			assert.Assert(t, shown)
+		})
+	}
+}
--- a/waiting/waiting.go
+++ b/waiting/waiting.go
@@ -43,7 +43,7 @@
 	Key        uint64
 	Server     replicas.Entry
 	Refused    Reason        // empty if Server is set
-	RetryAfter time.Duration // time after which the caller may retry; zero if Server is set
+	RetryAfter time.Duration // time after which the caller may retry; zero if Server is set, or if no retry can succeed
 }
 
 // Reason says why a request was refused. A refused request has not run.
@@ -64,6 +64,7 @@
 	Service  string
 	Model    string
 	Adapter  string    // empty for the model itself
+	Software string    // version of the servers' software that alone will do; empty if any will
 	Count    int       // number of queued requests
 	Priority int       // priority of the most urgent request
 	Deadline time.Time // latest deadline of the requests
@@ -223,8 +224,10 @@
 	case replicas.Paused:
 		return refuse(d, ServersShed, s.Table.PauseEnd(now, r.Requirement).Sub(now)), true
 	case replicas.NoUsableServer:
-		// Servers of the version that began a response do not come back in time.
-		if r.Requirement.Software != nil || now.Sub(r.Arrived) >= time.Duration(noServerWaitShare*float64(r.Deadline.Sub(r.Arrived))) {
+		if r.Requirement.Software != nil {
+			return Decision{Key: d.Key, Refused: NoServer}, true // servers of the version that began a stream do not come back in time
+		}
+		if now.Sub(r.Arrived) >= time.Duration(noServerWaitShare*float64(r.Deadline.Sub(r.Arrived))) {
 			return refuse(d, NoServer, noServerRetryAfter), true
 		}
 	case replicas.NoModel:
@@ -256,16 +259,17 @@
 	if model == nil {
 		return time.Time{}, false
 	}
-	if ready, known := s.Table.ReadyAt(now, r.Requirement.Service, r.Requirement.Model); known {
+	if ready, known := s.Table.ReadyAt(now, r.Requirement); known {
 		return ready, true
 	}
-	if _, result := s.Table.Choose(now, replicas.Requirement{Service: r.Requirement.Service, Model: r.Requirement.Model}); result == replicas.Chosen {
+	modelOnly := replicas.Requirement{Service: r.Requirement.Service, Model: r.Requirement.Model, Software: r.Requirement.Software}
+	if _, result := s.Table.Choose(now, modelOnly); result == replicas.Chosen {
 		return now, true // only the adapter is missing; it loads within milliseconds
 	}
-	if at, known := s.Table.AbsenceEnd(now, r.Requirement.Service, r.Requirement.Model, r.Requirement.Adapter); known {
+	if at, known := s.Table.AbsenceEnd(now, r.Requirement); known {
 		return at, true
 	}
-	ready := now.Add(s.Table.ShortestLoadTime(r.Requirement.Service, r.Requirement.Model, model.WarmLoadTime, model.DiskLoadTime, model.LoadTime))
+	ready := now.Add(s.Table.ShortestLoadTime(r.Requirement, model.WarmLoadTime, model.DiskLoadTime, model.LoadTime))
 	if now.Sub(r.Arrived) < loadOverhead {
 		ready = ready.Add(loadOverhead - now.Sub(r.Arrived))
 	}
@@ -337,6 +341,9 @@
 			continue
 		}
 		key := ModelDemand{Service: r.Requirement.Service, Model: r.Requirement.Model, Adapter: r.Requirement.Adapter}
+		if r.Requirement.Software != nil {
+			key.Software = *r.Requirement.Software
+		}
 		if at, known := index[key]; known {
 			demand[at].Count++
 			if r.Deadline.After(demand[at].Deadline) {
