front: an entry that is removed once the store is stable again is gone

Cause: for 3 s after an outage a removed entry counts as expired in it, and its server stays in use for 2.5 s without a word to other nodes. The 3 s began with the first call that succeeded, up to one timeout and one pause after the end of the outage.

Change: they begin with the sending of the last failed call, the earliest end of the outage that the node can't rule out, and last for contact_ms at most. A server whose entry may return is retained for drain_timeout_ms at most; nodes that watch the entries tell the others if it does not. Nodes that only compare digests list sooner meanwhile.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -83,6 +83,7 @@
 	refusals           refusalsState                  // what is known of the refusals in the store
 	ends               []poison.Report                // ends of servers under this node's requests that it still publishes
 	innocent           []innocentTrait                // traits that this node knows to be innocent and still publishes
+	expired            []expiredServer                // servers whose entries have not returned after an outage of the store
 	departing          []departing                    // servers that this node learned are draining or removed, and still publishes
 	streams            *resumption.Records            // origins of streams that may be taken up again
 	streamQuestions    map[uint64]chan receivedAnswer // questions to other nodes about streams, by key
@@ -271,9 +272,7 @@
 		}
 		now := bootclock.Now()
 		n.mu.Lock()
-		for _, id := range n.table.RemoveExpired(now) {
-			level.Info(n.log).Log("event", "server_gone", "server", id, "reason", "entry did not return after the store outage")
-		}
+		n.removeExpired(now)
 		n.reconcileDesired(ctx, now)
 		n.decidePoison(now)
 		n.reconcileRefusals(ctx, now)
--- a/internal/front/harness_test.go
+++ b/internal/front/harness_test.go
@@ -219,7 +219,7 @@
 	n := &node{done: make(chan error, 1), settings: platform.Settings{
 		Node: "node-" + ip, IP: ip, Zone: "z1", Region: "r", Zones: []string{"z1"}, CallerListen: at(), ControlListen: at(), ReadyListen: at(), ResolveListen: at(),
 		PeerPort: peerPort, Seeds: []string{"127.0.0.2:1"}, FirstStart: true, StoreAddress: c.address, HeartbeatInterval: 1200 * time.Millisecond,
-		Bounds: platform.Bounds{GracePeriod: c.gracePeriod, ConfigApplyTimeout: 2 * time.Second, DrainTimeout: 2 * time.Second, RetryBudgetRatio: 0.2, RetryBudgetSlack: 58, OrderLease: 3 * time.Second, MaxTTL: 5 * time.Second},
+		Bounds: platform.Bounds{GracePeriod: c.gracePeriod, ConfigApplyTimeout: 2 * time.Second, ContactTimeout: contactTimeout, DrainTimeout: 2 * time.Second, RetryBudgetRatio: 0.2, RetryBudgetSlack: 58, OrderLease: 3 * time.Second, MaxTTL: 5 * time.Second},
 	}}
 	ctx, stop := context.WithCancel(context.Background())
 	n.stop = stop
--- a/internal/front/watch.go
+++ b/internal/front/watch.go
@@ -23,9 +23,9 @@
 	relaxedServersWatchPause = 4 * time.Second         // pause between two lists of servers at nodes that are not among the frequentWatchers, if these tell no digest
 	digestDiffersFor         = 1200 * time.Millisecond // time for which the digest of a frequentWatcher differs before a node lists the servers by itself
 	digestListPause          = 6 * time.Second         // least time between two lists for that reason
+	returnDiffersFor         = 300 * time.Millisecond  // digestDiffersFor while entries may return that expired in an outage of the store
+	returnListPause          = 700 * time.Millisecond  // digestListPause in that time
 	frequentWatchers         = 2                       // number of nodes that watch the servers' entries; the others receive changes from them
-	storeOutageAfter         = 1 * time.Second         // time of consecutive failures that counts as an outage; entries that expire in an outage may be written again
-	storeRecoveryPeriod      = 3 * time.Second         // time after an outage in which removed entries are still treated as expired by it
 )
 
 // Shares of Bounds.DrainTimeout, within which the nodes must know that a server leaves.
@@ -39,17 +39,17 @@
 
 // watcher follows the store objects of one kind.
 type watcher struct {
-	node         *Node
-	kind         platform.Kind
-	timeouts     func() (wait, margin time.Duration)              // return the wait of a watch, and the time after it by which the response must have arrived
-	pause        func() time.Duration                             // returns the time between two calls
-	lists        func() bool                                      // reports whether each call is to be a list
-	onList       func(objects []platform.Object, revision uint64) // handles the complete list, as of a revision
-	onEvent      func(e platform.Event)                           // handles one change
-	revision     uint64                                           // revision from which the next watch starts; zero to list first
-	onConfirmed  func(asOf time.Time)                             // handles that all changes up to a time are known
-	overdue      func() bool                                      // reports whether the next call is due at once, whatever the pause
-	failingSince time.Time                                        // time of the first of the consecutive failures; zero if the last call succeeded
+	node        *Node
+	kind        platform.Kind
+	timeouts    func() (wait, margin time.Duration)              // return the wait of a watch, and the time after it by which the response must have arrived
+	pause       func() time.Duration                             // returns the time between two calls
+	lists       func() bool                                      // reports whether each call is to be a list
+	onList      func(objects []platform.Object, revision uint64) // handles the complete list, as of a revision
+	onEvent     func(e platform.Event)                           // handles one change
+	revision    uint64                                           // revision from which the next watch starts; zero to list first
+	onConfirmed func(asOf time.Time)                             // handles that all changes up to a time are known
+	overdue     func() bool                                      // reports whether the next call is due at once, whatever the pause
+	outage      *storeOutage
 }
 
 // run lists and watches until the context ends.
@@ -57,7 +57,7 @@
 	for ctx.Err() == nil {
 		sent := bootclock.Now()
 		if err := w.step(ctx); err != nil && ctx.Err() == nil {
-			sleep(ctx, w.recordFailure(err))
+			sleep(ctx, w.recordFailure(sent, err))
 			continue
 		}
 		w.recordSuccess(sent)
@@ -118,15 +118,14 @@
 	return nil
 }
 
-// recordFailure records a failed call and returns the delay before the next.
-func (w *watcher) recordFailure(err error) time.Duration {
+// recordFailure records a failed call, sent at the given time, and returns the delay before the
+// next.
+func (w *watcher) recordFailure(sent time.Time, err error) time.Duration {
 	pause := storeRetryDelay
-	if !w.failingSince.IsZero() && !w.node.watchesFrequently() {
-		pause = relaxedStoreRetryDelay
-	}
-	if w.failingSince.IsZero() {
-		w.failingSince = bootclock.Now()
+	if w.outage.failed(bootclock.Now(), sent) {
 		level.Warn(w.node.log).Log("event", "store_lost", "kind", w.kind, "err", err)
+	} else if !w.node.watchesFrequently() {
+		pause = relaxedStoreRetryDelay
 	}
 	// Continue with a list, which responds or fails soon. A watch sent just
 	// before the store recovers may block until its timeout.
@@ -138,9 +137,8 @@
 func (w *watcher) recordSuccess(sent time.Time) {
 	wait, _ := w.timeouts()
 	w.node.recordStoreContact(sent, wait)
-	if !w.failingSince.IsZero() {
-		level.Info(w.node.log).Log("event", "store_back", "kind", w.kind, "away_ms", bootclock.Now().Sub(w.failingSince).Milliseconds())
-		w.failingSince = time.Time{}
+	if away := w.outage.succeeded(bootclock.Now()); away > 0 {
+		level.Info(w.node.log).Log("event", "store_back", "kind", w.kind, "away_ms", away.Milliseconds())
 	}
 }
 
@@ -160,17 +158,8 @@
 // watchServers follows the backend servers' entries.
 func (n *Node) watchServers(ctx context.Context) error {
 	w := &watcher{node: n, kind: platform.KindServers, timeouts: n.serversWatchTimeouts, pause: n.serversPause,
-		lists: func() bool { return !n.watchesFrequently() }, onConfirmed: n.serversConfirmed, overdue: n.serversOverdue}
-	var outage bool // entries may have expired because the store was down
-	var outageUntil time.Time
-	afterOutage := func() bool {
-		now := bootclock.Now()
-		if !w.failingSince.IsZero() && now.Sub(w.failingSince) > storeOutageAfter {
-			outage, outageUntil = true, now.Add(storeRecoveryPeriod)
-		}
-		outage = outage && now.Before(outageUntil)
-		return outage
-	}
+		lists: func() bool { return !n.watchesFrequently() }, onConfirmed: n.serversConfirmed, overdue: n.serversOverdue, outage: newStoreOutage(n.settings.Bounds)}
+	afterOutage := func() bool { return w.outage.mayHaveExpired(bootclock.Now()) }
 	w.onList = func(objects []platform.Object, revision uint64) { n.setServers(objects, revision, afterOutage()) }
 	w.onEvent = func(e platform.Event) { n.changeServer(e, afterOutage()) }
 	return w.run(ctx)
@@ -254,7 +243,11 @@
 	case n.serversDifferSince.IsZero():
 		n.serversDifferSince = now
 	}
-	return now.Sub(n.serversDifferSince) >= digestDiffersFor && now.Sub(n.serversAsOf) >= digestListPause
+	differ, pause := digestDiffersFor, digestListPause
+	if n.table.AnyExpired() {
+		differ, pause = returnDiffersFor, returnListPause
+	}
+	return now.Sub(n.serversDifferSince) >= differ && now.Sub(n.serversAsOf) >= pause
 }
 
 // serversPause returns the pause between two calls for servers. Only frequentWatchers nodes
@@ -330,7 +323,7 @@
 		return // unknown, or written again since
 	}
 	if afterOutage && !entry.Draining {
-		n.table.MarkExpired(bootclock.Now(), id)
+		n.table.MarkExpired(id, bootclock.Now().Add(min(expiredGrace, n.settings.Bounds.DrainTimeout)))
 		return
 	}
 	now := bootclock.Now()
--- a/replicas/replicas_test.go
+++ b/replicas/replicas_test.go
@@ -100,11 +100,15 @@
 
 func TestEntryExpiredInStoreOutageMayReturn(t *testing.T) {
 	tab := table(entry("s1", "z1", "m"), entry("s2", "z1", "m"))
-	tab.MarkExpired(now, "s1")
-	tab.MarkExpired(now, "s2")
+	tab.MarkExpired("s1", now.Add(2*time.Second))
+	tab.MarkExpired("s2", now.Add(2*time.Second))
 	tab.SetEntry(now, entry("s1", "z1", "m"))
 	assert.Equal(t, len(tab.RemoveExpired(now.Add(time.Second))), 0)
-	assert.DeepEqual(t, tab.RemoveExpired(now.Add(3*time.Second)), []string{"s2"})
+	assert.Assert(t, tab.AnyExpired())
+	removed := tab.RemoveExpired(now.Add(2 * time.Second))
+	assert.Equal(t, len(removed), 1)
+	assert.Equal(t, removed[0].ID, "s2")
+	assert.Assert(t, !tab.AnyExpired())
 	assert.Equal(t, choose(t, tab, requirement("m", ""), now), "s1")
 }
 
--- a/replicas/table.go
+++ b/replicas/table.go
@@ -18,7 +18,6 @@
 	plannedLoadsMaxAge = 2 * time.Second         // older lists of planned loads are ignored, see SetLeaderStateAge
 	reportedLoadMaxAge = 300 * time.Millisecond  // an older load reported with a response is ignored
 	tombstoneRetention = time.Minute             // time for which removed entries are remembered, to reject older entries that arrive late
-	expiredEntryGrace  = 2500 * time.Millisecond // time for which an entry that expired during a store outage is retained in the table
 )
 
 // Server is the table's row of one backend server.
@@ -33,7 +32,7 @@
 	reportedLoadAt time.Time            // when reported was received
 	health         health
 	ejected        bool          // see service.refreshEjections
-	expiredAt      time.Time     // when the entry expired during a store outage; zero if it exists
+	expiredUntil   time.Time     // until when the server is retained although its entry expired in a store outage; zero if it exists
 	listedDraining bool          // its entry, or another node, says that it is draining
 	notice         *notice       // what this start has said of itself to this node; nil if nothing
 	hash           uint64        // hash of the ID
@@ -116,7 +115,7 @@
 	}
 	row.Entry, row.listedDraining = e, e.Draining
 	row.Draining = e.Draining || row.notice.saidLeaving()
-	row.expiredAt = time.Time{}
+	row.expiredUntil = time.Time{}
 	if svc := t.services[row.Service]; svc != nil {
 		svc.listModels(row)
 		svc.outdated = true
@@ -183,7 +182,7 @@
 func (t *Table) Digest() uint64 {
 	var digest uint64
 	for _, row := range t.rows {
-		if row.expiredAt.IsZero() {
+		if row.expiredUntil.IsZero() {
 			digest ^= mix(row.hash ^ mix(uint64(row.Start)<<1|boolBit(row.listedDraining)))
 		}
 	}
@@ -199,24 +198,34 @@
 }
 
 // MarkExpired records that a server's entry expired during a store outage.
-// RemoveExpired removes the server unless SetEntry is called for it in time.
-func (t *Table) MarkExpired(now time.Time, id string) {
-	if row := t.rows[id]; row != nil && row.expiredAt.IsZero() {
-		row.expiredAt = now
+// RemoveExpired removes the server at the time until unless SetEntry is called for it before.
+func (t *Table) MarkExpired(id string, until time.Time) {
+	if row := t.rows[id]; row != nil && row.expiredUntil.IsZero() {
+		row.expiredUntil = until
 	}
 }
 
-// RemoveExpired removes the servers whose entries expired and were not written
-// again within expiredEntryGrace. It returns their IDs.
-func (t *Table) RemoveExpired(now time.Time) []string {
-	var dropped []string
+// AnyExpired reports whether MarkExpired was called for a server that is still in the table.
+func (t *Table) AnyExpired() bool {
+	for _, row := range t.rows {
+		if !row.expiredUntil.IsZero() {
+			return true
+		}
+	}
+	return false
+}
+
+// RemoveExpired removes the servers whose entries expired and were not written again in time. It
+// returns their entries.
+func (t *Table) RemoveExpired(now time.Time) []Entry {
+	var removed []Entry
 	for id, row := range t.rows {
-		if !row.expiredAt.IsZero() && now.Sub(row.expiredAt) > expiredEntryGrace {
+		if !row.expiredUntil.IsZero() && !now.Before(row.expiredUntil) {
 			t.Remove(now, id, row.Revision)
-			dropped = append(dropped, id)
+			removed = append(removed, row.Entry)
 		}
 	}
-	return dropped
+	return removed
 }
 
 // Entries returns all entries ordered by server ID.
