loader: nothing is ordered for a model that the desired state does not have

A new version withdrew a model that servers hold.

Cause: orderAdapter reads the size of the adapter from the model in the desired state, which is nil there. The demand is known to all nodes, so the next leader ends as well.

Change: demand for adapters of such models is passed over. A request that waits for one, or for the model, is refused at once; it would have waited until its deadline.

--- a/loader/loader_test.go
+++ b/loader/loader_test.go
@@ -1,6 +1,7 @@
 package loader_test
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"testing"
@@ -42,6 +43,7 @@
 type cluster struct {
 	now         time.Time
 	engine      *routes.Engine
+	desired     *routes.Engine // what the loaders are told of the engine; nil if that is all of it
 	servers     []*fakeServer
 	cores       map[string]*loader.Core          // by cell
 	demand      []waiting.ModelDemand            // models and adapters that requests wait for
@@ -245,9 +247,10 @@
 	for zone := range c.cores {
 		live = append(live, zone)
 	}
+	engine := cmp.Or(c.desired, c.engine)
 	for zone, core := range c.cores {
 		effects := core.Tick(c.now, loader.Input{
-			Engine: c.engine, Servers: entries, Demand: append([]waiting.ModelDemand(nil), c.demand...), LiveCells: live, Token: 1,
+			Engine: engine, Servers: entries, Demand: append([]waiting.ModelDemand(nil), c.demand...), LiveCells: live, Token: 1,
 			ServerStatuses: func(id string) (replicas.ServerStatus, bool) { status, ok := c.statuses[id]; return status, ok },
 			LoadCost:       func(cell, name string) (float64, bool) { x, ok := c.cores[cell].LoadCosts(c.now)[name]; return x, ok },
 			MayOrder:       func(string) bool { return true },
--- a/loader/plans.go
+++ b/loader/plans.go
@@ -283,7 +283,7 @@
 // holding its model that has the fewest adapters.
 func (c *Core) orderAdapters(now time.Time, demand []waiting.ModelDemand, token uint64) {
 	for _, d := range demand {
-		if d.Adapter == "" || c.adapterLoadedOrOrdered(d) {
+		if d.Adapter == "" || c.engine.Model(d.Model) == nil || c.adapterLoadedOrOrdered(d) {
 			continue
 		}
 		var best *server
--- a/waiting/waiting.go
+++ b/waiting/waiting.go
@@ -123,6 +123,13 @@
 	return server, result
 }
 
+// withdrawn reports whether no server may load the required model, as the desired state does not
+// have it.
+func (s *State) withdrawn(r *replicas.Requirement) bool {
+	service := s.Services[r.Service]
+	return service != nil && service.Engine != nil && service.Engine.Model(r.Model) == nil
+}
+
 // Offer decides on a new request. If it returns false, the request is queued.
 func (q *Queue) Offer(now time.Time, r Request, s State) (Decision, bool) {
 	at, _ := slices.BinarySearchFunc(q.requests, r, compareUrgency)
@@ -231,6 +238,9 @@
 			return refuse(d, NoServer, noServerRetryAfter), true
 		}
 	case replicas.NoModel:
+		if s.withdrawn(&r.Requirement) {
+			return refuse(d, ModelNotReady, noServerRetryAfter), true
+		}
 		if ready, known := q.expectedReady(now, r, s); known && ready.After(latest) {
 			return refuse(d, ModelNotReady, ready.Sub(now)), true
 		}
--- a/waiting/waiting_test.go
+++ b/waiting/waiting_test.go
@@ -77,6 +77,22 @@
 	assert.Assert(t, d.RetryAfter >= 6*time.Second, "RetryAfter must not end before the model can be ready: %v", d.RetryAfter)
 }
 
+// TestWithdrawnModelIsRefusedImmediately guards against requests that wait for a model, or an
+// adapter of one, which the desired state no longer has, until their time has passed.
+func TestWithdrawnModelIsRefusedImmediately(t *testing.T) {
+	s := state(server("s1", "llm", 2, "withdrawn"))
+	d, done := waiting.NewQueue().Offer(now, request(1, "llm", "withdrawn", 0, time.Minute), s)
+	assert.Assert(t, done)
+	assert.Equal(t, d.Server.ID, "s1", "a copy is used while there is one")
+	adapter := request(2, "llm", "withdrawn", 0, time.Minute)
+	adapter.Requirement.Adapter = "a1"
+	for _, r := range []waiting.Request{adapter, request(3, "llm", "unknown", 0, time.Minute)} {
+		d, done := waiting.NewQueue().Offer(now, r, s)
+		assert.Assert(t, done)
+		assert.Equal(t, d.Refused, waiting.ModelNotReady)
+	}
+}
+
 func TestModelThatLoadsInTimeIsAwaited(t *testing.T) {
 	s, q := state(server("s1", "llm", 2)), waiting.NewQueue()
 	_, done := q.Offer(now, request(1, "llm", "m", 0, 17*time.Second), s)
