loader: a withdrawn model takes room until it is unloaded

A new version replaced a model by another.

Change: the sizes of withdrawn models that servers still use are remembered. One of unknown size, as for a leader that started later, counts as all of the memory. A load in progress counts in the same account.

--- a/loader/demand.go
+++ b/loader/demand.go
@@ -16,6 +16,7 @@
 	slowWeight              = 0.1             // weight of a request that can wait for a load from disk
 	unrequestedWorth        = 0.02            // worth of a model without adapters that was not requested yet, in weighted requests per second
 	unrequestedAdapterWorth = 0.06            // worth of a model with adapters that was not requested yet, in weighted requests per second
+	withdrawnWorth          = -1e-3           // worth of a withdrawn model; negative, so that it is evicted before any other
 	surplusWeight           = 0.01            // share of the worth for a copy beyond those needed
 	spareWeight             = 0.15            // share of the worth for a copy that is needed only if demand rises
 	extraCopyWeight         = 0.5             // share of the worth for a needed copy other than the first
@@ -129,15 +130,19 @@
 
 // modelWorth returns the worth of holding the only copy of a model, from its
 // weighted requests per second. A model that was never requested has a small fixed
-// worth.
+// worth, one that was withdrawn none.
 func (c *Core) modelWorth(now time.Time, model string) float64 {
+	m := c.engine.Model(model)
+	if m == nil {
+		return withdrawnWorth
+	}
 	fast, slow := c.demand.perSecond(now, model)
 	w := fastWeight*fast + slowWeight*slow
 	r := c.demand.rates[model]
 	if r != nil && r.observed {
 		return w * reloadSeconds
 	}
-	if m := c.engine.Model(model); m != nil && m.Adapters > 0 {
+	if m.Adapters > 0 {
 		return w + unrequestedAdapterWorth
 	}
 	return w + unrequestedWorth
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -83,7 +83,9 @@
 type Core struct {
 	settings         Settings
 	engine           *routes.Engine
-	servers          map[string]*server // backend servers of the service in all cells, by id
+	engineSince      time.Time                // when the engine's desired state came into force here
+	withdrawn        map[string]*routes.Model // models of earlier desired states that servers still use
+	servers          map[string]*server       // backend servers of the service in all cells, by id
 	demand           demand
 	budget           *loadbudget.Budget
 	storeConcurrency int                  // learned number of loads that the weight store runs concurrently at full speed
@@ -96,7 +98,7 @@
 
 // New returns a loader that knows no backend servers and has seen no requests.
 func New(now time.Time, s Settings) *Core {
-	return &Core{settings: s, servers: map[string]*server{}, demand: newDemand(), startedAt: now, loadCosts: map[string]loadCost{}, storeConcurrency: initialStoreConcurrency}
+	return &Core{settings: s, servers: map[string]*server{}, withdrawn: map[string]*routes.Model{}, demand: newDemand(), startedAt: now, loadCosts: map[string]loadCost{}, storeConcurrency: initialStoreConcurrency}
 }
 
 // CountRequests counts n requests, at any node, for a model and an adapter unless empty.
@@ -126,7 +128,8 @@
 // Tick decides on loads and unloads, and returns what the caller must carry out.
 func (c *Core) Tick(now time.Time, in Input) Effects {
 	c.effects = Effects{}
-	c.input, c.engine = in, in.Engine
+	c.input = in
+	c.follow(now, in.Engine)
 	if c.budget == nil {
 		c.budget = loadbudget.New(now, loadbudget.Settings{
 			LoadsPerSecond: c.engine.LoadsPerSecond, LoadsInFlight: maxStoreConcurrency, AdaptersInFlight: maxAdapterLoads,
@@ -144,6 +147,7 @@
 	if now.Sub(c.startedAt) > preloadStartDelay || c.allReported() {
 		c.planPreload(now)
 	}
+	c.unloadWithdrawn(now)
 	for _, s := range c.sortedServers() {
 		c.advancePlan(now, s, in.Token)
 	}
@@ -360,7 +364,7 @@
 		return
 	}
 	m := c.engine.Model(p.model)
-	if m == nil || s.holds[p.model] != nil {
+	if p.model != "" && m == nil || s.holds[p.model] != nil {
 		s.plan = nil
 		c.effects.Changed = true
 		return
@@ -372,15 +376,19 @@
 		c.unloadNextVictim(now, s, token)
 		return
 	}
-	if s.usedMB(c.engine)+m.WeightsMB > c.engine.WeightsMB {
-		s.plan = nil // an adapter took the memory meanwhile
+	if m == nil {
+		s.plan = nil // all withdrawn models are unloaded
+		return
+	}
+	o, fits := c.loadOrder(s, m, token)
+	if !fits {
+		s.plan = nil
 		return
 	}
 	usesStore := s.sourceOf(p.model) == fromStore
 	if usesStore && !c.canStartStoreLoad(now, p.urgent) {
 		return
 	}
-	o := replicas.Order{ServerID: s.entry.ID, Model: p.model, After: s.acceptedOrders, Leader: c.settings.Leader, Token: token}
 	if usesStore {
 		c.budget.StartLoad(now, orderID(o))
 	}
@@ -407,7 +415,11 @@
 		return
 	}
 	o := replicas.Order{ServerID: s.entry.ID, Unload: true, Model: p.victims[0], After: s.acceptedOrders, Leader: c.settings.Leader, Token: token}
-	c.send(s, &sentOrder{order: o, sentAt: now, expectedEnd: now.Add(unloadTime)}, "makes_room")
+	reason := "makes_room"
+	if p.model == "" {
+		reason = "withdrawn"
+	}
+	c.send(s, &sentOrder{order: o, sentAt: now, expectedEnd: now.Add(unloadTime)}, reason)
 }
 
 func (c *Core) send(s *server, o *sentOrder, reason string) {
--- a/loader/plans.go
+++ b/loader/plans.go
@@ -71,13 +71,7 @@
 // fits, the one of least worth first, and their total worth. It reports false if
 // unloading all that may be unloaded is not enough.
 func (c *Core) victims(now time.Time, s *server, m *routes.Model, protected map[string]bool) ([]string, float64, bool) {
-	free := c.engine.WeightsMB - s.usedMB(c.engine)
-	if l := s.orderedLoad(); l != "" && s.holds[l] == nil {
-		if lm := c.engine.Model(l); lm != nil {
-			free -= lm.WeightsMB
-		}
-	}
-	if free >= m.WeightsMB {
+	if c.usedMB(s)+m.WeightsMB <= c.engine.WeightsMB {
 		return nil, 0, true
 	}
 	var models []string
@@ -92,13 +86,8 @@
 	sortByValue(models, func(name string) float64 { return -c.copyWorth(now, s, name) })
 	worth := 0.0
 	for i, name := range models {
-		victim := c.engine.Model(name)
-		if victim == nil {
-			continue
-		}
-		free += victim.WeightsMB + float64(len(s.holds[name].adapterUsed))*victim.AdapterSizeMB
 		worth += c.copyWorth(now, s, name)
-		if free >= m.WeightsMB {
+		if c.usedMB(s, models[:i+1]...)+m.WeightsMB <= c.engine.WeightsMB {
 			return models[:i+1], worth, true
 		}
 	}
@@ -110,7 +99,7 @@
 func (c *Core) planWaiting(now time.Time, demand []waiting.ModelDemand) {
 	protected := map[string]bool{}
 	for _, d := range demand {
-		protected[d.Model] = true
+		protected[d.Model] = c.engine.Model(d.Model) != nil
 	}
 	slices.SortStableFunc(demand, func(a, b waiting.ModelDemand) int {
 		if a.Priority != b.Priority {
@@ -152,7 +141,7 @@
 // for, unless the unload of a victim is published already.
 func (c *Core) dropPreloadPlans(now time.Time) {
 	for _, s := range c.sortedServers() {
-		if s.plan != nil && !s.plan.hasWaiters && s.plan.publishedAt.IsZero() && s.sourceOf(s.plan.model) == fromStore {
+		if s.loadsFromStore() && !s.plan.hasWaiters && s.plan.publishedAt.IsZero() {
 			s.plan = nil
 		}
 	}
@@ -258,11 +247,16 @@
 	return best == c.settings.Cell
 }
 
+// loadsFromStore reports whether the server has the plan of a load from the weight store.
+func (s *server) loadsFromStore() bool {
+	return s.plan != nil && s.plan.model != "" && s.sourceOf(s.plan.model) == fromStore
+}
+
 // plannedFromStore counts the plans of this cell that load from the weight store.
 func (c *Core) plannedFromStore() int {
 	n := 0
 	for _, s := range c.servers {
-		if s.plan != nil && s.sourceOf(s.plan.model) == fromStore {
+		if s.loadsFromStore() {
 			n++
 		}
 	}
@@ -288,7 +282,7 @@
 		}
 		var best *server
 		for _, s := range c.sortedServers() {
-			if s.ready() && s.keeps(d.Model) && s.runs(d.Software) && c.input.MayOrder(s.entry.ID) && (best == nil || s.adapterCount() < best.adapterCount()) {
+			if s.ready() && s.keeps(d.Model) && s.runs(d.Software) && c.sizesKnown(s) && c.input.MayOrder(s.entry.ID) && (best == nil || s.adapterCount() < best.adapterCount()) {
 				best = s
 			}
 		}
@@ -326,7 +320,7 @@
 	m := c.engine.Model(d.Model)
 	o := replicas.Order{ServerID: s.entry.ID, Model: d.Model, Adapter: d.Adapter, After: s.acceptedOrders, Leader: c.settings.Leader, Token: token}
 	reason := "waited_for"
-	if s.adapterCount() >= c.engine.AdapterSlots || s.usedMB(c.engine)+m.AdapterSizeMB > c.engine.WeightsMB {
+	if s.adapterCount() >= c.engine.AdapterSlots || c.usedMB(s)+m.AdapterSizeMB > c.engine.WeightsMB {
 		model, adapter, ok := s.oldestAdapter()
 		if !ok {
 			return
--- a/loader/server.go
+++ b/loader/server.go
@@ -60,7 +60,7 @@
 
 // plan is a load that a server was chosen for, with the models to unload first.
 type plan struct {
-	model       string
+	model       string   // empty if the victims are unloaded for their own sake
 	victims     []string // models to unload, in this order
 	plannedAt   time.Time
 	publishedAt time.Time // when the next victim's unload was published; zero if not yet
@@ -94,17 +94,6 @@
 	return m.LoadTime
 }
 
-// usedMB returns the memory in MB that held models and adapters occupy.
-func (s *server) usedMB(e *routes.Engine) float64 {
-	used := 0.0
-	for name, held := range s.holds {
-		if m := e.Model(name); m != nil {
-			used += m.WeightsMB + float64(len(held.adapterUsed))*m.AdapterSizeMB
-		}
-	}
-	return used
-}
-
 // runs reports whether the server runs the version of the software; an empty one stands for any.
 func (s *server) runs(software string) bool { return software == "" || s.entry.Software == software }
 
