poison: the first ends of a trait are retained until they count

Cause: an end counts once it has been known for a second. Eight ends of a trait were kept; above that the one learned first was dropped, and came back as new when another node named it again, so none was ever a second old.

Change: the first six and the last two ends by their time are kept. One that was dropped between them does not come back.

--- a/poison/poison.go
+++ b/poison/poison.go
@@ -37,10 +37,12 @@
 	weakEnds             = 5                // ends that suffice if some are weak evidence, over weakSpan at least
 	weakSpan             = time.Second      // the ends of servers that fail together are no more than one event
 	tiedEnds             = 4                // ends at which traits that share all of them do not wait for a further one
-	maxEndsRetained      = 8                // ends of one trait; enough to tell it from others
-	maxTraits            = 16               // traits of one request
-	maxWith              = 16               // traits that are remembered as seen with another one at one end
-	maxRequestsOfEnd     = 256              // requests of one report
+	maxFirstEnds         = 6                // ends of one trait that are retained because they came first; enough for a refusal, also on weak evidence
+	maxLastEnds          = 2                // further ones that are retained because they came last
+	maxEndsRetained      = maxFirstEnds + maxLastEnds
+	maxTraits            = 16  // traits of one request
+	maxWith              = 16  // traits that are remembered as seen with another one at one end
+	maxRequestsOfEnd     = 256 // requests of one report
 )
 
 // Key is the hash of a trait.
@@ -77,8 +79,9 @@
 	last time.Time // latest end
 }
 
-// add records an end and reports whether it is new. Above maxEndsRetained the one that was
-// learned first is dropped.
+// add records an end and reports whether it is new. Above the limits one between the first and
+// the last ends is dropped. The first ones stay, so that they are known for settleTime at some
+// time, whatever the rate of ends, and one that was dropped is not new when another node reports it.
 func (s *suspect) add(now time.Time, end End, o occurrence) bool {
 	known := s.ends[end]
 	if known != nil {
@@ -86,24 +89,26 @@
 		known.addWith(o.with)
 		return false
 	}
-	if len(s.ends) >= maxEndsRetained {
-		delete(s.ends, s.firstEnd())
+	if o.at.After(s.last) {
+		s.last = o.at
 	}
 	o.learned = now
 	with := o.with
 	o.with = nil
 	o.addWith(with)
 	s.ends[end] = &o
-	if o.at.After(s.last) {
-		s.last = o.at
+	if len(s.ends) > maxEndsRetained {
+		dropped := s.byTime()[maxFirstEnds]
+		delete(s.ends, dropped)
+		return dropped != end
 	}
 	return true
 }
 
-// firstEnd returns the end that was learned first.
-func (s *suspect) firstEnd() End {
-	return slices.MinFunc(slices.Collect(maps.Keys(s.ends)), func(a, b End) int {
-		return cmp.Or(s.ends[a].learned.Compare(s.ends[b].learned), cmp.Compare(a, b))
+// byTime returns the ends, the earliest first.
+func (s *suspect) byTime() []End {
+	return slices.SortedFunc(maps.Keys(s.ends), func(a, b End) int {
+		return cmp.Or(s.ends[a].at.Compare(s.ends[b].at), cmp.Compare(a, b))
 	})
 }
 
--- a/poison/poison_test.go
+++ b/poison/poison_test.go
@@ -127,3 +127,34 @@
 	decide(table, start.Add(settled))
 	assert.Assert(t, refusedFor(table, start.Add(settled), 1) > 0, "the content with most ends is retained")
 }
+
+// TestFastEndsAreRefused guards against a request that is never refused, because a caller that
+// repeats it ends servers so fast that none of the ends that are retained is ever old enough to
+// count, while other nodes report those that were dropped again (BUDGET).
+func TestFastEndsAreRefused(t *testing.T) {
+	const bad, every, perRound, rounds = 1, 20 * time.Millisecond, 8, 40
+	here, there := poison.New(), poison.New()
+	refusedAfter := 0
+	for i := 0; i < rounds*perRound && refusedAfter == 0; i++ {
+		now := start.Add(time.Duration(i) * every)
+		r := report(now, poison.End(i+1), bad)
+		here.Record(now, r)
+		there.Record(now, r)
+		for _, known := range there.Reports(8) {
+			here.Record(now, known)
+		}
+		for _, known := range here.Reports(8) {
+			there.Record(now, known)
+		}
+		for _, recent := range []int{i - 30, i - 20, i - 10} {
+			if recent >= 0 { // nodes report an end for some time
+				here.Record(now, report(start.Add(time.Duration(recent)*every), poison.End(recent+1), bad))
+			}
+		}
+		if len(decide(here, now)) > 0 {
+			refusedAfter = i + 1
+		}
+	}
+	assert.Assert(t, refusedAfter > 0, "never refused")
+	assert.Assert(t, refusedAfter <= 80, "refused after %d ends", refusedAfter)
+}
