configsync: nodes tell only what the store has confirmed to themselves

Cause: nodes passed on the age of a confirmation that they had from others. The time of each message is not counted, and the least age that a node hears of is believed, so among many nodes the age hardly grew though nobody heard from the store.

Change: a node tells the age of its own last response of the store only.

--- a/configsync/configsync.go
+++ b/configsync/configsync.go
@@ -37,6 +37,7 @@
 	known      uint64    // highest version known to exist
 	knownSince time.Time // when this node learned of known
 	confirmed  time.Time // latest time as of which the store is known to hold no version above inForce
+	ownAsOf    time.Time // the same by calls of this node only; zero if there was none
 	revision   uint64    // store revision from which to watch; zero to read first
 	failures   int       // consecutive failed calls
 	nextRead   time.Time // no read is sent before this time
@@ -97,7 +98,7 @@
 		c.nextRead = now.Add(retryDelay)
 	}
 	c.revision = max(c.revision, revision)
-	c.confirm(sent)
+	c.confirmOwn(sent)
 }
 
 // WatchDone handles the end of a watch that was sent at the given time. changed says
@@ -119,7 +120,7 @@
 			asOf = now
 		}
 	}
-	c.confirm(asOf)
+	c.confirmOwn(asOf)
 }
 
 // Compacted handles a watch whose history the store no longer has.
@@ -142,6 +143,21 @@
 	}
 }
 
+// confirmOwn records the same for a response of the store to this node.
+func (c *Core) confirmOwn(asOf time.Time) {
+	c.confirm(asOf)
+	if asOf.After(c.ownAsOf) {
+		c.ownAsOf = asOf
+	}
+}
+
+// OwnConfirmedAge returns how long ago the store last confirmed the version in force to this node
+// itself; false if it never did. Nodes tell each other no other age: one that is passed on loses
+// the time of each message, and never grows old among many nodes.
+func (c *Core) OwnConfirmedAge(now time.Time) (time.Duration, bool) {
+	return now.Sub(c.ownAsOf), !c.ownAsOf.IsZero()
+}
+
 // PutInForce records that a version is in force.
 func (c *Core) PutInForce(now time.Time, version uint64) {
 	c.inForce = max(c.inForce, version)
--- a/internal/front/peers.go
+++ b/internal/front/peers.go
@@ -36,7 +36,7 @@
 	Ready          bool                    `json:"y,omitempty"`  // the sender takes requests
 	Stopping       bool                    `json:"x,omitempty"`  // the sender is stopping
 	DesiredVersion uint64                  `json:"d,omitempty"`  // version of the desired state in force; zero if there is none
-	ConfirmedAgeMS *int64                  `json:"da,omitempty"` // milliseconds since the store confirmed that no newer desired state exists; nil from builds that do not tell
+	ConfirmedAgeMS *int64                  `json:"da,omitempty"` // milliseconds since the store confirmed to the sender itself that no newer desired state exists; nil if it never did
 	ServersAgeMS   *int64                  `json:"sa,omitempty"` // milliseconds since the sender had read all changes of servers; nil from builds that do not tell
 	ServersDigest  *uint64                 `json:"sd,omitempty"` // replicas.Table.Digest of a node that watches the servers; nil at others
 	StoreAgeMS     int64                   `json:"s"`            // milliseconds since the store last responded to the sender
--- a/internal/front/tell.go
+++ b/internal/front/tell.go
@@ -171,8 +171,11 @@
 		Down: n.table.Unreachable(now), KnownIPs: p.aliveIPs(now),
 	}
 	if t := n.desired.Load(); t != nil {
-		age := n.sync.Status(now).ConfirmedAge.Milliseconds()
-		m.DesiredVersion, m.ConfirmedAgeMS = t.Version, &age
+		m.DesiredVersion = t.Version
+		if age, confirmed := n.sync.OwnConfirmedAge(now); confirmed {
+			ms := age.Milliseconds()
+			m.ConfirmedAgeMS = &ms
+		}
 	}
 	for _, w := range n.queue.Demand(now, n.table) {
 		m.Demand = append(m.Demand, demandState{Service: w.Service, Model: w.Model, Adapter: w.Adapter, Software: w.Software, Count: w.Count,
