--- a/internal/front/attempt.go
+++ b/internal/front/attempt.go
@@ -55,7 +55,7 @@
 	slow := time.AfterFunc(x.slowAfter(), func() { n.observe(server, replicas.Failed, 0) })
 	defer slow.Stop()
 	x.sends++
-	x.server = server.ID
+	x.server = server
 	x.received, x.attemptBegan = receivedResponse{}, time.Time{}
 	sent := bootclock.Now()
 	resp, err := httpsend.Do(x.client(server), x.serverRequest(ctx, server))
@@ -289,7 +289,7 @@
 }
 
 func (x *exchange) logAttempt(server replicas.Entry, reason string, err error, again bool) {
-	level.Info(x.node.log).Log("event", "attempt_failed", "id", x.params.ID, "server", server.ID, "reason", reason,
+	level.Info(x.node.log).Log("event", "attempt_failed", "id", x.params.ID, "server", server.ID, "start", server.Start, "reason", reason,
 		"again", again, "sends", x.sends, "runs", x.runs, "framing", x.received.framing, "end", x.received.end,
 		"inside_event", x.received.insideEvent, "content", formatKey(poison.Key(x.contentHash())), "parts", x.formatParts(), "err", err)
 }
--- a/internal/front/events.go
+++ b/internal/front/events.go
@@ -85,6 +85,13 @@
 	return text[:end], true
 }
 
+// maxLoggedEventID is the length to which IDs of events are cut in the log. They may be as long as
+// an event.
+const maxLoggedEventID = 64
+
+// loggedEventID returns the ID of an event as the log has it.
+func loggedEventID(id string) string { return id[:min(len(id), maxLoggedEventID)] }
+
 // holdsEvent reports whether text holds an event or the beginning of one. Whole comment
 // lines are no event.
 func holdsEvent(text []byte) bool {
--- a/internal/front/resumed_stream_test.go
+++ b/internal/front/resumed_stream_test.go
@@ -119,3 +119,17 @@
 		assert.Equal(t, c.takeUp(n, "r2", bad).status, http.StatusBadRequest, bad)
 	}
 }
+
+// TestRequestLineTellsEventsAndServerStart guards against logs that do not show where a stream that
+// was taken up went on, and at which start and version of a server.
+func TestRequestLineTellsEventsAndServerStart(t *testing.T) {
+	c := newCluster(t)
+	c.versionedServer("s1", "v1")
+	n := c.node("127.0.0.1", 0)
+	assert.Equal(t, c.call(n, http.MethodPost, "/proof/x", "r1", platform.HeaderModel, "m").body, eventText(1, 3))
+	assert.Equal(t, c.takeUp(n, "r2", "r1").body, eventText(4, 6))
+	for _, want := range []string{"after_event= first_event=1 last_event=3", "after_event=3 first_event=4 last_event=6", "server=s1 start=1700000000000 software=v1 sends="} {
+		c.eventually(func() bool { return strings.Contains(c.text(), want) })
+	}
+	assert.Assert(t, strings.Contains(c.text(), "event=server server=s1 service=llm software=v1 "))
+}
--- a/internal/front/serve.go
+++ b/internal/front/serve.go
@@ -54,7 +54,8 @@
 	runs            int                  // attempts that the server may have run
 	excluded        []replicas.Exclusion // servers at which an attempt failed
 	excludeFor      time.Duration        // time for which the server of the latest attempt is excluded; zero for good
-	lastEventID     string               // ID of the last stream event passed on that had one
+	firstEventID    string               // ID of the first stream event passed on that had one
+	lastEventID     string               // ID of the last one
 	software        *string              // version of the software of the server that began the stream; nil until one has
 	sentWithoutID   bool                 // an event without an ID was passed on since, which a resumed stream would repeat
 	responseStarted bool                 // a part of the response was passed on
@@ -63,7 +64,7 @@
 	outcome         string               // how the request ended, for the log and the metrics
 	attemptBegan    time.Time            // when the latest attempt's first event arrived; zero before
 	received        receivedResponse     // end of the latest response of a server
-	server          string               // ID of the last server that the request was sent to
+	server          replicas.Entry       // last server that the request was sent to
 	waited          time.Duration        // total time until a server was assigned, over all attempts
 	firstByteAfter  time.Duration        // time from arrival to the response's first byte
 	reason          string               // why the request or its response failed; may be empty
@@ -373,8 +374,9 @@
 	}
 	level.Info(x.node.log).Log("event", "request", "id", x.params.ID, "route", route, "service", x.service,
 		"model", x.params.Model, "adapter", x.params.Adapter, "outcome", x.outcome, "status", x.status, "reason", x.reason,
-		"server", x.server, "sends", x.sends, "runs", x.runs, "framing", x.received.framing, "end", x.received.end,
-		"inside_event", x.received.insideEvent, "parts", x.formatParts(), "waited_ms", ms(x.waited), "first_ms", ms(x.firstByteAfter),
+		"server", x.server.ID, "start", x.server.Start, "software", x.server.Software, "sends", x.sends, "runs", x.runs, "framing", x.received.framing, "end", x.received.end,
+		"inside_event", x.received.insideEvent, "after_event", loggedEventID(x.params.LastEventID), "first_event", loggedEventID(x.firstEventID), "last_event", loggedEventID(x.lastEventID),
+		"parts", x.formatParts(), "waited_ms", ms(x.waited), "first_ms", ms(x.firstByteAfter),
 		"total_ms", ms(bootclock.Now().Sub(x.arrived)), "limit_ms", ms(x.deadline.Sub(x.arrived)))
 	x.recordMetrics()
 	if x.outcome == "aborted" {
--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -74,7 +75,7 @@
 			return attemptDone
 		}
 		if id != "" {
-			x.lastEventID, x.sentWithoutID = id, false
+			x.firstEventID, x.lastEventID, x.sentWithoutID = cmp.Or(x.firstEventID, id), id, false
 		} else if holdsEvent(event) {
 			x.sentWithoutID = true
 		}
--- a/internal/front/suspects.go
+++ b/internal/front/suspects.go
@@ -159,7 +159,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.poison.Answered(now, now, traits...) {
-		level.Info(n.log).Log("event", "content_cleared", "id", x.params.ID, "server", x.server, "content", formatKeys(traits),
+		level.Info(n.log).Log("event", "content_cleared", "id", x.params.ID, "server", x.server.ID, "content", formatKeys(traits),
 			"framing", x.received.framing, "end", x.received.end)
 		n.publishInnocent(now, traits)
 	}
