processes: streams that are taken up while processes are killed, frozen and released

No test ran entry nodes of the users' platform, model servers and callers that come back with Last-Event-Id and Resumes as processes of their own.

--- a/internal/processes/programs_test.go
+++ b/internal/processes/programs_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"flag"
 	"fmt"
 	"net"
 	"os"
@@ -20,7 +21,13 @@
 // binaryDir is the directory of the built programs.
 var binaryDir string
 
-func TestMain(m *testing.M) { os.Exit(buildAndTest(m)) }
+func TestMain(m *testing.M) {
+	if text := os.Getenv(serverVariable); text != "" {
+		os.Exit(runModelServer(text))
+	}
+	flag.Parse()
+	os.Exit(buildAndTest(m))
+}
 
 // buildAndTest builds the programs once and runs all tests.
 func buildAndTest(m *testing.M) int {
