processes: releases during outages, late entries, servers that restart empty

A server was killed and started again in place under its ID with another version; nodes that still had its old entry sent it streams of the old version.

Such servers held models at once. A seed's servers may now also restart empty, as the platform's do, until a load is ordered. Servers write their first entry up to a heartbeat after they serve; releases run in outages of the store and while all nodes are killed; half of the seeds begin with one version only.

--- a/internal/processes/stream_faults_test.go
+++ b/internal/processes/stream_faults_test.go
@@ -34,6 +34,8 @@
 	{"store is slow", 1, storeSlow},
 	{"store loses history and answers", 1, storeForgets},
 	{"route moves", 2, moveRoute},
+	{"release in a store outage", 2, releaseInOutage},
+	{"kill all nodes in a release", 1, killAllInRelease},
 }
 
 // disturb brings about disturbances, some of which overlap, until the context ends.
@@ -143,21 +145,25 @@
 // startAgain starts a server that has ended, at its address or, under a new ID, at times at
 // another.
 func (r *streamRun) startAgain(rng *rand.Rand, old modelserver.Config, sameID bool, software string) {
-	c := r.servers.newConfig(rng, old.Service, old.Zone, software, old.Held)
+	c := r.servers.newConfig(rng, old.Service, old.Zone, software, diskOf(old))
 	if sameID {
 		c.ID = old.ID
 	}
 	if sameID || rng.IntN(2) == 0 {
 		c.Address = old.Address
 	}
-	if isEngine(c) && rng.IntN(3) == 0 {
-		c.Held, c.OnDisk = nil, old.Held
+	if isEngine(c) && (r.restartEmpty || rng.IntN(3) == 0) {
+		c.Held, c.OnDisk = nil, diskOf(old)
 	}
 	if _, err := r.servers.start(c); err != nil {
 		r.logf("server %s not started: %v", c.ID, err)
 	}
 }
 
+// diskOf returns the models whose weights are on the disk of a server that has ended, as far as
+// its configuration has them.
+func diskOf(old modelserver.Config) []string { return append(slices.Clone(old.OnDisk), old.Held...) }
+
 func freezeServer(ctx context.Context, r *streamRun, rng *rand.Rand) {
 	p := r.servers.reserve(rng, anyServer)
 	if p == nil {
@@ -180,7 +186,7 @@
 	r.logf("server %s is withdrawn", p.config.ID)
 	p.signal(modelserver.SignalWithdraw)
 	_ = fault.Sleep(ctx, between(rng, 0, 2*time.Second)) // an ended run starts the new one as well
-	c := r.servers.newConfig(rng, p.config.Service, p.config.Zone, p.config.Software, p.config.Held)
+	c := r.servers.newConfig(rng, p.config.Service, p.config.Zone, p.config.Software, diskOf(p.config))
 	if _, err := r.servers.start(c); err != nil {
 		r.logf("server %s not started: %v", c.ID, err)
 	}
@@ -227,7 +233,7 @@
 
 // replaceServer starts a server of the version and lets the old one leave.
 func (r *streamRun) replaceServer(ctx context.Context, rng *rand.Rand, old *serverProcess, software string) {
-	c := r.servers.newConfig(rng, old.config.Service, old.config.Zone, software, old.config.Held)
+	c := r.servers.newConfig(rng, old.config.Service, old.config.Zone, software, diskOf(old.config))
 	if _, err := r.servers.start(c); err != nil {
 		r.logf("server %s not started: %v", c.ID, err)
 	}
@@ -270,6 +276,24 @@
 	r.api.Faults.DropResponses(1 + rng.IntN(10))
 }
 
+// releaseInOutage begins an outage of the store and a release.
+func releaseInOutage(ctx context.Context, r *streamRun, rng *rand.Rand) {
+	outage := rand.New(rand.NewPCG(rng.Uint64(), rng.Uint64()))
+	r.disturbing.Go(func() { storeOutage(ctx, r, outage) })
+	releaseSoftware(ctx, r, rng)
+}
+
+// killAllInRelease kills all nodes while a release is under way.
+func killAllInRelease(ctx context.Context, r *streamRun, rng *rand.Rand) {
+	kill := rand.New(rand.NewPCG(rng.Uint64(), rng.Uint64()))
+	r.disturbing.Go(func() {
+		if fault.Sleep(ctx, between(kill, 0, 3*time.Second)) == nil {
+			killNodes(len(r.nodes))(ctx, r, kill)
+		}
+	})
+	releaseSoftware(ctx, r, rng)
+}
+
 // moveRoute changes the services of a route, and at times kills nodes right after that.
 func moveRoute(ctx context.Context, r *streamRun, rng *rand.Rand) {
 	weights := []map[string]float64{{mainEngine: 1}, {secondEngine: 1}, {mainEngine: 0.5, secondEngine: 0.5}}[rng.IntN(3)]
--- a/internal/processes/stream_run_test.go
+++ b/internal/processes/stream_run_test.go
@@ -24,6 +24,7 @@
 	streamFor    = flag.Duration("stream-for", 25*time.Second, "time for which a seed's streams begin")
 	streamPlans  = flag.String("stream-plan", "", "deployment of all seeds: tocka-prod, colacion-gt or three; empty: they take turns")
 	streamLogs   = flag.String("stream-logs", "", "directory in which the logs of failed seeds are kept; empty: only their ends are printed")
+	streamEmpty  = flag.String("stream-restarts", "", "what servers hold that start again: nothing or models; empty: seeds take turns")
 	frontProgram = flag.String("front-program", "", "program of the entry nodes; empty: this repository's")
 )
 
@@ -40,8 +41,9 @@
 	nodes   []*frontNode
 	servers *serverFleet
 
-	disturbing sync.WaitGroup
-	releasing  sync.Mutex // held during a release
+	restartEmpty bool // servers that start again hold no models
+	disturbing   sync.WaitGroup
+	releasing    sync.Mutex // held during a release
 
 	mu       sync.Mutex
 	timeline []string
@@ -78,6 +80,7 @@
 		}
 	}
 	r := &streamRun{t: t, plan: plan, dir: t.TempDir(), api: objectapi.New()}
+	r.restartEmpty = rng.IntN(2) == 0 && *streamEmpty == "" || *streamEmpty == "nothing"
 	r.deploy(rng)
 	ctx, cancel := context.WithTimeout(t.Context(), *streamFor)
 	defer cancel()
@@ -108,6 +111,7 @@
 	r.writeDesired(map[string]float64{mainEngine: 1})
 	r.servers = &serverFleet{dir: r.dir, host: host, store: r.gates[0].address, slots: r.plan.slots, logf: r.logf, reserved: map[*serverProcess]bool{}}
 	t.Cleanup(r.servers.close)
+	mixed := rng.IntN(2) == 0 // several versions of the software from the start
 	for i := range mainServers + secondServers + plainServers {
 		service, held := mainEngine, []string{engineModels[i%3], engineModels[(i+1)%3]}
 		if i >= mainServers {
@@ -117,7 +121,7 @@
 			service = plainService
 		}
 		software := softwares[0]
-		if service != plainService && rng.IntN(3) == 0 {
+		if service != plainService && mixed && rng.IntN(3) == 0 {
 			software = softwares[1]
 		}
 		_, err := r.servers.start(r.servers.newConfig(rng, service, r.plan.zones[i%3], software, held))
@@ -234,11 +238,11 @@
 	}
 	for _, s := range r.streams {
 		if found := s.check(); len(found) > 0 {
-			r.t.Errorf("%v\n%v", found, s)
+			r.t.Errorf("%d breaches, the first %v\n%v", len(found), found[0], s)
 		}
 	}
 	counts := countStreams(r.streams, reasons)
-	r.t.Logf("seed %d, %s: %v", seed, r.plan.name, counts)
+	r.t.Logf("seed %d, %s, servers restart empty %t: %v", seed, r.plan.name, r.restartEmpty, counts)
 	assert.Check(r.t, counts.whole > 0, "no stream was whole")
 	r.keepLogs(seed)
 }
--- a/internal/processes/stream_servers_test.go
+++ b/internal/processes/stream_servers_test.go
@@ -84,6 +84,9 @@
 	c := modelserver.Config{ID: fmt.Sprintf("i-%04d", f.next), Service: service, Zone: zone, Software: software, Address: address, StoreAddress: f.store,
 		Slots: f.slots, Heartbeat: heartbeat, Drain: 2 * time.Second, Linger: time.Duration(rng.IntN(1500)) * time.Millisecond,
 		FirstEvent: time.Duration(40+rng.IntN(160)) * time.Millisecond, Gap: time.Duration(80+rng.IntN(200)) * time.Millisecond, Work: 15 * time.Millisecond}
+	if rng.IntN(2) == 0 {
+		c.EntryDelay = time.Duration(rng.Int64N(int64(heartbeat)))
+	}
 	if service != plainService {
 		c.Models, c.MemoryMB, c.Held = modelStore, serverMemoryMB, held
 	}
--- a/standin/modelserver/modelserver.go
+++ b/standin/modelserver/modelserver.go
@@ -39,9 +39,10 @@
 	Gap        time.Duration // between two events
 	Work       time.Duration // of a plain request
 
-	Heartbeat time.Duration // interval at which the server writes its entry
-	Drain     time.Duration // for which it serves on after it reported that it leaves
-	Linger    time.Duration // for which it serves on after that
+	EntryDelay time.Duration // from the start, at which it serves, to its first entry
+	Heartbeat  time.Duration // interval at which the server writes its entry
+	Drain      time.Duration // for which it serves on after it reported that it leaves
+	Linger     time.Duration // for which it serves on after that
 }
 
 // Signals that Run handles. Any other signal has its usual effect.
@@ -80,14 +81,14 @@
 	}
 	failed := make(chan error, 1)
 	go func() { failed <- http.Serve(l, s) }()
-	s.register()
-	beat := time.NewTicker(config.Heartbeat)
+	beat := time.NewTimer(config.EntryDelay)
 	defer beat.Stop()
 	for {
 		select {
 		case err := <-failed:
 			return fmt.Errorf("serve: %w", err)
 		case <-beat.C:
+			beat.Reset(config.Heartbeat)
 			s.register()
 		case signal := <-signals:
 			s.leave(signal == SignalWithdraw)
