front: check the order of all events, and from the caller's last one on

Callers saw events twice, or events of another run, in streams that were answered with 200 and a proper end: a caller that takes its stream up with Last-Event-Id got events that it had, if the server began anew or repeated the last one; and so did a caller within one answer, if a server went back in the middle of it.

Cause: only the first event after a resumption within the same answer was compared with the event before. The ID with which the caller comes was passed on to the server and not kept, and the other events were not compared with anything.

Evidence: TestStreamTakenUpByCallerRepeatsNoEvents (4 cases), TestStreamTakenUpByCallerGoesOnElsewhere, TestStreamThatGoesBackIsBroken (4 cases) and TestStreamThatGoesBackIsResumed fail on: the repeated events reach the caller.

Why it works: an exchange begins with the caller's ID as the last one that the caller has, and each event with an ID must come after it. One that does not breaks the stream as any other fault of a server does: another server may go on after the last event, else the answer does not look complete.

--- a/internal/front/serve.go
+++ b/internal/front/serve.go
@@ -55,7 +55,7 @@
 	excluded        []replicas.Exclusion // servers at which an attempt failed
 	excludeFor      time.Duration        // time for which the server of the latest attempt is excluded; zero for good
 	firstEventID    string               // ID of the first stream event passed on that had one
-	lastEventID     string               // ID of the last one
+	lastEventID     string               // ID of the last stream event with one that the caller has: passed on, or received before this request
 	software        *string              // version of the software of the server that began the stream; nil until one has
 	sentWithoutID   bool                 // an event without an ID was passed on since, which a resumed stream would repeat
 	responseStarted bool                 // a part of the response was passed on
@@ -119,6 +119,9 @@
 		x.fail(http.StatusBadRequest, "malformed")
 		return false
 	}
+	if x.route.Kind == routes.Streaming {
+		x.lastEventID = x.params.LastEventID
+	}
 	x.deadline = x.arrived.Add(x.timeLimit())
 	x.service = x.route.Service(randomFraction())
 	x.setSharedPrefix()
--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -37,17 +37,13 @@
 	defer held.Release()
 	reader := &eventReader{r: bufio.NewReader(resp.Body), held: held}
 	flusher := http.NewResponseController(x.w)
-	resumed := x.responseStarted // no event with an ID has come since the stream was resumed
 	for events := 0; ; events++ {
 		event, id, err := reader.next()
 		if err != nil {
 			return x.streamEnded(server, resp, streamEnd{events: events, rest: event, err: err})
 		}
-		if resumed && id != "" {
-			if !follows(id, x.lastEventID) {
-				return x.streamFailed(server, errEventRepeated)
-			}
-			resumed = false
+		if id != "" && !follows(id, x.lastEventID) {
+			return x.streamFailed(server, errEventOrder)
 		}
 		if gap != nil {
 			gap.Reset(x.gapTimeout())
@@ -82,9 +78,8 @@
 	}
 }
 
-// errEventRepeated means that a resumed stream does not begin after the last event that was
-// passed on.
-var errEventRepeated = errors.New("resumed stream repeats events")
+// errEventOrder means that an event does not come after the last one that the caller has.
+var errEventOrder = errors.New("stream does not go on after the last event")
 
 // follows reports whether an event may come after the last one. IDs that are numbers
 // increase; of others it is known only that they differ.
--- /dev/null
+++ b/internal/front/takeup_test.go
@@ -0,0 +1,102 @@
+package front_test
+
+import (
+	"fmt"
+	"net/http"
+	"sync/atomic"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/redwingnotch/redwingnotch/internal/httpsend"
+	"github.com/redwingnotch/redwingnotch/platform"
+)
+
+// takenUpFrom returns a handler that breaks each new stream off after event 3 and answers one that
+// is taken up with the events from first to 6.
+func takenUpFrom(first int) func(http.ResponseWriter, *http.Request) {
+	return func(rw http.ResponseWriter, r *http.Request) {
+		if r.Header.Get(platform.HeaderLastEventID) == "" {
+			writeEvents(rw, 1, 3, true)
+			return
+		}
+		writeEvents(rw, first, 6, false)
+	}
+}
+
+// TestStreamTakenUpByCallerRepeatsNoEvents guards against events that come twice over two attempts
+// of a caller: the server at which it takes its stream up begins at or before its last event.
+func TestStreamTakenUpByCallerRepeatsNoEvents(t *testing.T) {
+	for _, path := range []string{"/proof/x", "/chat/x"} {
+		for _, first := range []int{1, 3} {
+			t.Run(fmt.Sprint(path, " from ", first), func(t *testing.T) {
+				c := newCluster(t)
+				c.backendServer("s1", "llm", takenUpFrom(first))
+				n := c.node("127.0.0.1", 0)
+				c.call(n, http.MethodPost, "/proof/x", "r1", platform.HeaderModel, "m")
+				got := c.call(n, http.MethodPost, path, "r2", platform.HeaderModel, "m", platform.HeaderLastEventID, "3", "Resumes", "r1")
+				assert.Equal(t, got.body, "")
+				assert.Equal(t, got.status, http.StatusBadGateway)
+			})
+		}
+	}
+}
+
+// TestStreamTakenUpByCallerGoesOnElsewhere guards against a caller that gets nothing because one
+// server begins its stream anew, though another one goes on with it.
+func TestStreamTakenUpByCallerGoesOnElsewhere(t *testing.T) {
+	c := newCluster(t)
+	var taken atomic.Int64
+	serve := func(rw http.ResponseWriter, r *http.Request) {
+		first := 4
+		if r.Header.Get(platform.HeaderRequestID) == "r2" && taken.Add(1) == 1 {
+			first = 1
+		}
+		takenUpFrom(first)(rw, r)
+	}
+	c.backendServer("s1", "llm", serve)
+	c.backendServer("s2", "llm", serve)
+	n := c.node("127.0.0.1", 0)
+	c.call(n, http.MethodPost, "/proof/x", "r1", platform.HeaderModel, "m")
+	got := c.call(n, http.MethodPost, "/proof/x", "r2", platform.HeaderModel, "m", platform.HeaderLastEventID, "3", "Resumes", "r1")
+	assert.Equal(t, got.body, eventText(4, 6))
+	assert.Assert(t, !got.truncated)
+	assert.Equal(t, taken.Load(), int64(2))
+}
+
+// TestStreamThatGoesBackIsBroken guards against events that come twice, or of another run, within
+// the answer of one server: after event 3 it sends event 3 or an earlier one.
+func TestStreamThatGoesBackIsBroken(t *testing.T) {
+	for _, framing := range []httpsend.Framing{httpsend.FramingChunks, httpsend.FramingClose} {
+		for _, back := range []int{1, 3} {
+			t.Run(fmt.Sprint(framing, " to ", back), func(t *testing.T) {
+				c := newCluster(t)
+				c.backendServer("s1", "llm", send(eventStream(framing, 1, 3, eventText(back, 6))))
+				n := c.node("127.0.0.1", 0)
+				got := c.call(n, http.MethodPost, "/chat/x", "r1", platform.HeaderModel, "m")
+				assert.Equal(t, got.body, eventText(1, 3))
+				assert.Assert(t, got.truncated)
+			})
+		}
+	}
+}
+
+// TestStreamThatGoesBackIsResumed guards against a caller that loses a stream that may be resumed
+// because one server repeats events in the middle of it.
+func TestStreamThatGoesBackIsResumed(t *testing.T) {
+	c := newCluster(t)
+	serve := func(rw http.ResponseWriter, r *http.Request) {
+		if r.Header.Get(platform.HeaderLastEventID) == "3" {
+			writeEvents(rw, 4, 6, false)
+			return
+		}
+		writeEvents(rw, 1, 3, false)
+		writeEvents(rw, 2, 6, false)
+	}
+	c.backendServer("s1", "llm", serve)
+	c.backendServer("s2", "llm", serve)
+	n := c.node("127.0.0.1", 0)
+	got := c.call(n, http.MethodPost, "/proof/x", "r1", platform.HeaderModel, "m")
+	assert.Equal(t, got.body, eventText(1, 6))
+	assert.Assert(t, !got.truncated)
+}
