front: read the IDs of events as callers and servers do

Three faults of one kind were found by reading, none was seen with a caller: an ID that the node read otherwise than the caller or the server. A line "id" without a colon removes the ID, and was ignored; numbers above 2^64 were compared as texts that only have to differ, so a later event could come again; and an ID that no header carries was sent to the next server all the same, which failed before a byte was sent and counted each sound server as failing.

Cause: the ID was what follows "id:", whatever that was, and was taken for a number only if it fits in a machine word.

Why it works: an ID is kept only if a header can carry it unchanged; an event with another one counts as an event without an ID, after which a stream is not resumed. Numbers are compared by their digits.

--- a/internal/front/events.go
+++ b/internal/front/events.go
@@ -4,6 +4,8 @@
 	"bufio"
 	"bytes"
 	"errors"
+	"strings"
+	"unicode"
 
 	"github.com/redwingnotch/redwingnotch/internal/bytebudget"
 )
@@ -22,7 +24,7 @@
 }
 
 // next reads one event, including the empty line that ends it, and returns it with
-// its ID. If the stream ends or fails, it returns what followed the last event and
+// its ID, empty if it has none. If the stream ends or fails, it returns what followed the last event and
 // the error, io.EOF at the end.
 func (e *eventReader) next() (event []byte, id string, err error) {
 	for {
@@ -34,12 +36,25 @@
 		if len(line) == 0 {
 			return event, id, nil
 		}
-		if value, found := bytes.CutPrefix(line, []byte("id:")); found {
-			id = string(bytes.TrimPrefix(value, []byte(" ")))
+		if name, value, _ := bytes.Cut(line, []byte(":")); string(name) == "id" {
+			id = eventID(value)
 		}
 	}
 }
 
+// maxEventIDBytes limits the ID of an event, which must fit in a header.
+const maxEventIDBytes = 1 << 10
+
+// eventID returns the ID that a line with the value sets. It is empty if the line removes the
+// ID, or a header can't carry it.
+func eventID(value []byte) string {
+	id := string(bytes.TrimPrefix(value, []byte(" ")))
+	if len(id) > maxEventIDBytes || id != strings.TrimSpace(id) || strings.ContainsFunc(id, unicode.IsControl) {
+		return ""
+	}
+	return id
+}
+
 // appendLine appends the next line to the event read so far. It fails with
 // errEventSize as soon as the event exceeds maxEventBytes, also within the line.
 func (e *eventReader) appendLine(event []byte) ([]byte, error) {
--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -7,7 +7,7 @@
 	"errors"
 	"io"
 	"net/http"
-	"strconv"
+	"strings"
 	"time"
 
 	"github.com/redwingnotch/redwingnotch/internal/bootclock"
@@ -84,14 +84,16 @@
 // follows reports whether an event may come after the last one. IDs that are numbers
 // increase; of others it is known only that they differ.
 func follows(id, last string) bool {
-	a, errA := strconv.ParseUint(id, 10, 64)
-	b, errB := strconv.ParseUint(last, 10, 64)
-	if errA != nil || errB != nil {
+	if !isNumber(id) || !isNumber(last) {
 		return id != last
 	}
-	return a > b
+	id, last = strings.TrimLeft(id, "0"), strings.TrimLeft(last, "0")
+	return len(id) > len(last) || len(id) == len(last) && id > last
 }
 
+// isNumber reports whether an ID is a decimal number, of any size.
+func isNumber(id string) bool { return id != "" && strings.Trim(id, "0123456789") == "" }
+
 // gapTimeout returns the pause after which a resumable stream is resumed at
 // another server.
 func (x *exchange) gapTimeout() time.Duration { return max(minGapTimeout, gapFactor*x.route.MaxGap) }
--- a/internal/front/takeup_test.go
+++ b/internal/front/takeup_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 
@@ -100,3 +101,25 @@
 	assert.Equal(t, got.body, eventText(1, 6))
 	assert.Assert(t, !got.truncated)
 }
+
+// TestStreamWithIDThatNoHeaderCarriesIsNotResumed guards against sound servers that count as
+// unreachable because the last event's ID can't be sent to them.
+func TestStreamWithIDThatNoHeaderCarriesIsNotResumed(t *testing.T) {
+	for _, id := range []string{"4\x01", "4\x00", "4\x7f"} {
+		t.Run(fmt.Sprintf("%q", id), func(t *testing.T) {
+			c := newCluster(t)
+			serve := func(rw http.ResponseWriter, _ *http.Request) {
+				rw.Header().Set("Content-Type", "text/event-stream")
+				fmt.Fprintf(rw, "id: %s\ndata: piece 4\n\n", id)
+				rw.(http.Flusher).Flush()
+				panic(http.ErrAbortHandler)
+			}
+			c.backendServer("s1", "llm", serve)
+			c.backendServer("s2", "llm", serve)
+			n := c.node("127.0.0.1", 0)
+			assert.Assert(t, c.call(n, http.MethodPost, "/proof/x", "r1", platform.HeaderModel, "m").truncated)
+			c.eventually(func() bool { return strings.Contains(c.text(), "event=request id=r1 ") })
+			assert.Assert(t, !strings.Contains(c.text(), "reason=unreachable"))
+		})
+	}
+}
