front: a resumed stream begins with an ID after the last one

Callers could get an event twice in a stream that ended as complete: the server at which it was resumed, or taken up by the caller, began with an event without an ID, which was passed on before any ID had shown that the server goes on after the last event.

Cause: events without an ID were not checked at all.

Evidence: TestResumedStreamBeginsWithID (4 cases) fails on the code before, as the event reaches the caller, and passes now.

Why it works: until an ID has shown that the server goes on after the caller's last event, only comments are passed on.

--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -37,14 +37,16 @@
 	defer held.Release()
 	reader := &eventReader{r: bufio.NewReader(resp.Body), held: held}
 	flusher := http.NewResponseController(x.w)
+	goesOn := x.lastEventID == "" // an ID has shown that the server goes on after the caller's last event
 	for events := 0; ; events++ {
 		event, id, err := reader.next()
 		if err != nil {
 			return x.streamEnded(server, resp, streamEnd{events: events, rest: event, err: err})
 		}
-		if id != "" && !follows(id, x.lastEventID) {
+		if !x.inOrder(event, id, goesOn) {
 			return x.streamFailed(server, errEventOrder)
 		}
+		goesOn = goesOn || id != ""
 		if gap != nil {
 			gap.Reset(x.gapTimeout())
 		}
@@ -81,6 +83,15 @@
 // errEventOrder means that an event does not come after the last one that the caller has.
 var errEventOrder = errors.New("stream does not go on after the last event")
 
+// inOrder reports whether the next event may come after those that the caller has. One without
+// an ID may if goesOn is true: an ID has shown that the server goes on after them.
+func (x *exchange) inOrder(event []byte, id string, goesOn bool) bool {
+	if id == "" {
+		return goesOn || !holdsEvent(event)
+	}
+	return follows(id, x.lastEventID)
+}
+
 // follows reports whether an event may come after the last one. IDs that are numbers
 // increase; of others it is known only that they differ.
 func follows(id, last string) bool {
--- a/internal/front/takeup_test.go
+++ b/internal/front/takeup_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -102,6 +103,34 @@
 	assert.Assert(t, !got.truncated)
 }
 
+// TestResumedStreamBeginsWithID guards against an event that comes twice because it has no ID by
+// which it could be told, within one answer and over two attempts of a caller.
+func TestResumedStreamBeginsWithID(t *testing.T) {
+	for _, beginning := range []string{"data: piece 3\n\n", "id:\ndata: piece 3\n\n", "id\ndata: piece 3\n\n", "id: 4\nid\ndata: piece 3\n\n"} {
+		t.Run(fmt.Sprintf("%q", beginning), func(t *testing.T) {
+			c := newCluster(t)
+			serve := func(rw http.ResponseWriter, r *http.Request) {
+				if r.Header.Get(platform.HeaderLastEventID) == "" {
+					writeEvents(rw, 1, 3, true)
+					return
+				}
+				rw.Header().Set("Content-Type", "text/event-stream")
+				_, _ = io.WriteString(rw, ": comment\n\n"+beginning)
+				writeEvents(rw, 4, 6, false)
+			}
+			c.backendServer("s1", "llm", serve)
+			c.backendServer("s2", "llm", serve)
+			n := c.node("127.0.0.1", 0)
+			got := c.call(n, http.MethodPost, "/proof/x", "r1", platform.HeaderModel, "m")
+			assert.Equal(t, strings.ReplaceAll(got.body, ": comment\n\n", ""), eventText(1, 3))
+			assert.Assert(t, got.truncated)
+			again := c.call(n, http.MethodPost, "/proof/x", "r2", platform.HeaderModel, "m", platform.HeaderLastEventID, "3", "Resumes", "r1")
+			assert.Equal(t, strings.ReplaceAll(again.body, ": comment\n\n", ""), "")
+			assert.Assert(t, again.truncated || again.status != http.StatusOK)
+		})
+	}
+}
+
 // TestStreamWithIDThatNoHeaderCarriesIsNotResumed guards against sound servers that count as
 // unreachable because the last event's ID can't be sent to them.
 func TestStreamWithIDThatNoHeaderCarriesIsNotResumed(t *testing.T) {
