front: resume a stream only where the route allows that

A caller on a safe route got pieces of two runs in one answer with a proper end: the stream of its first server broke, and the node went on at a second one with Last-Event-Id. Found by reading; no route of the users' sites is known to answer so.

Cause: after a broken stream the node asked whether the request may run again, which a request on a safe route may, but not whether its stream may be resumed.

Evidence: TestStreamOnSafeRouteIsNotResumed fails on the code before, with the events of both servers, and passes now.

Why it works: once a part of the response was passed on, the request runs again only on a route that has resumable.

--- a/internal/front/attempt.go
+++ b/internal/front/attempt.go
@@ -250,7 +250,7 @@
 // attemptFailed retries a request that may have run if its route allows that, and
 // ends it otherwise.
 func (x *exchange) attemptFailed(server replicas.Entry, reason string, err error) attemptResult {
-	if !x.route.Idempotent() || x.sentWithoutID || x.runs >= x.route.MaxAttempts {
+	if !x.repeatable() || x.runs >= x.route.MaxAttempts {
 		x.logAttempt(server, reason, err, false)
 		x.endUnanswered(reason)
 		return attemptDone
@@ -258,6 +258,11 @@
 	return x.retryWithinBudget(server, reason, err)
 }
 
+// repeatable reports whether the request may run once more, after what was passed on.
+func (x *exchange) repeatable() bool {
+	return x.route.Idempotent() && (!x.responseStarted || x.route.Resumable && !x.sentWithoutID)
+}
+
 // retryWithinBudget lets another server be tried if the retry budget allows it,
 // and ends the request otherwise.
 func (x *exchange) retryWithinBudget(server replicas.Entry, reason string, err error) attemptResult {
--- a/internal/front/takeup_test.go
+++ b/internal/front/takeup_test.go
@@ -152,3 +152,22 @@
 		})
 	}
 }
+
+// TestStreamOnSafeRouteIsNotResumed guards against two runs that are joined on a route whose
+// streams may not be resumed: its requests may run again, but from the beginning only.
+func TestStreamOnSafeRouteIsNotResumed(t *testing.T) {
+	c := newCluster(t)
+	serve := func(rw http.ResponseWriter, r *http.Request) {
+		if r.Header.Get(platform.HeaderLastEventID) == "" {
+			writeEvents(rw, 1, 3, true)
+			return
+		}
+		writeEvents(rw, 4, 6, false)
+	}
+	c.backendServer("s1", "plain", serve)
+	c.backendServer("s2", "plain", serve)
+	n := c.node("127.0.0.1", 0)
+	got := c.call(n, http.MethodPost, "/safe/x", "r1")
+	assert.Equal(t, got.body, eventText(1, 3))
+	assert.Assert(t, got.truncated)
+}
