front: only the start that an entry names may begin or go on with a resumable stream

Callers saw streams with events of two software versions. A server may restart under its ID and address with other software. Until a node knows the new entry, it sends streams to that server as of the version in the old one: a stream that its caller takes up, or that goes on within one response, is joined, and the record of a new stream names the wrong version, so it is joined later at another node. That lasts for the lag of the watch, and longer at nodes that are cut off, stood still, or have no store.

Before the first event of a resumable stream is passed on, the node now requests the server's report on a connection of its own. That connection is later than the response's, and the entry was known before both, so a report that names the entry's start shows that no later start can have responded. Without that, a stream that has a version is tried elsewhere, and the origin of a new one is recorded as unknown, which fits no server. It costs one report for each attempt of a resumable stream that a server accepts, and needs no slot.

--- a/internal/front/harness_test.go
+++ b/internal/front/harness_test.go
@@ -36,10 +36,17 @@
 	bodies   []string
 	handler  func(w http.ResponseWriter, r *http.Request)
 	born     int64 // start that its entry names, Unix milliseconds
+	restarts int64 // starts since its entry was written, which it reports and its entry does not
 	software string
 }
 
 func (b *backendServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/-/report" {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		fmt.Fprintf(w, `{"born":%d}`, b.born+b.restarts) // without the rest, so that no loader sends it orders
+		return
+	}
 	body, _ := io.ReadAll(r.Body) // the tests compare the bodies, which shows a truncated one
 	b.mu.Lock()
 	b.requests = append(b.requests, r)
@@ -57,6 +64,14 @@
 	return len(b.requests)
 }
 
+// restart lets the server go on as a later start under its ID and address, which its entry does not
+// tell yet.
+func (b *backendServer) restart() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.restarts++
+}
+
 // text returns a handler that responds with the text.
 func text(s string) func(http.ResponseWriter, *http.Request) {
 	return func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, s) }
--- /dev/null
+++ b/internal/front/restarted_stream_test.go
@@ -0,0 +1,81 @@
+package front_test
+
+import (
+	"net/http"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/redwingnotch/redwingnotch/platform"
+)
+
+// TestStreamIsNotTakenUpAtLaterStartOfServer guards against a stream that goes on at a server which
+// has started again under its ID and address, maybe with other software, while the entry that the
+// node has still describes the start before (ORDER).
+func TestStreamIsNotTakenUpAtLaterStartOfServer(t *testing.T) {
+	c := newCluster(t)
+	restarted := c.versionedServer("s1", "v1")
+	n := c.node("127.0.0.1", 0)
+	assert.Equal(t, c.call(n, http.MethodPost, "/proof/x", "r1", platform.HeaderModel, "m").body, eventText(1, 3))
+	restarted.restart()
+	got := c.takeUp(n, "a", "r1")
+	assert.Assert(t, got.status != http.StatusOK, "%d %q", got.status, got.body)
+	other := c.versionedServer("s2", "v1")
+	c.eventually(func() bool {
+		got := c.takeUp(n, "b", "r1")
+		return got.status == http.StatusOK && got.body == eventText(4, 6) && got.header.Get(platform.HeaderStamp) == "stamp-"+other.id
+	})
+}
+
+// TestStreamOfLaterStartOfServerIsNotTakenUp guards against the record of a stream that names the
+// version in a server's entry although a later start of the server began it.
+func TestStreamOfLaterStartOfServerIsNotTakenUp(t *testing.T) {
+	c := newCluster(t)
+	restarted := c.versionedServer("s1", "v1")
+	port := freePort(t, "127.0.0.2")
+	first, second := c.node("127.0.0.2", port), c.node("127.0.0.3", port)
+	c.connected(2)
+	restarted.restart()
+	got := c.call(first, http.MethodPost, "/proof/x", "r1", platform.HeaderModel, "m")
+	assert.Equal(t, got.body, eventText(1, 3))
+	c.versionedServer("s2", "v1")
+	c.eventually(func() bool {
+		got := c.call(second, http.MethodPost, "/proof/x", "r2", platform.HeaderModel, "m")
+		return got.header.Get(platform.HeaderStamp) == "stamp-s2"
+	})
+	for i, n := range []*node{first, second} {
+		assert.Equal(t, c.takeUp(n, string(rune('a'+i)), "r1").status, http.StatusServiceUnavailable)
+	}
+}
+
+// TestResponseDoesNotGoOnAtLaterStartOfServer guards against one response that joins the events of
+// a server and those of a later start of another, whose entry names the version of the start before.
+func TestResponseDoesNotGoOnAtLaterStartOfServer(t *testing.T) {
+	for name, which := range map[string]int{"the first has restarted": 0, "the second has restarted": 1} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := newCluster(t)
+			servers := map[string]*backendServer{}
+			began := 0
+			serve := func(rw http.ResponseWriter, r *http.Request) {
+				if r.Header.Get(platform.HeaderLastEventID) == "3" {
+					writeEvents(rw, 4, 6, false)
+					return
+				}
+				for _, b := range servers {
+					if is := "stamp-"+b.id == rw.Header().Get(platform.HeaderStamp); is == (which == 0) {
+						b.restart()
+					}
+				}
+				began++
+				writeEvents(rw, 1, 3, true)
+			}
+			servers["s1"], servers["s2"] = c.backendServer("s1", "llm", serve), c.backendServer("s2", "llm", serve)
+			n := c.node("127.0.0.1", 0)
+			got := c.call(n, http.MethodPost, "/proof/x", "r1", platform.HeaderModel, "m")
+			assert.Equal(t, got.body, eventText(1, 3))
+			assert.Assert(t, got.truncated)
+			assert.Equal(t, began, 1)
+		})
+	}
+}
--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -33,6 +33,13 @@
 		gap = time.AfterFunc(x.gapTimeout(), func() { cancel(errGapTimeout) })
 		defer gap.Stop()
 	}
+	if x.route.Resumable || x.software != nil {
+		if err := x.confirmStart(ctx, server); err != nil && x.software != nil {
+			return x.attemptFailed(server, "server_start_unconfirmed", err)
+		} else if err != nil {
+			server.Software = "" // which fits no other
+		}
+	}
 	held := x.node.bodies.Hold()
 	defer held.Release()
 	reader := &eventReader{r: bufio.NewReader(resp.Body), held: held}
