resumption: a version that any node has seen contradicts the only version

A caller's stream that no node has a record of could go on at the wrong version: a node that asks others believed one that has seen one version only, even if it had seen a second one itself, or another had. A node that has seen several answered as one that knows nothing, and its own several versions counted as no answer either. That matters where one node's list of servers is older than the others', up to drain_timeout_ms.

Answers now name two of the versions that the node has seen, complete or not, and each contradicts another only version. Builds before drop the field, and their answers name none.

Evidence: four new rows of TestOriginIsNotGuessed; with Conclude that leaves the versions seen out, the test fails ("a peer has seen no version" concludes v1).

The model now has servers that restart under their ID with other software while nodes have older entries, lists that come late, and the end of all nodes while all servers are replaced. A fourth mutation, trust in entries of other starts, is shown.

--- a/internal/front/streams.go
+++ b/internal/front/streams.go
@@ -22,6 +22,7 @@
 	streamAskTimeout   = 150 * time.Millisecond // wait for the nodes that are asked for a stream
 	streamAskRepeat    = 50 * time.Millisecond  // time after which those that have not answered are asked again
 	lapseHeartbeats    = 3                      // heartbeats that a server misses before its entry is removed
+	maxSeenTold        = 2                      // versions named in an answer; two show that there is not only one
 )
 
 // Reasons for refusing a stream that is taken up.
@@ -67,6 +68,7 @@
 	Key   uint64       `json:"k"`           // of the question
 	Known *streamState `json:"y,omitempty"` // the record, if there is one
 	Only  string       `json:"o,omitempty"` // only version that the service has had; empty if there may be others
+	Seen  []string     `json:"s,omitempty"` // versions that the service has had, maxSeenTold at most; missing from builds that do not tell
 }
 
 // receivedAnswer is an answer and the node that gave it.
@@ -156,32 +158,30 @@
 		n.mu.Unlock()
 		return r.Origin, resumption.OwnRecord, now.Sub(r.Learned)
 	}
-	only := n.onlySoftware(now, service)
+	own := n.viewOf(now, service)
 	asked, hasPeers := resumption.HoldersOf(id, n.peers.aliveIPs(now), resumption.Asked), n.peers.anyLately(now)
 	n.mu.Unlock()
 	var answers []resumption.Answer
 	for _, a := range n.askStreams(ctx, asked, streamQuestion{ID: id, Service: service}) {
-		answer := resumption.Answer{Origin: resumption.Origin{Service: service, Software: a.Only}}
+		answer := resumption.Answer{Origin: resumption.Origin{Service: service, Software: a.Only}, Seen: a.Seen}
 		if a.Known != nil && a.Known.ID == id {
 			answer = resumption.Answer{Known: true, Origin: a.Known.decode(now).Origin}
 		}
 		answers = append(answers, answer)
 	}
-	origin, source := resumption.Conclude(service, only, hasPeers, answers)
+	origin, source := resumption.Conclude(service, own, hasPeers, answers)
 	return origin, source, bootclock.Now().Sub(now)
 }
 
-// onlySoftware returns the only version of the software of the service's servers for as long as
-// a stream can last, or an empty text if there may have been others. The caller holds n.mu.
-func (n *Node) onlySoftware(now time.Time, service string) string {
+// viewOf returns what this node knows of the versions of the software of the service's servers, for
+// as long as a stream can last. The caller holds n.mu.
+func (n *Node) viewOf(now time.Time, service string) resumption.Answer {
 	life := n.longestStream()
-	if !n.serversFollowed.Covers(now, life, n.settings.Bounds.DrainTimeout) {
-		return ""
+	view := resumption.Answer{Origin: resumption.Origin{Service: service}, Seen: n.table.Softwares(now, service, life)}
+	if len(view.Seen) == 1 && n.serversFollowed.Covers(now, life, n.settings.Bounds.DrainTimeout) {
+		view.Origin.Software = view.Seen[0]
 	}
-	if versions := n.table.Softwares(now, service, life); len(versions) == 1 {
-		return versions[0]
-	}
-	return ""
+	return view
 }
 
 // longestStream returns how long a stream can last, over all attempts of its caller.
@@ -300,6 +300,7 @@
 		a.Known = encodeRecord(now, r)
 		return a
 	}
-	a.Only = n.onlySoftware(now, q.Service)
+	view := n.viewOf(now, q.Service)
+	a.Only, a.Seen = view.Origin.Software, view.Seen[:min(len(view.Seen), maxSeenTold)]
 	return a
 }
--- a/resumption/model_test.go
+++ b/resumption/model_test.go
@@ -19,8 +19,9 @@
 const (
 	step       = 50 * time.Millisecond
 	runTime    = 2 * time.Minute
-	life       = 17 * time.Second // time limit of callers
-	syncEvery  = 300 * time.Millisecond
+	life       = 17 * time.Second       // time limit of callers
+	syncEvery  = 300 * time.Millisecond // least time between two lists of the servers
+	syncSpread = 800 * time.Millisecond // a list may come so much later
 	drain      = 2 * time.Second
 	maxGap     = 3600 * time.Millisecond
 	peerAlive  = 1200 * time.Millisecond
@@ -38,6 +39,7 @@
 	forgetRecords          // nodes do not keep the records that others send them
 	guessAtStart           // a node believes what it has seen since its start to be all
 	takeNewest             // a node takes a stream that nobody knows to be of the newest version
+	trustEntries           // a node takes the process that responds for the start in the server's entry
 )
 
 // modelServer is a backend server; its fields are the truth.
@@ -57,7 +59,7 @@
 	history      *resumption.History
 	table        *replicas.Table
 	heard        map[string]time.Time
-	synced       time.Time
+	nextSync     time.Time
 }
 
 // modelStream is a stream and what its caller has of it.
@@ -66,6 +68,7 @@
 	version string // of the first event
 	node    *modelNode
 	server  *modelServer
+	start   int64 // of the server
 	expires time.Time
 	again   time.Time // when the caller takes it up; zero while it runs
 	tries   int
@@ -120,7 +123,7 @@
 func (w *model) start(n *modelNode) {
 	n.up, n.frozen = true, false
 	n.records, n.history, n.table = resumption.NewRecords(), resumption.NewHistory(maxGap), replicas.NewTable()
-	n.heard, n.synced = map[string]time.Time{}, time.Time{}
+	n.heard, n.nextSync = map[string]time.Time{}, w.now
 }
 
 func (w *model) chance(p float64) bool { return w.rng.Float64() < p }
@@ -141,20 +144,49 @@
 				w.hit(n, 0)
 			}
 		}
+		if share == 1 && w.chance(0.3) {
+			w.replaceServers()
+		}
 	}
 	if w.chance(0.003) {
 		w.storeOut = w.now.Add(time.Duration(w.rng.IntN(5000)) * time.Millisecond)
 	}
 	if w.chance(0.015) {
-		if w.chance(0.3) {
-			w.versions++
-		}
-		w.addServer(fmt.Sprintf("v%d", max(1, w.versions-w.rng.IntN(2))))
+		w.addServer(w.someVersion())
 	}
 	if s := w.servers[w.rng.IntN(len(w.servers))]; w.chance(0.01) && len(w.servers) > 6 {
 		s.gone = true
 		w.revision++
 	}
+	if s := w.servers[w.rng.IntN(len(w.servers))]; w.chance(0.01) && !s.gone {
+		w.restart(s, w.someVersion())
+	}
+}
+
+// someVersion returns the newest version or the one before, and sometimes a new one.
+func (w *model) someVersion() string {
+	if w.chance(0.3) {
+		w.versions++
+	}
+	return fmt.Sprintf("v%d", max(1, w.versions-w.rng.IntN(2)))
+}
+
+// restart starts a server again under its ID and address.
+func (w *model) restart(s *modelServer, version string) {
+	w.nextID++
+	w.revision++
+	s.entry.Revision, s.entry.Start, s.entry.Software = w.revision, int64(w.nextID), version
+}
+
+// replaceServers ends all servers and starts others of a new version.
+func (w *model) replaceServers() {
+	w.versions++
+	for _, s := range w.servers {
+		if !s.gone {
+			s.gone = true
+			w.addServer(fmt.Sprintf("v%d", w.versions))
+		}
+	}
 }
 
 // hit kills the node, cuts it off or freezes it.
@@ -165,6 +197,12 @@
 	n.troubleUntil = w.now.Add(500*time.Millisecond + time.Duration(w.rng.IntN(5000))*time.Millisecond)
 	n.trouble = n.troubleUntil
 	n.up, n.frozen = kind != 0, kind == 1
+	n.nextSync = n.troubleUntil.Add(w.syncDelay())
+}
+
+// syncDelay returns a time until the next list of the servers.
+func (w *model) syncDelay() time.Duration {
+	return syncEvery + time.Duration(w.rng.IntN(int(syncSpread)))
 }
 
 // sync lets the node read the servers and hear of the others.
@@ -172,10 +210,10 @@
 	if !n.up && !w.now.Before(n.troubleUntil) {
 		w.start(n)
 	}
-	if !w.able(n) || w.now.Sub(n.synced) < syncEvery || w.now.Before(w.storeOut) {
+	if !w.able(n) || w.now.Before(n.nextSync) || w.now.Before(w.storeOut) {
 		return
 	}
-	n.synced = w.now
+	n.nextSync = w.now.Add(w.syncDelay())
 	listed := map[string]bool{}
 	for _, s := range w.servers {
 		if !s.gone {
@@ -229,6 +267,11 @@
 	return versions[0]
 }
 
+// answer is what a node without a record says of a stream.
+func (w *model) answer(n *modelNode) resumption.Answer {
+	return resumption.Answer{Origin: resumption.Origin{Service: service, Software: w.only(n)}, Seen: n.table.Softwares(w.now, service, life)}
+}
+
 // originOf is what the node learns of a stream.
 func (w *model) originOf(n *modelNode, id string) (resumption.Origin, resumption.Source) {
 	if r, found := n.records.Find(w.now, id); found {
@@ -241,13 +284,13 @@
 		if !w.able(other) || !w.able(n) || w.chance(0.01) {
 			continue
 		}
-		a := resumption.Answer{Origin: resumption.Origin{Service: service, Software: w.only(other)}}
+		a := w.answer(other)
 		if r, found := other.records.Find(w.now, id); found {
 			a = resumption.Answer{Known: true, Origin: r.Origin}
 		}
 		answers = append(answers, a)
 	}
-	origin, source := resumption.Conclude(service, w.only(n), len(n.heard) > 0, answers)
+	origin, source := resumption.Conclude(service, w.answer(n), len(n.heard) > 0, answers)
 	if source == resumption.Unknown && w.mutation == takeNewest {
 		if versions := n.table.Softwares(w.now, service, 0); len(versions) > 0 {
 			return resumption.Origin{Service: service, Software: versions[len(versions)-1]}, resumption.OnlyVersion
@@ -256,30 +299,36 @@
 	return origin, source
 }
 
-// serverOf returns a server that the node knows and that lives, of the version unless empty.
-func (w *model) serverOf(n *modelNode, version string) *modelServer {
+// serverOf returns a server that lives and that the node believes to be of the version, unless
+// empty, and whether the node finds that its entry is that of the server's start.
+func (w *model) serverOf(n *modelNode, version string) (server *modelServer, believed string, confirmed bool) {
 	var found []*modelServer
 	for _, s := range w.servers {
-		if e, known := n.table.Entry(s.entry.ID); known && !s.gone && e.Start == s.entry.Start && (version == "" || e.Software == version) {
+		if e, known := n.table.Entry(s.entry.ID); known && !s.gone && (version == "" || e.Software == version) {
 			found = append(found, s)
 		}
 	}
 	if len(found) == 0 {
-		return nil
+		return nil, "", false
 	}
-	return found[w.rng.IntN(len(found))]
+	s := found[w.rng.IntN(len(found))]
+	e, _ := n.table.Entry(s.entry.ID)
+	return s, e.Software, e.Start == s.entry.Start || w.mutation == trustEntries
 }
 
 // begin begins a stream at a node.
 func (w *model) begin() {
 	n := w.nodes[w.rng.IntN(len(w.nodes))]
-	s := w.serverOf(n, "")
+	s, version, confirmed := w.serverOf(n, "")
 	if !n.up || n.frozen && !w.able(n) || s == nil {
 		return
 	}
+	if !confirmed {
+		version = ""
+	}
 	w.nextID++
-	st := &modelStream{id: fmt.Sprintf("r%d", w.nextID), version: s.entry.Software, node: n, server: s, expires: w.now.Add(life)}
-	r := resumption.Record{ID: st.id, Origin: resumption.Origin{Service: service, Software: s.entry.Software}, Expires: st.expires}
+	st := &modelStream{id: fmt.Sprintf("r%d", w.nextID), version: s.entry.Software, node: n, server: s, start: s.entry.Start, expires: w.now.Add(life)}
+	r := resumption.Record{ID: st.id, Origin: resumption.Origin{Service: service, Software: version}, Expires: st.expires}
 	n.records.Add(w.now, r)
 	for _, name := range resumption.HoldersOf(st.id, w.peers(n), resumption.Holders) {
 		if w.able(n) && !w.chance(0.05) && w.mutation != forgetRecords {
@@ -316,7 +365,7 @@
 		if w.chance(0.01) {
 			return false // complete
 		}
-		if !st.node.up || st.server.gone || !w.able(st.node) && !st.node.frozen || w.chance(0.02) {
+		if !st.node.up || st.server.gone || st.server.entry.Start != st.start || !w.able(st.node) && !st.node.frozen || w.chance(0.02) {
 			st.again = w.now.Add(time.Duration(20+w.rng.IntN(500)) * time.Millisecond)
 		}
 		return true
@@ -337,11 +386,11 @@
 	if calm {
 		w.takenUp++
 	}
-	if source == resumption.Unknown {
+	if source == resumption.Unknown || origin.Software == "" {
 		return true
 	}
-	s := w.serverOf(n, origin.Software)
-	if s == nil {
+	s, _, confirmed := w.serverOf(n, origin.Software)
+	if s == nil || !confirmed {
 		return true
 	}
 	if s.entry.Software != st.version {
@@ -351,7 +400,7 @@
 		w.wentOn++
 	}
 	n.records.Add(w.now, resumption.Record{ID: st.id, Origin: origin, Expires: st.expires})
-	st.node, st.server, st.again = n, s, time.Time{}
+	st.node, st.server, st.start, st.again = n, s, s.entry.Start, time.Time{}
 	return true
 }
 
@@ -403,7 +452,7 @@
 
 // TestModelShowsMutations checks that the model would show the faults that it guards against.
 func TestModelShowsMutations(t *testing.T) {
-	for name, m := range map[string]mutation{"forgotten records": forgetRecords, "guess at the start": guessAtStart, "newest version": takeNewest} {
+	for name, m := range map[string]mutation{"forgotten records": forgetRecords, "guess at the start": guessAtStart, "newest version": takeNewest, "entries of other starts": trustEntries} {
 		t.Run(name, func(t *testing.T) {
 			shown := false
 			for seed := uint64(0); seed < 40 && !shown; seed++ {
--- a/resumption/resumption.go
+++ b/resumption/resumption.go
@@ -10,6 +10,8 @@
 // The package does no I/O, takes the time as a parameter and is not safe for concurrent use.
 package resumption
 
+import "slices"
+
 // Origin says which backend servers began a stream.
 type Origin struct {
 	Service  string
@@ -29,32 +31,32 @@
 
 // Answer is what a node says of a stream that is taken up.
 type Answer struct {
-	Known  bool   // Origin is that of the stream
-	Origin Origin // the recorded origin; else Software is the only version of the service, empty if there may be others
+	Known  bool     // Origin is that of the stream
+	Origin Origin   // the recorded origin; else Software is the only version of the service, empty if there may be others
+	Seen   []string // versions that the node has seen in the service while the stream may have begun, maybe not all; empty if Known
 }
 
 // Conclude returns the origin of a stream of the service, of which this node has no record. own
-// is the only version that the service has had as far as this node knows, empty if there may be
-// others. hasPeers says that there have been other nodes lately, answers are what those that were
-// asked have said.
+// is what this node would answer itself. hasPeers says that there have been other nodes lately,
+// answers are what those that were asked have said.
 //
-// A record is believed before anything else. The only version counts if nobody contradicts it
-// and some other node has answered, if there are any: a node without contact may not have seen
-// a new version.
-func Conclude(service, own string, hasPeers bool, answers []Answer) (Origin, Source) {
-	only := own
-	contradicted := false
-	for _, a := range answers {
-		switch {
-		case a.Known:
+// A record is believed before anything else. The only version counts if no node has seen another
+// one and some other node has answered, if there are any: a node without contact may not have
+// seen a new version.
+func Conclude(service string, own Answer, hasPeers bool, answers []Answer) (Origin, Source) {
+	only := ""
+	var seen []string
+	for _, a := range slices.Concat([]Answer{own}, answers) {
+		if a.Known {
 			return a.Origin, PeerRecord
-		case a.Origin.Software == "":
-		case only == "":
+		}
+		seen = append(seen, a.Seen...)
+		if a.Origin.Software != "" {
 			only = a.Origin.Software
-		case only != a.Origin.Software:
-			contradicted = true
+			seen = append(seen, only)
 		}
 	}
+	contradicted := slices.ContainsFunc(seen, func(version string) bool { return version != only })
 	if only == "" || contradicted || hasPeers && len(answers) == 0 {
 		return Origin{}, Unknown
 	}
--- a/resumption/resumption_test.go
+++ b/resumption/resumption_test.go
@@ -22,23 +22,30 @@
 	return resumption.Answer{Origin: resumption.Origin{Service: "s", Software: version}}
 }
 
+// seen is the answer of a node that has no record and has seen versions, maybe not all.
+func seen(versions ...string) resumption.Answer { return resumption.Answer{Seen: versions} }
+
 // TestOriginIsNotGuessed guards against a node that takes up a stream whose version it can't know.
 func TestOriginIsNotGuessed(t *testing.T) {
 	for name, tc := range map[string]struct {
-		own     string
+		own     resumption.Answer
 		peers   bool
 		answers []resumption.Answer
 		origin  resumption.Origin
 		source  resumption.Source
 	}{
-		"record of a peer":            {"", true, []resumption.Answer{only(""), {Known: true, Origin: v2}}, v2, resumption.PeerRecord},
-		"record against only version": {"v1", true, []resumption.Answer{only("v1"), {Known: true, Origin: v2}}, v2, resumption.PeerRecord},
-		"only version, alone":         {"v1", false, nil, v1, resumption.OnlyVersion},
-		"only version, no contact":    {"v1", true, nil, resumption.Origin{}, resumption.Unknown},
-		"only version of a peer":      {"", true, []resumption.Answer{only(""), only("v1")}, v1, resumption.OnlyVersion},
-		"peers differ":                {"", true, []resumption.Answer{only("v1"), only("v2")}, resumption.Origin{}, resumption.Unknown},
-		"a peer differs":              {"v1", true, []resumption.Answer{only("v2")}, resumption.Origin{}, resumption.Unknown},
-		"nobody knows":                {"", true, []resumption.Answer{only(""), only("")}, resumption.Origin{}, resumption.Unknown},
+		"record of a peer":            {only(""), true, []resumption.Answer{only(""), {Known: true, Origin: v2}}, v2, resumption.PeerRecord},
+		"record against only version": {only("v1"), true, []resumption.Answer{only("v1"), {Known: true, Origin: v2}}, v2, resumption.PeerRecord},
+		"only version, alone":         {only("v1"), false, nil, v1, resumption.OnlyVersion},
+		"only version, no contact":    {only("v1"), true, nil, resumption.Origin{}, resumption.Unknown},
+		"only version of a peer":      {only(""), true, []resumption.Answer{only(""), only("v1")}, v1, resumption.OnlyVersion},
+		"peers differ":                {only(""), true, []resumption.Answer{only("v1"), only("v2")}, resumption.Origin{}, resumption.Unknown},
+		"a peer differs":              {only("v1"), true, []resumption.Answer{only("v2")}, resumption.Origin{}, resumption.Unknown},
+		"nobody knows":                {only(""), true, []resumption.Answer{only(""), only("")}, resumption.Origin{}, resumption.Unknown},
+		"a peer has seen another":     {only("v1"), true, []resumption.Answer{only("v1"), seen("v1", "v2")}, resumption.Origin{}, resumption.Unknown},
+		"it has seen another itself":  {seen("v1", "v2"), true, []resumption.Answer{only("v1")}, resumption.Origin{}, resumption.Unknown},
+		"a peer has seen no version":  {only("v1"), true, []resumption.Answer{seen("")}, resumption.Origin{}, resumption.Unknown},
+		"a peer has seen the same":    {only("v1"), true, []resumption.Answer{seen("v1")}, v1, resumption.OnlyVersion},
 	} {
 		origin, source := resumption.Conclude("s", tc.own, tc.peers, tc.answers)
 		assert.Equal(t, origin, tc.origin, name)
