front: a message that was delayed confirms the servers as of when it was sent

A node that stood still takes the messages that lay in its socket for new ones. One with an equal digest of the servers then confirmed its list as of now less the age in the message, so a pause of up to three heartbeats left no gap, and a version that came in the pause was not in the list that it called confirmed. It could then take a stream that nobody has a record of to be of the only version. The boot clock does not help: it counts the pause, but nothing said that the message was older than it.

Messages now tell the time since the sender's start by its boot clock. How much longer one was under way than the fastest of the same run within two windows of 3 s is added to its age. A lasting difference, as after a suspension that stops the sender's clock, is forgotten after two windows. Only the confirmation of servers uses it.

Evidence: TestDelayedMessageDoesNotConfirmServers fails on the code before (v1 is claimed as of 3 s ago, with a drain timeout of 2 s). No joined stream was seen from this cause; it takes a stream without any record.

--- a/internal/front/peers.go
+++ b/internal/front/peers.go
@@ -32,6 +32,7 @@
 	Partial        bool                    `json:"i,omitempty"`  // it holds only what changes often, see Node.partial
 	Incarnation    int64                   `json:"r"`            // start of the sender's process by the time of day, in Unix nanoseconds
 	Sequence       uint64                  `json:"q"`            // rises with each message of an incarnation
+	SentMS         int64                   `json:"t,omitempty"`  // milliseconds from the sender's start to the sending, by its boot clock, and one; zero from builds that do not tell
 	CallerAddr     string                  `json:"f"`            // the sender's address for callers
 	Ready          bool                    `json:"y,omitempty"`  // the sender takes requests
 	Stopping       bool                    `json:"x,omitempty"`  // the sender is stopping
@@ -125,6 +126,7 @@
 	message
 	peerSet      *peers                // the set that this peer belongs to
 	received     time.Time             // when the last message was received
+	delays       delays                // of its messages
 	lastSent     time.Time             // when the last message was sent to it
 	lastFullSent time.Time             // when the last full message was sent to it
 	demand       []waiting.ModelDemand // demand in the last message
--- a/internal/front/received.go
+++ b/internal/front/received.go
@@ -59,8 +59,10 @@
 
 // received replaces the state known of another node by that in its message,
 // unless a later one was received before.
-func (n *Node) received(m message) {
-	now := bootclock.Now()
+func (n *Node) received(m message) { n.receivedAt(bootclock.Now(), m) }
+
+// receivedAt handles a message as received does, at the time now.
+func (n *Node) receivedAt(now time.Time, m message) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	p := n.peers.add(now, m.IP)
@@ -78,6 +80,7 @@
 	if !p.alive(now) || p.Incarnation != m.Incarnation {
 		level.Info(n.log).Log("event", "peer", "peer", m.Node, "address", m.IP, "zone", m.Zone, "run", m.Incarnation)
 	}
+	delay := p.delays.observe(now, m.Incarnation, m.SentMS)
 	p.startCounts(now, m)
 	if m.Partial {
 		p.completePartial(&m)
@@ -108,7 +111,7 @@
 		}
 	}
 	if m.ServersDigest != nil && m.ServersAgeMS != nil && *m.ServersDigest == n.table.Digest() {
-		n.serversFollowed.Confirm(now.Add(-time.Duration(*m.ServersAgeMS) * time.Millisecond))
+		n.serversFollowed.Confirm(now.Add(-delay - time.Duration(*m.ServersAgeMS)*time.Millisecond))
 	}
 	n.applySuspects(now, m)
 	n.applyArrivals(now, p, m.Arrivals)
--- a/internal/front/streams_test.go
+++ b/internal/front/streams_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -28,3 +29,29 @@
 	assert.Equal(t, a.Only, "")
 	assert.DeepEqual(t, a.Seen, []string{"v1", "v2"})
 }
+
+// TestDelayedMessageDoesNotConfirmServers guards against a node that stood still and takes a message
+// that lay in its socket meanwhile for a statement about now: it would claim that the service has
+// had one version only, and miss one that came while it stood still.
+func TestDelayedMessageDoesNotConfirmServers(t *testing.T) {
+	n := newTestNode(t, platform.Settings{HeartbeatInterval: 1200 * time.Millisecond, Bounds: platform.Bounds{DrainTimeout: 2 * time.Second}}, "127.0.0.2")
+	from := bootclock.Now()
+	n.table.SetEntry(from, softwareEntry("s1", "v1"))
+	digest, age := n.table.Digest(), int64(0)
+	sequence := uint64(1)
+	only := func(sent, delay time.Duration) string {
+		sequence++
+		at := from.Add(sent + delay)
+		n.receivedAt(at, message{Node: "p", IP: "127.0.0.2", Zone: "z", Incarnation: 1, Sequence: sequence, SentMS: 1 + sent.Milliseconds(), ServersDigest: &digest, ServersAgeMS: &age})
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		return n.viewOf(at, "s").Origin.Software
+	}
+	var sent time.Duration
+	for ; sent < n.longestStream()+time.Second; sent += 500 * time.Millisecond {
+		only(sent, time.Millisecond)
+	}
+	assert.Equal(t, only(sent, time.Millisecond), "v1")
+	assert.Equal(t, only(sent+100*time.Millisecond, 3*time.Second), "", "sent before the node stood still")
+	assert.Equal(t, only(sent+3*time.Second, 110*time.Millisecond), "v1", "sent just now")
+}
--- a/internal/front/tell.go
+++ b/internal/front/tell.go
@@ -167,7 +167,7 @@
 	p.sequence++
 	m := message{
 		Node: n.settings.Node, IP: n.settings.IP, Zone: n.settings.Zone, VMClass: vmClass(n.settings), Incarnation: p.incarnation, Sequence: p.sequence,
-		CallerAddr: n.settings.CallerListen, Ready: n.ready(), Stopping: n.stopping.Load(), InFlight: n.table.InFlight(),
+		SentMS: 1 + now.Sub(p.startedAt).Milliseconds(), CallerAddr: n.settings.CallerListen, Ready: n.ready(), Stopping: n.stopping.Load(), InFlight: n.table.InFlight(),
 		Down: n.table.Unreachable(now), KnownIPs: p.aliveIPs(now),
 	}
 	if t := n.desired.Load(); t != nil {
