front: keys of questions are not used again by the next process

A node that restarts at its address numbered its questions about streams from 1 again. An answer to the process before that arrives late, as from a node that stood still, then counted for the question of the same number, and its only version is that of the service which the earlier question was about. A stream whose origin has no record could go on at a version of another service, or be refused for it.

Keys now begin at the process's incarnation.

Evidence: TestAnswerToEarlierProcessIsIgnored fails on the code before (the late answer is taken). Not seen outside of the test.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -61,10 +61,10 @@
 	mu                 sync.Mutex // guards the fields below
 	table              *replicas.Table
 	queue              *waiting.Queue
-	attempts           *latency.Recent   // times in which servers answered attempts, by route
-	durations          *latency.Recent   // times that answered requests took in all, by route
-	waiters            map[uint64]waiter // by key of the waiting request
-	nextKey            uint64
+	attempts           *latency.Recent                  // times in which servers answered attempts, by route
+	durations          *latency.Recent                  // times that answered requests took in all, by route
+	waiters            map[uint64]waiter                // by key of the waiting request
+	nextKey            uint64                           // key of the latest waiting request or question; a later process does not use it again
 	retryBudgets       map[string]*dispatch.RetryBudget // by service
 	maxNodesSeen       int                              // most nodes seen alive at the same time, this one included
 	arrivals           map[arrivalKey]*arrivalCount
@@ -135,6 +135,7 @@
 	n.table.SpreadBy(s.Node)
 	n.table.CountConnections(n.serverClients.connections)
 	n.peers = newPeers(now, s)
+	n.nextKey = uint64(n.peers.incarnation)
 	for _, zone := range s.Zones {
 		n.cells = append(n.cells, newCell(now, zone, s))
 	}
--- a/internal/front/streams_test.go
+++ b/internal/front/streams_test.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"encoding/json"
 	"testing"
 	"time"
 
@@ -55,3 +56,42 @@
 	assert.Equal(t, only(sent+100*time.Millisecond, 3*time.Second), "", "sent before the node stood still")
 	assert.Equal(t, only(sent+3*time.Second, 110*time.Millisecond), "v1", "sent just now")
 }
+
+// question lets the node ask a peer for a stream of the service, and hands it the answers that
+// answer returns for the question's key.
+func (n *testNode) question(peer, service string, answer func(key uint64) []streamAnswer) map[string]streamAnswer {
+	done := make(chan map[string]streamAnswer)
+	go func() {
+		done <- n.askStreams(n.t.Context(), []string{peer}, streamQuestion{ID: "r1", Service: service})
+	}()
+	buffer := make([]byte, maxDatagram)
+	assert.NilError(n.t, n.sockets[peer].SetReadDeadline(time.Now().Add(5*time.Second)))
+	size, err := n.sockets[peer].Read(buffer)
+	assert.NilError(n.t, err)
+	var d streamDatagram
+	assert.NilError(n.t, json.Unmarshal(buffer[:size], &d))
+	for _, a := range answer(d.Streams.Question.Key) {
+		data, err := json.Marshal(streamDatagram{&streamMessage{IP: peer, Answer: &a}})
+		assert.NilError(n.t, err)
+		n.receiveStreams(data)
+	}
+	return <-done
+}
+
+// TestAnswerToEarlierProcessIsIgnored guards against a late answer to a question of the process
+// before, at the same address, that counts for a question about another service.
+func TestAnswerToEarlierProcessIsIgnored(t *testing.T) {
+	const peer = "127.0.0.2"
+	n := newTestNode(t, platform.Settings{}, peer)
+	var late uint64
+	n.question(peer, "s", func(key uint64) []streamAnswer { late = key; return nil })
+	restarted := newTestNode(t, platform.Settings{}, "127.0.0.3")
+	restarted.sockets[peer], restarted.settings.PeerPort = n.sockets[peer], n.settings.PeerPort
+	for { // the question of before was sent twice
+		if m := n.nextMessage(peer); m == nil {
+			break
+		}
+	}
+	got := restarted.question(peer, "other", func(uint64) []streamAnswer { return []streamAnswer{{Key: late, Only: "v1"}} })
+	assert.Equal(t, len(got), 0)
+}
