resumption: the only version covers the longest time limit of a caller

A stream that nobody has a record of went on at the version that the service has had alone for 31 s, or for its longest timeout. A caller with a longer time limit of its own may come back later than that, over several attempts, when the version that began its stream has left: its stream would hold two versions.

Evidence: TestOnlyVersionCoversLongTimeLimits fails on the code before (v2 is claimed 45 s after v1 has left, with callers that wait for 60 s). A node that has had no record of such a caller still does not know of it.

--- a/internal/front/streams.go
+++ b/internal/front/streams.go
@@ -184,7 +184,8 @@
 	return view
 }
 
-// longestStream returns how long a stream can last, over all attempts of its caller.
+// longestStream returns how long a stream can last, over all attempts of its caller. The caller
+// holds n.mu.
 func (n *Node) longestStream() time.Duration {
 	longest := defaultTimeLimit
 	if t := n.desired.Load(); t != nil {
@@ -194,7 +195,7 @@
 			}
 		}
 	}
-	return longest + streamReturnSlack
+	return max(longest+streamReturnSlack, n.streams.LongestLife())
 }
 
 // askStreams asks the nodes and returns their answers, up to the first that knows the stream.
--- a/internal/front/streams_test.go
+++ b/internal/front/streams_test.go
@@ -95,3 +95,29 @@
 	got := restarted.question(peer, "other", func(uint64) []streamAnswer { return []streamAnswer{{Key: late, Only: "v1"}} })
 	assert.Equal(t, len(got), 0)
 }
+
+// TestOnlyVersionCoversLongTimeLimits guards against a stream of a caller with a longer time limit
+// than the usual that is taken to be of the only version, although the version that began it left
+// while its caller could still come back.
+func TestOnlyVersionCoversLongTimeLimits(t *testing.T) {
+	const peer = "127.0.0.2"
+	n := newTestNode(t, platform.Settings{HeartbeatInterval: 1200 * time.Millisecond, Bounds: platform.Bounds{DrainTimeout: 2 * time.Second}}, peer)
+	from := bootclock.Now()
+	n.table.SetEntry(from, softwareEntry("s1", "v1"))
+	n.table.SetEntry(from, softwareEntry("s2", "v2"))
+	n.table.Remove(from, "s1", 2)
+	now := from
+	for ; now.Before(from.Add(45 * time.Second)); now = now.Add(time.Second) {
+		n.serversFollowed.Confirm(now)
+	}
+	only := func() string {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		return n.viewOf(now, "s").Origin.Software
+	}
+	assert.Equal(t, only(), "v2")
+	data, err := json.Marshal(streamDatagram{&streamMessage{IP: peer, Began: &streamState{ID: "r1", Service: "s", Software: "v2", LeftMS: 60_000}}})
+	assert.NilError(t, err)
+	n.receiveStreams(data)
+	assert.Equal(t, only(), "", "callers may wait for 60 s")
+}
--- a/resumption/model_test.go
+++ b/resumption/model_test.go
@@ -19,7 +19,8 @@
 const (
 	step       = 50 * time.Millisecond
 	runTime    = 2 * time.Minute
-	life       = 17 * time.Second       // time limit of callers
+	life       = 17 * time.Second       // time limit of most callers
+	longLife   = 50 * time.Second       // time limit of the others
 	syncEvery  = 300 * time.Millisecond // least time between two lists of the servers
 	syncSpread = 800 * time.Millisecond // a list may come so much later
 	drain      = 2 * time.Second
@@ -258,10 +259,15 @@
 	return nil
 }
 
+// span is how long a stream can last, as far as the node knows.
+func (w *model) span(n *modelNode) time.Duration {
+	return max(life, n.records.LongestLife())
+}
+
 // only is the only version that the node knows the service to have had.
 func (w *model) only(n *modelNode) string {
-	versions := n.table.Softwares(w.now, service, life)
-	if len(versions) != 1 || w.mutation != guessAtStart && !n.history.Covers(w.now, life, drain) {
+	versions := n.table.Softwares(w.now, service, w.span(n))
+	if len(versions) != 1 || w.mutation != guessAtStart && !n.history.Covers(w.now, w.span(n), drain) {
 		return ""
 	}
 	return versions[0]
@@ -269,7 +275,7 @@
 
 // answer is what a node without a record says of a stream.
 func (w *model) answer(n *modelNode) resumption.Answer {
-	return resumption.Answer{Origin: resumption.Origin{Service: service, Software: w.only(n)}, Seen: n.table.Softwares(w.now, service, life)}
+	return resumption.Answer{Origin: resumption.Origin{Service: service, Software: w.only(n)}, Seen: n.table.Softwares(w.now, service, w.span(n))}
 }
 
 // originOf is what the node learns of a stream.
@@ -326,8 +332,12 @@
 	if !confirmed {
 		version = ""
 	}
+	limit := life
+	if w.chance(0.1) {
+		limit = longLife
+	}
 	w.nextID++
-	st := &modelStream{id: fmt.Sprintf("r%d", w.nextID), version: s.entry.Software, node: n, server: s, start: s.entry.Start, expires: w.now.Add(life)}
+	st := &modelStream{id: fmt.Sprintf("r%d", w.nextID), version: s.entry.Software, node: n, server: s, start: s.entry.Start, expires: w.now.Add(limit)}
 	r := resumption.Record{ID: st.id, Origin: resumption.Origin{Service: service, Software: version}, Expires: st.expires}
 	n.records.Add(w.now, r)
 	for _, name := range resumption.HoldersOf(st.id, w.peers(n), resumption.Holders) {
--- a/resumption/records.go
+++ b/resumption/records.go
@@ -22,7 +22,10 @@
 }
 
 // Records are the origins of streams that a node remembers.
-type Records struct{ byID map[string]Record }
+type Records struct {
+	byID    map[string]Record
+	longest time.Duration // see LongestLife
+}
 
 // NewRecords returns no records.
 func NewRecords() *Records { return &Records{byID: map[string]Record{}} }
@@ -33,6 +36,7 @@
 	if r.ID == "" || len(r.ID) > maxIDBytes || !r.Expires.After(now) {
 		return
 	}
+	rs.longest = max(rs.longest, r.Expires.Sub(now))
 	if known, found := rs.Find(now, r.ID); found {
 		if known.Origin == r.Origin && r.Expires.After(known.Expires) {
 			known.Expires = r.Expires
@@ -53,6 +57,10 @@
 	return r, found && r.Expires.After(now)
 }
 
+// LongestLife returns the longest time for which the caller of a stream that was added could come
+// back, zero if there was none.
+func (rs *Records) LongestLife() time.Duration { return rs.longest }
+
 // Len returns the number of records, including expired ones that were not removed yet.
 func (rs *Records) Len() int { return len(rs.byID) }
 
