resumption: a long time limit counts while its caller may come back

One caller with a limit of ten minutes made its nodes doubt the only version of each service for good: the longest limit ever seen was kept, and streams that nobody has a record of were refused for ten minutes after the end of all nodes instead of 31 s. It is that of the records that have not expired now. TestLongestLifeEndsWithItsRecord checks it.

--- a/internal/front/streams.go
+++ b/internal/front/streams.go
@@ -176,7 +176,7 @@
 // viewOf returns what this node knows of the versions of the software of the service's servers, for
 // as long as a stream can last. The caller holds n.mu.
 func (n *Node) viewOf(now time.Time, service string) resumption.Answer {
-	life := n.longestStream()
+	life := n.longestStream(now)
 	view := resumption.Answer{Origin: resumption.Origin{Service: service}, Seen: n.table.Softwares(now, service, life)}
 	if len(view.Seen) == 1 && n.serversFollowed.Covers(now, life, n.settings.Bounds.DrainTimeout) {
 		view.Origin.Software = view.Seen[0]
@@ -186,7 +186,7 @@
 
 // longestStream returns how long a stream can last, over all attempts of its caller. The caller
 // holds n.mu.
-func (n *Node) longestStream() time.Duration {
+func (n *Node) longestStream(now time.Time) time.Duration {
 	longest := defaultTimeLimit
 	if t := n.desired.Load(); t != nil {
 		for i := range t.Routes {
@@ -195,7 +195,7 @@
 			}
 		}
 	}
-	return max(longest+streamReturnSlack, n.streams.LongestLife())
+	return max(longest+streamReturnSlack, n.streams.LongestLife(now))
 }
 
 // askStreams asks the nodes and returns their answers, up to the first that knows the stream.
--- a/internal/front/streams_test.go
+++ b/internal/front/streams_test.go
@@ -49,7 +49,7 @@
 		return n.viewOf(at, "s").Origin.Software
 	}
 	var sent time.Duration
-	for ; sent < n.longestStream()+time.Second; sent += 500 * time.Millisecond {
+	for ; sent < n.longestStream(from)+time.Second; sent += 500 * time.Millisecond {
 		only(sent, time.Millisecond)
 	}
 	assert.Equal(t, only(sent, time.Millisecond), "v1")
--- a/resumption/model_test.go
+++ b/resumption/model_test.go
@@ -261,7 +261,7 @@
 
 // span is how long a stream can last, as far as the node knows.
 func (w *model) span(n *modelNode) time.Duration {
-	return max(life, n.records.LongestLife())
+	return max(life, n.records.LongestLife(w.now))
 }
 
 // only is the only version that the node knows the service to have had.
--- a/resumption/records.go
+++ b/resumption/records.go
@@ -22,10 +22,7 @@
 }
 
 // Records are the origins of streams that a node remembers.
-type Records struct {
-	byID    map[string]Record
-	longest time.Duration // see LongestLife
-}
+type Records struct{ byID map[string]Record }
 
 // NewRecords returns no records.
 func NewRecords() *Records { return &Records{byID: map[string]Record{}} }
@@ -36,7 +33,6 @@
 	if r.ID == "" || len(r.ID) > maxIDBytes || !r.Expires.After(now) {
 		return
 	}
-	rs.longest = max(rs.longest, r.Expires.Sub(now))
 	if known, found := rs.Find(now, r.ID); found {
 		if known.Origin == r.Origin && r.Expires.After(known.Expires) {
 			known.Expires = r.Expires
@@ -57,9 +53,17 @@
 	return r, found && r.Expires.After(now)
 }
 
-// LongestLife returns the longest time for which the caller of a stream that was added could come
-// back, zero if there was none.
-func (rs *Records) LongestLife() time.Duration { return rs.longest }
+// LongestLife returns the longest time for which the caller of a stream that is remembered may come
+// back, from when this node learned of it; zero if none is.
+func (rs *Records) LongestLife(now time.Time) time.Duration {
+	longest := time.Duration(0)
+	for _, r := range rs.byID {
+		if r.Expires.After(now) {
+			longest = max(longest, r.Expires.Sub(r.Learned))
+		}
+	}
+	return longest
+}
 
 // Len returns the number of records, including expired ones that were not removed yet.
 func (rs *Records) Len() int { return len(rs.byID) }
--- a/resumption/resumption_test.go
+++ b/resumption/resumption_test.go
@@ -137,3 +137,14 @@
 		}
 	}
 }
+
+// TestLongestLifeEndsWithItsRecord guards against one caller with a long time limit for which the
+// only version of a service is doubted for good.
+func TestLongestLifeEndsWithItsRecord(t *testing.T) {
+	now := time.Unix(1000, 0)
+	rs := resumption.NewRecords()
+	rs.Add(now, resumption.Record{ID: "a", Expires: now.Add(17 * time.Second)})
+	rs.Add(now, resumption.Record{ID: "b", Expires: now.Add(time.Minute)})
+	assert.Equal(t, rs.LongestLife(now.Add(59*time.Second)), time.Minute)
+	assert.Equal(t, rs.LongestLife(now.Add(time.Minute)), time.Duration(0))
+}
