front: a slow caller is no pause of the server

A sound stream that may be resumed was broken off in the middle, and its server counted as failing, if the caller read nothing for as long as a server may pause, 1.5 s or more. No event came twice or was lost: the stream was resumed after the last event, or the answer broke off if no other server was there.

Cause: the timer that limits the server's pauses ran on while the node waited for the caller to take an event.

Evidence: TestSlowCallerOfResumableStreamIsServed fails on the code before ("stream of the backend server paused for too long", unexpected EOF at the caller) and passes now, four runs, one of them with -race.

Why it works: the timer runs only while the node waits for the server. How long a caller may take is limited by the deadline of the write, as on other routes.

--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -47,6 +47,9 @@
 	goesOn := x.lastEventID == "" // an ID has shown that the server goes on after the caller's last event
 	for events := 0; ; events++ {
 		event, id, err := reader.next()
+		if gap != nil {
+			gap.Stop() // a slow caller is no pause of the server
+		}
 		if err != nil {
 			return x.streamEnded(server, resp, streamEnd{events: events, rest: event, err: err})
 		}
@@ -54,9 +57,6 @@
 			return x.streamFailed(server, errEventOrder)
 		}
 		goesOn = goesOn || id != ""
-		if gap != nil {
-			gap.Reset(x.gapTimeout())
-		}
 		if x.attemptBegan.IsZero() {
 			x.attemptBegan = bootclock.Now()
 		}
@@ -84,6 +84,9 @@
 		} else if holdsEvent(event) {
 			x.sentWithoutID = true
 		}
+		if gap != nil {
+			gap.Reset(x.gapTimeout())
+		}
 	}
 }
 
--- a/internal/front/takeup_test.go
+++ b/internal/front/takeup_test.go
@@ -1,12 +1,14 @@
 package front_test
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net/http"
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -171,3 +173,28 @@
 	assert.Equal(t, got.body, eventText(1, 3))
 	assert.Assert(t, got.truncated)
 }
+
+// TestSlowCallerOfResumableStreamIsServed guards against a sound stream that is broken off because
+// its caller reads nothing for longer than a server may pause.
+func TestSlowCallerOfResumableStreamIsServed(t *testing.T) {
+	const events, size = 300, 64 << 10
+	c := newCluster(t)
+	c.backendServer("s1", "llm", func(rw http.ResponseWriter, _ *http.Request) {
+		rw.Header().Set("Content-Type", "text/event-stream")
+		for i := range events {
+			fmt.Fprintf(rw, "id: %d\ndata: %s\n\n", i+1, strings.Repeat("x", size))
+		}
+	})
+	n := c.node("127.0.0.1", 0)
+	conn := c.dial(n)
+	_, err := io.WriteString(conn, requestHead("/proof/x", "r1", 0))
+	assert.NilError(t, err)
+	time.Sleep(2500 * time.Millisecond) // longer than the pause of a server after which its stream is resumed
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	assert.NilError(t, err)
+	body, err := io.ReadAll(resp.Body)
+	assert.NilError(t, err)
+	assert.Equal(t, strings.Count(string(body), "id: "), events)
+	c.eventually(func() bool { return strings.Contains(c.text(), "event=request id=r1 ") })
+	assert.Assert(t, strings.Contains(c.text(), " sends=1 runs=1 framing=chunks end=complete "))
+}
