--- a/internal/front/takeup_random_test.go
+++ b/internal/front/takeup_random_test.go
@@ -10,6 +10,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"golang.org/x/sync/errgroup"
 	"gotest.tools/v3/assert"
@@ -210,8 +211,9 @@
 }
 
 // TestStreamOverAllAttemptsIsInOrder guards against events that come twice, are missing or belong to
-// another stream over all tries of a caller that takes its stream up at two nodes, and against an early end
-// that looks complete: random framings, cut after any byte, by servers that repeat, go back or are silent.
+// another stream over all tries of a caller that takes its stream up at several nodes, one of which stops, and
+// against an early end that looks complete: random framings, cut after any byte, by servers that repeat, go back
+// or are silent.
 func TestStreamOverAllAttemptsIsInOrder(t *testing.T) {
 	for seed := *takeUpSeed; seed < *takeUpSeed+uint64(*takeUpSeeds); seed++ {
 		t.Run(fmt.Sprint("seed=", seed), func(t *testing.T) { testTakeUps(t, newTakeUpStreams(seed)) })
@@ -232,8 +234,11 @@
 		})
 	}
 	port := freePort(t, "127.0.0.2")
-	nodes := []*node{c.node("127.0.0.2", port), c.node("127.0.0.3", port)}
+	c.gracePeriod = time.Second
+	leaving := c.node("127.0.0.4", port)
+	nodes := []*node{c.node("127.0.0.2", port), c.node("127.0.0.3", port), leaving}
 	c.connected(len(nodes))
+	defer time.AfterFunc(time.Second, leaving.stop).Stop()
 	var mu sync.Mutex
 	wholeStreams, takeUps := 0, 0
 	var group errgroup.Group
