front: the log tells a stream out of order from one that was cut

Both were stream_cut in the log and the metrics. A stream whose next event does not come after the last one that the caller has is stream_order now, and err names both IDs, so a server that begins streams anew or repeats events can be found. TestStreamThatGoesBackIsBroken checks it.

--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -5,6 +5,7 @@
 	"cmp"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
@@ -54,7 +55,7 @@
 			return x.streamEnded(server, resp, streamEnd{events: events, rest: event, err: err})
 		}
 		if !x.inOrder(event, id, goesOn) {
-			return x.streamFailed(server, errEventOrder)
+			return x.streamFailed(server, fmt.Errorf("%w: ID %.*q after %.*q", errEventOrder, maxIDLogged, id, maxIDLogged, x.lastEventID))
 		}
 		goesOn = goesOn || id != ""
 		if x.attemptBegan.IsZero() {
@@ -90,6 +91,9 @@
 	}
 }
 
+// maxIDLogged limits the ID of an event in a log line.
+const maxIDLogged = 64
+
 // errEventOrder means that an event does not come after the last one that the caller has.
 var errEventOrder = errors.New("stream does not go on after the last event")
 
@@ -178,5 +182,9 @@
 	if x.received.brokenOff() {
 		x.connectionLost(server)
 	}
-	return x.attemptFailed(server, "stream_cut", err)
+	reason := "stream_cut"
+	if errors.Is(err, errEventOrder) {
+		reason = "stream_order"
+	}
+	return x.attemptFailed(server, reason, err)
 }
--- a/internal/front/takeup_test.go
+++ b/internal/front/takeup_test.go
@@ -80,6 +80,9 @@
 				got := c.call(n, http.MethodPost, "/chat/x", "r1", platform.HeaderModel, "m")
 				assert.Equal(t, got.body, eventText(1, 3))
 				assert.Assert(t, got.truncated)
+				c.eventually(func() bool { return strings.Contains(c.text(), "event=request id=r1 ") })
+				assert.Assert(t, strings.Contains(c.text(), "reason=stream_order"))
+				assert.Assert(t, strings.Contains(c.text(), fmt.Sprintf(`ID \"%d\" after \"3\"`, back)))
 			})
 		}
 	}
