--- a/internal/front/harness_test.go
+++ b/internal/front/harness_test.go
@@ -225,17 +225,22 @@
 	return nil
 }
 
-// startNode starts a node without waiting for it.
-func (c *cluster) startNode(ip string, peerPort int) *node {
+// settings returns the settings of a node at a loopback IP. Peer port zero selects a free one.
+func (c *cluster) settings(ip string, peerPort int) platform.Settings {
 	if peerPort == 0 {
 		peerPort = freePort(c.t, ip)
 	}
 	at := func() string { return net.JoinHostPort(ip, strconv.Itoa(freePort(c.t, ip))) }
-	n := &node{done: make(chan error, 1), settings: platform.Settings{
+	return platform.Settings{
 		Node: "node-" + ip, IP: ip, Zone: "z1", Region: "r", Zones: []string{"z1"}, CallerListen: at(), ControlListen: at(), ReadyListen: at(), ResolveListen: at(),
 		PeerPort: peerPort, Seeds: []string{"127.0.0.2:1"}, FirstStart: true, StoreAddress: c.address, HeartbeatInterval: 1200 * time.Millisecond,
 		Bounds: platform.Bounds{GracePeriod: c.gracePeriod, ConfigApplyTimeout: 2 * time.Second, ContactTimeout: contactTimeout, DrainTimeout: 2 * time.Second, RetryBudgetRatio: 0.2, RetryBudgetSlack: 58, OrderLease: 3 * time.Second, MaxTTL: 5 * time.Second},
-	}}
+	}
+}
+
+// startNode starts a node without waiting for it.
+func (c *cluster) startNode(ip string, peerPort int) *node {
+	n := &node{done: make(chan error, 1), settings: c.settings(ip, peerPort)}
 	ctx, stop := context.WithCancel(context.Background())
 	n.stop = stop
 	metrics, err := telemetry.NewMetrics()
