--- a/internal/processes/stream_run_test.go
+++ b/internal/processes/stream_run_test.go
@@ -99,10 +99,9 @@
 	r.timeline = append(r.timeline, time.Now().Format(stampFormat)+" "+fmt.Sprintf(format, args...))
 }
 
-// deploy starts the store, the servers and the nodes and waits until the nodes are ready.
-func (r *streamRun) deploy(rng *rand.Rand) {
-	t := r.t
-	host := streamRunHost(0)
+// startStore starts the store and prepares the start of servers.
+func (r *streamRun) startStore() {
+	t, host := r.t, streamRunHost(0)
 	r.addGate(host + ":" + storePort)
 	r.expiry = &expiry{api: r.api}
 	var expiring sync.WaitGroup
@@ -111,6 +110,11 @@
 	r.writeDesired(map[string]float64{mainEngine: 1})
 	r.servers = &serverFleet{dir: r.dir, host: host, store: r.gates[0].address, slots: r.plan.slots, logf: r.logf, reserved: map[*serverProcess]bool{}}
 	t.Cleanup(r.servers.close)
+}
+
+// deploy starts the store, the servers and the nodes and waits until the nodes are ready.
+func (r *streamRun) deploy(rng *rand.Rand) {
+	r.startStore()
 	mixed := rng.IntN(2) == 0 // several versions of the software from the start
 	for i := range mainServers + secondServers + plainServers {
 		service, held := mainEngine, []string{engineModels[i%3], engineModels[(i+1)%3]}
@@ -125,7 +129,7 @@
 			software = softwares[1]
 		}
 		_, err := r.servers.start(r.servers.newConfig(rng, service, r.plan.zones[i%3], software, held))
-		assert.NilError(t, err)
+		assert.NilError(r.t, err)
 	}
 	r.startNodes()
 }
