--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -55,7 +55,7 @@
 			return x.streamEnded(server, resp, streamEnd{events: events, rest: event, err: err})
 		}
 		if !x.inOrder(event, id, goesOn) {
-			return x.streamFailed(server, fmt.Errorf("%w: ID %.*q after %.*q", errEventOrder, maxIDLogged, id, maxIDLogged, x.lastEventID))
+			return x.streamFailed(server, fmt.Errorf("%w: ID %q after %q", errEventOrder, loggedEventID(id), loggedEventID(x.lastEventID)))
 		}
 		goesOn = goesOn || id != ""
 		if x.attemptBegan.IsZero() {
@@ -91,9 +91,6 @@
 	}
 }
 
-// maxIDLogged limits the ID of an event in a log line.
-const maxIDLogged = 64
-
 // errEventOrder means that an event does not come after the last one that the caller has.
 var errEventOrder = errors.New("stream does not go on after the last event")
 
