--- a/internal/processes/stream_run_test.go
+++ b/internal/processes/stream_run_test.go
@@ -19,13 +19,14 @@
 )
 
 var (
-	streamSeeds  = flag.Int("stream-seeds", 1, "number of seeds of TestStreamsTakenUpStayInOrder")
-	streamSeed   = flag.Uint64("stream-seed", 1, "first seed of TestStreamsTakenUpStayInOrder")
-	streamFor    = flag.Duration("stream-for", 25*time.Second, "time for which a seed's streams begin")
-	streamPlans  = flag.String("stream-plan", "", "deployment of all seeds: tocka-prod, colacion-gt or three; empty: they take turns")
-	streamLogs   = flag.String("stream-logs", "", "directory in which the logs of failed seeds are kept; empty: only their ends are printed")
-	streamEmpty  = flag.String("stream-restarts", "", "what servers hold that start again: nothing or models; empty: seeds take turns")
-	frontProgram = flag.String("front-program", "", "program of the entry nodes; empty: this repository's")
+	streamSeeds    = flag.Int("stream-seeds", 1, "number of seeds of TestStreamsTakenUpStayInOrder")
+	streamSeed     = flag.Uint64("stream-seed", 1, "first seed of TestStreamsTakenUpStayInOrder")
+	streamFor      = flag.Duration("stream-for", 25*time.Second, "time for which a seed's streams begin")
+	streamPlans    = flag.String("stream-plan", "", "deployment of all seeds: tocka-prod, colacion-gt or three; empty: they take turns")
+	streamLogs     = flag.String("stream-logs", "", "directory in which the logs of failed seeds are kept; empty: only their ends are printed")
+	streamEmpty    = flag.String("stream-restarts", "", "what servers hold that start again: nothing or models; empty: seeds take turns")
+	streamUnframed = flag.Float64("stream-unframed", -1, "share of servers that send streams without framing; negative: none, some or all, drawn by the seed")
+	frontProgram   = flag.String("front-program", "", "program of the entry nodes; empty: this repository's")
 )
 
 // streamRun is the run of one seed: entry nodes and servers as processes, callers and the store
@@ -41,7 +42,9 @@
 	nodes   []*frontNode
 	servers *serverFleet
 
-	restartEmpty bool // servers that start again hold no models
+	restartEmpty bool       // servers that start again hold no models
+	unframed     float64    // share of servers that send streams without framing
+	framings     *rand.Rand // draws which they are, apart from the other draws
 	disturbing   sync.WaitGroup
 	releasing    sync.Mutex // held during a release
 
@@ -81,6 +84,10 @@
 	}
 	r := &streamRun{t: t, plan: plan, dir: t.TempDir(), api: objectapi.New()}
 	r.restartEmpty = rng.IntN(2) == 0 && *streamEmpty == "" || *streamEmpty == "nothing"
+	r.framings = rand.New(rand.NewPCG(seed, 1))
+	if r.unframed = []float64{0, 0.3, 1}[r.framings.IntN(3)]; *streamUnframed >= 0 {
+		r.unframed = *streamUnframed
+	}
 	r.deploy(rng)
 	ctx, cancel := context.WithTimeout(t.Context(), *streamFor)
 	defer cancel()
@@ -108,7 +115,7 @@
 	expiring.Go(func() { r.expiry.run(t.Context(), func(id string) { r.logf("entry of %s has expired", id) }) })
 	t.Cleanup(expiring.Wait)
 	r.writeDesired(map[string]float64{mainEngine: 1})
-	r.servers = &serverFleet{dir: r.dir, host: host, store: r.gates[0].address, slots: r.plan.slots, logf: r.logf, reserved: map[*serverProcess]bool{}}
+	r.servers = &serverFleet{dir: r.dir, host: host, store: r.gates[0].address, slots: r.plan.slots, logf: r.logf, unframed: r.unframed, framings: r.framings, reserved: map[*serverProcess]bool{}}
 	t.Cleanup(r.servers.close)
 }
 
@@ -246,7 +253,7 @@
 		}
 	}
 	counts := countStreams(r.streams, reasons)
-	r.t.Logf("seed %d, %s, servers restart empty %t: %v", seed, r.plan.name, r.restartEmpty, counts)
+	r.t.Logf("seed %d, %s, servers restart empty %t, unframed %v: %v", seed, r.plan.name, r.restartEmpty, r.unframed, counts)
 	assert.Check(r.t, counts.whole > 0, "no stream was whole")
 	r.keepLogs(seed)
 }
--- a/internal/processes/stream_servers_test.go
+++ b/internal/processes/stream_servers_test.go
@@ -53,7 +53,10 @@
 	slots int
 	logf  func(format string, args ...any)
 
+	unframed float64 // share of servers that send streams without framing
+
 	mu       sync.Mutex
+	framings *rand.Rand // draws which servers they are
 	all      []*serverProcess
 	reserved map[*serverProcess]bool // a disturbance uses it
 	next     int                     // number of the next server
@@ -87,6 +90,7 @@
 	if rng.IntN(2) == 0 {
 		c.EntryDelay = time.Duration(rng.Int64N(int64(heartbeat)))
 	}
+	c.Unframed = f.framings.Float64() < f.unframed
 	if service != plainService {
 		c.Models, c.MemoryMB, c.Held = modelStore, serverMemoryMB, held
 	}
@@ -129,7 +133,7 @@
 		close(p.exited)
 	}()
 	f.all = append(f.all, p)
-	f.logf("server %s starts: %s of %s at %s, holds %v, process %d", config.ID, config.Software, config.Service, config.Address, config.Held, cmd.Process.Pid)
+	f.logf("server %s starts: %s of %s at %s, holds %v, unframed %t, process %d", config.ID, config.Software, config.Service, config.Address, config.Held, config.Unframed, cmd.Process.Pid)
 	return p, nil
 }
 
--- a/standin/modelserver/http.go
+++ b/standin/modelserver/http.go
@@ -169,6 +169,9 @@
 // parts, so that a server that crashes may stop in the middle of an event.
 func (s *Server) serveStream(w http.ResponseWriter, r *http.Request, events int, e Event) {
 	w.Header().Set("Content-Type", "text/event-stream")
+	if s.config.Unframed {
+		w.Header().Set("Transfer-Encoding", "identity") // net/http sends no chunks then, and closes the connection
+	}
 	last, _ := strconv.Atoi(r.Header.Get(platform.HeaderLastEventID)) // zero if there is none
 	flush := http.NewResponseController(w)
 	pause := s.config.FirstEvent
--- a/standin/modelserver/modelserver.go
+++ b/standin/modelserver/modelserver.go
@@ -38,6 +38,7 @@
 	FirstEvent time.Duration // from a request to the first event of its stream
 	Gap        time.Duration // between two events
 	Work       time.Duration // of a plain request
+	Unframed   bool          // streams have neither a length nor chunks and end with their connections
 
 	EntryDelay time.Duration // from the start, at which it serves, to its first entry
 	Heartbeat  time.Duration // interval at which the server writes its entry
