front: a stream without framing is not complete if its server has ended

Callers got streams that ended in order before their last event, and took them for whole. A process that ends while it sends a stream without length and chunks has its connection closed in order by the kernel; between two events nothing in the bytes shows it. The node passed the end on: it claimed nothing by its own framing, but a caller that reads to the end knows no more.

At such an end the node now asks for the server's report on a new connection. Only if the start that the entry names responds is the end passed on, as before. Otherwise the stream counts as broken off: one that may be resumed goes on at another server, within max_attempts and the retry budget, and the connection of any other caller is reset. A service that never frames its streams gets each of them once, and one report request for each.

An empty stream without framing was never taken for a rest that is empty, so a stream whose server ended just after its last event could not be completed by a service without framing. It is now if another server has ended the stream in order after the same event.

Evidence: without the change the cases of TestUnframedStreamOfEndedServerIsNotComplete, TestUnframedStreamOfEndedPlainServerIsNotComplete, TestUnframedStreamOfEndedServerIsResumed where the rest follows, and TestStreamTakenUpAfterLastEventIsComplete without framing fail.

--- a/internal/front/starts.go
+++ b/internal/front/starts.go
@@ -9,6 +9,7 @@
 	"github.com/go-kit/log/level"
 
 	"github.com/redwingnotch/redwingnotch/internal/bootclock"
+	"github.com/redwingnotch/redwingnotch/internal/httpsend"
 	"github.com/redwingnotch/redwingnotch/platform"
 	"github.com/redwingnotch/redwingnotch/replicas"
 )
@@ -22,17 +23,12 @@
 // errOtherStart means that a server has restarted since the entry that this node has of it.
 var errOtherStart = errors.New("the server runs as another start than its entry names")
 
-// confirmStart returns an error unless the process that responds on a connection which is open now
-// is the start that the entry names. Only the start says which software a server runs: a server may
-// restart under its ID and address with another one before its new entry is known.
+// checkStart returns an error unless the start of the server that the entry names responds now, and
+// the start that does; zero if none does or it is not told.
 //
-// The report is requested on a connection of its own, which is later than that of the response. So
-// if it names the start of the entry, which was known before, no later start can have responded.
-func (x *exchange) confirmStart(ctx context.Context, server replicas.Entry) error {
-	if server.Start == 0 {
-		return fmt.Errorf("%w: it names none", errOtherStart)
-	}
-	began := bootclock.Now()
+// The report is requested on a connection of its own: a response on another one may be an earlier
+// one, or of a process that has ended.
+func (x *exchange) checkStart(ctx context.Context, server replicas.Entry) (int64, error) {
 	var start int64
 	var err error
 	for range startCheckTries {
@@ -43,6 +39,28 @@
 	if err == nil && start != server.Start {
 		err = errOtherStart
 	}
+	return start, err
+}
+
+// reportedStart returns the start that the server reports.
+func (x *exchange) reportedStart(ctx context.Context, server replicas.Entry) (int64, error) {
+	ctx, cancel := context.WithTimeout(ctx, startCheckTimeout)
+	defer cancel()
+	return platform.ServerStart(ctx, x.node.serverClients.freshClient, server.Address, server.ID)
+}
+
+// confirmStart returns an error unless the process that responds on a connection which is open now
+// is the start that the entry names. Only the start says which software a server runs: a server may
+// restart under its ID and address with another one before its new entry is known.
+//
+// The connection of the report is later than that of the response. So if it names the start of the
+// entry, which was known before, no later start can have responded.
+func (x *exchange) confirmStart(ctx context.Context, server replicas.Entry) error {
+	if server.Start == 0 {
+		return fmt.Errorf("%w: it names none", errOtherStart)
+	}
+	began := bootclock.Now()
+	start, err := x.checkStart(ctx, server)
 	if err != nil {
 		level.Info(x.node.log).Log("event", "server_start_unconfirmed", "id", x.params.ID, "server", server.ID, "service", server.Service,
 			"software", server.Software, "start", server.Start, "reported", start, "took_ms", bootclock.Now().Sub(began).Milliseconds(), "err", err)
@@ -50,9 +68,29 @@
 	return err
 }
 
-// reportedStart returns the start that the server reports.
-func (x *exchange) reportedStart(ctx context.Context, server replicas.Entry) (int64, error) {
-	ctx, cancel := context.WithTimeout(ctx, startCheckTimeout)
+// livesOn reports whether the process that sent a response until its connection was closed still
+// runs. The kernel closes the connections of a process that ends in order. Of a server without
+// reports, or without a known start, it is only checked that it accepts connections.
+func (x *exchange) livesOn(server replicas.Entry) bool {
+	began := bootclock.Now()
+	var err error
+	if x.params.Model == "" || server.Start == 0 {
+		err = x.checkAccepts(server)
+	} else {
+		_, err = x.checkStart(x.r.Context(), server)
+	}
+	level.Info(x.node.log).Log("event", "stream_end_check", "id", x.params.ID, "server", server.ID, "start", server.Start, "alive", err == nil,
+		"took_ms", bootclock.Now().Sub(began).Milliseconds(), "err", err)
+	return err == nil
+}
+
+// checkAccepts returns an error if the server accepts no connection.
+func (x *exchange) checkAccepts(server replicas.Entry) error {
+	ctx, cancel := context.WithTimeout(x.r.Context(), startCheckTries*startCheckTimeout)
 	defer cancel()
-	return platform.ServerStart(ctx, x.node.serverClients.freshClient, server.Address, server.ID)
+	conn, err := httpsend.DialTCP(ctx, "tcp", server.Address)
+	if err != nil {
+		return err
+	}
+	return conn.Close()
 }
--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -128,6 +128,10 @@
 // closed where that does not show that the stream is complete.
 var errUnframedEnd = errors.New("stream without framing may be incomplete")
 
+// errServerEnded means that nothing shows that the process which sent a stream without length and
+// chunks outlived it.
+var errServerEnded = errors.New("server of a stream without framing may have ended in it")
+
 // streamEnd says how a server's stream ended.
 type streamEnd struct {
 	events int    // complete events received from this server
@@ -144,10 +148,10 @@
 		return x.streamFailed(server, end.err)
 	case inside:
 		return x.streamFailed(server, errInsideEvent)
-	case x.received.framing == httpsend.FramingClose && (end.events == 0 || !x.framedByClose):
-		// Without an event the server may have failed at once. After a resumption, the
-		// caller's framing can't be changed any more, and would claim a complete stream.
-		return x.streamFailed(server, errUnframedEnd)
+	case x.received.framing == httpsend.FramingClose:
+		if err := x.checkUnframedEnd(server, end.events); err != nil {
+			return x.streamFailed(server, err)
+		}
 	}
 	x.responseComplete(server, resp)
 	if !x.responseStarted && !x.startResponse(resp, unknownLength) {
@@ -161,6 +165,23 @@
 	return attemptDone
 }
 
+// checkUnframedEnd returns an error unless a stream that ended with its connection, after the given
+// number of events from this server, may be passed on as it is: the caller's response ends with its
+// connection, too, and nothing shows that the server's process ended before the stream.
+func (x *exchange) checkUnframedEnd(server replicas.Entry, events int) error {
+	closedBefore := x.lastEventID != "" && x.closedAfter == x.lastEventID
+	x.closedAfter = x.lastEventID
+	switch {
+	case x.responseStarted && !x.framedByClose:
+		return errUnframedEnd // the caller's framing would claim a complete stream
+	case events == 0 && !closedBefore:
+		return errUnframedEnd // the server may have failed at once, unless another one ended the stream here, too
+	case !x.livesOn(server):
+		return errServerEnded
+	}
+	return nil
+}
+
 // streamFailed handles a stream that broke.
 func (x *exchange) streamFailed(server replicas.Entry, err error) attemptResult {
 	if x.r.Context().Err() != nil {
--- /dev/null
+++ b/internal/front/unframed_end_test.go
@@ -0,0 +1,129 @@
+package front_test
+
+import (
+	"net/http"
+	"strconv"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/redwingnotch/redwingnotch/internal/httpsend"
+	"github.com/redwingnotch/redwingnotch/platform"
+	"github.com/redwingnotch/redwingnotch/standin/rawhttp"
+)
+
+// endings are the ends of a server's process, as other connections see them.
+var endings = map[string]func(*backendServer){
+	"it refuses connections": func(b *backendServer) { _ = b.server.Listener.Close() }, // closed once more at the end
+	"it has started again": func(b *backendServer) {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		b.restarts++
+	},
+}
+
+// endsInStream starts a backend server that sends events 1 to 3 of a new stream without framing, and
+// ends before it closes the connection. It goes on with other streams up to the event to.
+func (c *cluster) endsInStream(id, service string, framing httpsend.Framing, to int, end func(*backendServer)) {
+	var b *backendServer
+	b = c.backendServer(id, service, func(rw http.ResponseWriter, r *http.Request) {
+		if r.Header.Get(platform.HeaderLastEventID) == "" {
+			end(b)
+			send(eventStream(httpsend.FramingClose, 1, 3, ""))(rw, r)
+			return
+		}
+		send(eventStream(framing, 4, to, ""))(rw, r)
+	})
+}
+
+// TestUnframedStreamOfEndedServerIsNotComplete guards against a stream that ends too early and
+// looks complete: the process of a server that sends neither a length nor chunks ends between two
+// events, and the kernel closes the connection in order.
+func TestUnframedStreamOfEndedServerIsNotComplete(t *testing.T) {
+	for name, end := range endings {
+		for _, path := range []string{"/chat/x", "/proof/x"} {
+			t.Run(name+" "+path, func(t *testing.T) {
+				t.Parallel()
+				c := newCluster(t)
+				c.endsInStream("s1", "llm", httpsend.FramingClose, 6, end)
+				n := c.node("127.0.0.1", 0)
+				got := c.call(n, http.MethodPost, path, "r1", platform.HeaderModel, "m")
+				assert.Equal(t, got.body, eventText(1, 3))
+				assert.Assert(t, got.truncated)
+			})
+		}
+	}
+}
+
+// TestUnframedStreamOfEndedPlainServerIsNotComplete guards against the same on a plain service,
+// whose servers have no reports.
+func TestUnframedStreamOfEndedPlainServerIsNotComplete(t *testing.T) {
+	c := newCluster(t)
+	c.endsInStream("s1", "plain", httpsend.FramingClose, 6, endings["it refuses connections"])
+	n := c.node("127.0.0.1", 0)
+	got := c.call(n, http.MethodPost, "/unsafe/x", "r1")
+	assert.Equal(t, got.body, eventText(1, 3))
+	assert.Assert(t, got.truncated)
+}
+
+// TestUnframedStreamOfEndedServerIsResumed guards against a caller that loses the rest of such a
+// stream, or a stream that was whole, though another server can tell.
+func TestUnframedStreamOfEndedServerIsResumed(t *testing.T) {
+	for _, framing := range rawhttp.Framings() {
+		for name, to := range map[string]int{"the rest follows": 6, "nothing follows": 3} {
+			t.Run(string(framing)+" "+name, func(t *testing.T) {
+				t.Parallel()
+				c := newCluster(t)
+				for _, id := range []string{"s1", "s2"} {
+					c.endsInStream(id, "llm", framing, to, endings["it refuses connections"])
+				}
+				n := c.node("127.0.0.1", 0)
+				got := c.call(n, http.MethodPost, "/proof/x", "r1", platform.HeaderModel, "m")
+				assert.Equal(t, got.body, eventText(1, to))
+				assert.Assert(t, !got.truncated)
+				assert.Equal(t, got.framing, httpsend.FramingClose)
+			})
+		}
+	}
+}
+
+// TestUnframedStreamOfLivingServerRunsOnce guards against a service whose servers frame no streams
+// and that gets each of them twice.
+func TestUnframedStreamOfLivingServerRunsOnce(t *testing.T) {
+	for _, path := range []string{"/chat/x", "/proof/x"} {
+		t.Run(path, func(t *testing.T) {
+			t.Parallel()
+			c := newCluster(t)
+			serve := send(eventStream(httpsend.FramingClose, 1, 3, ""))
+			first, second := c.backendServer("s1", "llm", serve), c.backendServer("s2", "llm", serve)
+			n := c.node("127.0.0.1", 0)
+			got := c.call(n, http.MethodPost, path, "r1", platform.HeaderModel, "m")
+			assert.Equal(t, got.body, eventText(1, 3))
+			assert.Assert(t, !got.truncated)
+			assert.Equal(t, first.count()+second.count(), 1)
+		})
+	}
+}
+
+// TestStreamTakenUpAfterLastEventIsComplete guards against a caller that has the whole stream but
+// not its end, and gets an error each time it takes the stream up.
+func TestStreamTakenUpAfterLastEventIsComplete(t *testing.T) {
+	for _, framing := range rawhttp.Framings() {
+		t.Run(string(framing), func(t *testing.T) {
+			t.Parallel()
+			c := newCluster(t)
+			serve := func(rw http.ResponseWriter, r *http.Request) {
+				last, _ := strconv.Atoi(r.Header.Get(platform.HeaderLastEventID)) // zero if there is none
+				send(eventStream(framing, last+1, 3, ""))(rw, r)
+			}
+			c.backendServer("s1", "llm", serve)
+			c.backendServer("s2", "llm", serve)
+			n := c.node("127.0.0.1", 0)
+			c.call(n, http.MethodPost, "/proof/x", "r1", platform.HeaderModel, "m")
+			got := c.call(n, http.MethodPost, "/proof/x", "r2", platform.HeaderModel, "m", platform.HeaderLastEventID, "3", "Resumes", "r1")
+			assert.Equal(t, got.status, http.StatusOK)
+			assert.Equal(t, got.body, "")
+			assert.Assert(t, !got.truncated)
+		})
+	}
+}
