front: a stream without an event is not complete

Callers got status 200 and a complete, empty stream from a server that completed the framing before its first event. No stream that a server has run is empty: a request begins to run with its first token. Such an end now counts as a broken stream: one that may be resumed is sent to another server, any other caller gets 502, or a reset if a comment was passed on. A stream that is taken up behind an event may still be empty, as its caller may have had the last one.

TestCallerIsToldTruthfullyHowResponseEnded expected such a stream to be passed on.

--- a/internal/front/framing_random_test.go
+++ b/internal/front/framing_random_test.go
@@ -117,16 +117,21 @@
 func (f *framingCase) check(got response) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	whole := f.whole()
 	switch {
 	case len(f.ends) == 0:
 		return nil // refused or no server at the moment
+	case whole == "":
+		if got.status == http.StatusOK && got.err == nil && !got.truncated {
+			return fmt.Errorf("a stream without an event ended as complete")
+		}
+		return nil
 	case got.status != http.StatusOK || got.err != nil:
 		if f.ends[0].complete || f.ends[0].closed {
 			return fmt.Errorf("status %d, %v instead of the server's response", got.status, got.err)
 		}
 		return nil
 	}
-	whole := f.whole()
 	first, last := f.ends[0], f.ends[len(f.ends)-1]
 	switch {
 	case !strings.HasPrefix(whole, got.body):
--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -46,7 +46,8 @@
 	reader := &eventReader{r: bufio.NewReader(resp.Body), held: held}
 	flusher := http.NewResponseController(x.w)
 	goesOn := x.lastEventID == "" // an ID has shown that the server goes on after the caller's last event
-	for events := 0; ; events++ {
+	events := 0
+	for {
 		event, id, err := reader.next()
 		if gap != nil {
 			gap.Stop() // a slow caller is no pause of the server
@@ -58,6 +59,9 @@
 			return x.streamFailed(server, fmt.Errorf("%w: ID %q after %q", errEventOrder, loggedEventID(id), loggedEventID(x.lastEventID)))
 		}
 		goesOn = goesOn || id != ""
+		if holdsEvent(event) {
+			events++
+		}
 		if x.attemptBegan.IsZero() {
 			x.attemptBegan = bootclock.Now()
 		}
@@ -124,6 +128,10 @@
 // if its framing was completed.
 var errInsideEvent = errors.New("stream ended inside an event")
 
+// errNoEvent means that a stream ended without an event though there is one to come: each stream
+// has an event.
+var errNoEvent = errors.New("stream ended without an event")
+
 // errUnframedEnd means that the connection of a stream without length and chunks was
 // closed where that does not show that the stream is complete.
 var errUnframedEnd = errors.New("stream without framing may be incomplete")
@@ -148,6 +156,8 @@
 		return x.streamFailed(server, end.err)
 	case inside:
 		return x.streamFailed(server, errInsideEvent)
+	case end.events == 0 && x.lastEventID == "":
+		return x.streamFailed(server, errNoEvent)
 	case x.received.framing == httpsend.FramingClose:
 		if err := x.checkUnframedEnd(server, end.events); err != nil {
 			return x.streamFailed(server, err)
