front: an event that has begun is not missing from a resumed stream

A stream that broke inside an event was resumed at a server that sent no event, with complete framing, and the caller got it as complete. The beginning that the first server sent shows that an event follows the last one. The node now remembers that, and takes a rest without an event for a broken stream.

Evidence: TestEventThatHasBegunIsNotMissing fails without the change.

--- a/internal/front/empty_stream_test.go
+++ b/internal/front/empty_stream_test.go
@@ -56,3 +56,22 @@
 		})
 	}
 }
+
+// TestEventThatHasBegunIsNotMissing guards against a stream that ends as complete before an event
+// of which its first server has sent the beginning: the next server sends no event.
+func TestEventThatHasBegunIsNotMissing(t *testing.T) {
+	c := newCluster(t)
+	serve := func(rw http.ResponseWriter, r *http.Request) {
+		if r.Header.Get(platform.HeaderLastEventID) == "3" {
+			writeEvents(rw, 4, 3, false)
+			return
+		}
+		send(eventStream(httpsend.FramingChunks, 1, 3, "id: 4\nda"))(rw, r)
+	}
+	c.backendServer("s1", "llm", serve)
+	c.backendServer("s2", "llm", serve)
+	n := c.node("127.0.0.1", 0)
+	got := c.call(n, http.MethodPost, "/proof/x", "r1", platform.HeaderModel, "m")
+	assert.Equal(t, got.body, eventText(1, 3))
+	assert.Assert(t, got.truncated)
+}
--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -61,6 +61,7 @@
 		goesOn = goesOn || id != ""
 		if holdsEvent(event) {
 			events++
+			x.eventBegun = false
 		}
 		if x.attemptBegan.IsZero() {
 			x.attemptBegan = bootclock.Now()
@@ -129,7 +130,7 @@
 var errInsideEvent = errors.New("stream ended inside an event")
 
 // errNoEvent means that a stream ended without an event though there is one to come: each stream
-// has an event.
+// has an event, and an event of which an earlier server has sent the beginning follows.
 var errNoEvent = errors.New("stream ended without an event")
 
 // errUnframedEnd means that the connection of a stream without length and chunks was
@@ -151,12 +152,13 @@
 func (x *exchange) streamEnded(server replicas.Entry, resp *http.Response, end streamEnd) attemptResult {
 	inside := holdsEvent(end.rest)
 	x.recordEnd(end.err, inside)
+	x.eventBegun = x.eventBegun || inside
 	switch {
 	case !errors.Is(end.err, io.EOF):
 		return x.streamFailed(server, end.err)
 	case inside:
 		return x.streamFailed(server, errInsideEvent)
-	case end.events == 0 && x.lastEventID == "":
+	case end.events == 0 && (x.lastEventID == "" || x.eventBegun):
 		return x.streamFailed(server, errNoEvent)
 	case x.received.framing == httpsend.FramingClose:
 		if err := x.checkUnframedEnd(server, end.events); err != nil {
