processes: plain requests beside the streams; servers that leave remove their entries

Plain requests, safe and unsafe, are sent on connections that their callers keep, and each whole response must be the server's. A server that has left stayed listed for three heartbeats, which the platform's do not.

--- a/standin/modelserver/http.go
+++ b/standin/modelserver/http.go
@@ -143,11 +143,14 @@
 		return
 	}
 	time.Sleep(s.config.Work)
-	text := "done " + id + " " + Digest(body)
+	text := PlainResponse(id, body)
 	w.Header().Set("Content-Length", strconv.Itoa(len(text)))
 	_, _ = io.WriteString(w, text) // fails if the caller has left
 }
 
+// PlainResponse returns the body of the response to a plain request.
+func PlainResponse(id string, body []byte) string { return "done " + id + " " + Digest(body) }
+
 // Digest identifies a request's body in events and responses.
 func Digest(body []byte) string {
 	sum := sha256.Sum256(body)
--- a/standin/modelserver/modelserver.go
+++ b/standin/modelserver/modelserver.go
@@ -115,7 +115,7 @@
 	listenPause = 20 * time.Millisecond
 )
 
-// leave reports that the server leaves, or removes its entry, and returns when it may exit. The
+// leave reports that the server leaves, or removes its entry, and returns when it may exit without one. The
 // time to serve on begins once the store has accepted the report.
 func (s *Server) leave(withdraw bool) {
 	s.mu.Lock()
@@ -131,6 +131,10 @@
 		time.Sleep(s.config.Heartbeat / 4)
 	}
 	time.Sleep(s.config.Drain + s.config.Linger)
+	s.mu.Lock()
+	s.state = ""
+	s.mu.Unlock()
+	_ = s.writeEntry() // the platform removes what is left
 }
 
 // leaveTries bounds the writes of a server that leaves while the store is down.
