--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -29,11 +29,8 @@
 // stream passes on a stream event by event. If the stream breaks and the route
 // allows it, the stream is resumed at another server.
 func (x *exchange) stream(ctx context.Context, cancel context.CancelCauseFunc, server replicas.Entry, resp *http.Response, sent time.Time) attemptResult {
-	var gap *time.Timer
-	if x.route.Resumable {
-		gap = time.AfterFunc(x.gapTimeout(), func() { cancel(errGapTimeout) })
-		defer gap.Stop()
-	}
+	gap := x.limitGaps(cancel)
+	defer gap.stop()
 	if x.route.Resumable || x.software != nil {
 		if err := x.confirmStart(ctx, server); err != nil && x.software != nil {
 			return x.attemptFailed(server, "server_start_unconfirmed", err)
@@ -49,9 +46,7 @@
 	events := 0
 	for {
 		event, id, err := reader.next()
-		if gap != nil {
-			gap.Stop() // a slow caller is no pause of the server
-		}
+		gap.stop() // a slow caller is no pause of the server
 		if err != nil {
 			return x.streamEnded(server, resp, streamEnd{events: events, rest: event, err: err})
 		}
@@ -74,28 +69,34 @@
 			}
 			x.software = &server.Software
 		}
-		if !x.limitWrite() {
-			return attemptDone
-		}
-		if _, err := x.w.Write(event); err != nil {
-			x.abort("caller_left")
-			return attemptDone
-		}
-		if err := flusher.Flush(); err != nil {
-			x.abort("caller_left")
+		if !x.passOn(flusher, event, id) {
 			return attemptDone
 		}
-		if id != "" {
-			x.firstEventID, x.lastEventID, x.sentWithoutID = cmp.Or(x.firstEventID, id), id, false
-		} else if holdsEvent(event) {
-			x.sentWithoutID = true
-		}
-		if gap != nil {
-			gap.Reset(x.gapTimeout())
-		}
+		gap.start()
 	}
 }
 
+// passOn sends an event to the caller. It returns false if the caller has left.
+func (x *exchange) passOn(flusher *http.ResponseController, event []byte, id string) bool {
+	if !x.limitWrite() {
+		return false
+	}
+	_, err := x.w.Write(event)
+	if err == nil {
+		err = flusher.Flush()
+	}
+	if err != nil {
+		x.abort("caller_left")
+		return false
+	}
+	if id != "" {
+		x.firstEventID, x.lastEventID, x.sentWithoutID = cmp.Or(x.firstEventID, id), id, false
+	} else if holdsEvent(event) {
+		x.sentWithoutID = true
+	}
+	return true
+}
+
 // errEventOrder means that an event does not come after the last one that the caller has.
 var errEventOrder = errors.New("stream does not go on after the last event")
 
@@ -121,9 +122,32 @@
 // isNumber reports whether an ID is a decimal number, of any size.
 func isNumber(id string) bool { return id != "" && strings.Trim(id, "0123456789") == "" }
 
-// gapTimeout returns the pause after which a resumable stream is resumed at
-// another server.
-func (x *exchange) gapTimeout() time.Duration { return max(minGapTimeout, gapFactor*x.route.MaxGap) }
+// gapLimit cancels an attempt whose server pauses for too long. Nil limits nothing.
+type gapLimit struct {
+	timer   *time.Timer
+	timeout time.Duration
+}
+
+// limitGaps starts a limit of the pauses of a stream that can be resumed at another server.
+func (x *exchange) limitGaps(cancel context.CancelCauseFunc) *gapLimit {
+	if !x.route.Resumable {
+		return nil
+	}
+	timeout := max(minGapTimeout, gapFactor*x.route.MaxGap)
+	return &gapLimit{timer: time.AfterFunc(timeout, func() { cancel(errGapTimeout) }), timeout: timeout}
+}
+
+func (g *gapLimit) start() {
+	if g != nil {
+		g.timer.Reset(g.timeout)
+	}
+}
+
+func (g *gapLimit) stop() {
+	if g != nil {
+		g.timer.Stop()
+	}
+}
 
 // errInsideEvent means that a stream ended inside an event. It was broken off, even
 // if its framing was completed.
