--- a/internal/front/starts.go
+++ b/internal/front/starts.go
@@ -23,6 +23,21 @@
 // errOtherStart means that a server has restarted since the entry that this node has of it.
 var errOtherStart = errors.New("the server runs as another start than its entry names")
 
+// confirmSoftware returns the server's entry with the software that certainly begins or goes on with
+// the stream, none if that is not known. It returns an error if the stream has begun at another
+// server and this one may not go on with it.
+func (x *exchange) confirmSoftware(ctx context.Context, server replicas.Entry) (replicas.Entry, error) {
+	if !x.route.Resumable && x.software == nil {
+		return server, nil
+	}
+	err := x.confirmStart(ctx, server)
+	if err != nil && x.software == nil {
+		server.Software = ""
+		return server, nil
+	}
+	return server, err
+}
+
 // checkStart returns an error unless the start of the server that the entry names responds now, and
 // the start that does; zero if none does or it is not told.
 //
--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -31,12 +31,9 @@
 func (x *exchange) stream(ctx context.Context, cancel context.CancelCauseFunc, server replicas.Entry, resp *http.Response, sent time.Time) attemptResult {
 	gap := x.limitGaps(cancel)
 	defer gap.stop()
-	if x.route.Resumable || x.software != nil {
-		if err := x.confirmStart(ctx, server); err != nil && x.software != nil {
-			return x.attemptFailed(server, "server_start_unconfirmed", err)
-		} else if err != nil {
-			server.Software = "" // which fits no other
-		}
+	server, err := x.confirmSoftware(ctx, server)
+	if err != nil {
+		return x.attemptFailed(server, "server_start_unconfirmed", err)
 	}
 	held := x.node.bodies.Hold()
 	defer held.Release()
