--- a/internal/front/unframed_end_test.go
+++ b/internal/front/unframed_end_test.go
@@ -1,6 +1,7 @@
 package front_test
 
 import (
+	"net"
 	"net/http"
 	"strconv"
 	"testing"
@@ -12,23 +13,29 @@
 	"github.com/redwingnotch/redwingnotch/standin/rawhttp"
 )
 
-// endings are the ends of a server's process, as other connections see them.
-var endings = map[string]func(*backendServer){
-	"it refuses connections": func(b *backendServer) { _ = b.server.Listener.Close() }, // closed once more at the end
-	"it has started again": func(b *backendServer) {
+// endings are the ends of a server's process, or its halt, as other connections see them.
+var endings = map[string]func(*cluster, *backendServer){
+	"it refuses connections": func(_ *cluster, b *backendServer) { _ = b.server.Listener.Close() }, // closed once more at the end
+	"it has started again": func(_ *cluster, b *backendServer) {
 		b.mu.Lock()
 		defer b.mu.Unlock()
 		b.restarts++
 	},
+	"it does not respond": func(c *cluster, b *backendServer) {
+		_ = b.server.Listener.Close() // closed once more at the end
+		l, err := net.Listen("tcp", b.server.Listener.Addr().String())
+		assert.Check(c.t, err)
+		c.t.Cleanup(func() { l.Close() })
+	},
 }
 
 // endsInStream starts a backend server that sends events 1 to 3 of a new stream without framing, and
 // ends before it closes the connection. It goes on with other streams up to the event to.
-func (c *cluster) endsInStream(id, service string, framing httpsend.Framing, to int, end func(*backendServer)) {
+func (c *cluster) endsInStream(id, service string, framing httpsend.Framing, to int, end func(*cluster, *backendServer)) {
 	var b *backendServer
 	b = c.backendServer(id, service, func(rw http.ResponseWriter, r *http.Request) {
 		if r.Header.Get(platform.HeaderLastEventID) == "" {
-			end(b)
+			end(c, b)
 			send(eventStream(httpsend.FramingClose, 1, 3, ""))(rw, r)
 			return
 		}
