processes: nodes that stand still during a release; a test of the check of streams

Half of the nodes are frozen, with requests in their sockets, while servers are replaced and load models.

--- a/internal/processes/stream_faults_test.go
+++ b/internal/processes/stream_faults_test.go
@@ -36,6 +36,7 @@
 	{"route moves", 2, moveRoute},
 	{"release in a store outage", 2, releaseInOutage},
 	{"kill all nodes in a release", 1, killAllInRelease},
+	{"freeze nodes in a release", 2, freezeInRelease},
 }
 
 // disturb brings about disturbances, some of which overlap, until the context ends.
@@ -294,6 +295,23 @@
 	releaseSoftware(ctx, r, rng)
 }
 
+// freezeInRelease freezes half of the nodes, with requests in their sockets, for so long that
+// servers come back and load a model meanwhile.
+func freezeInRelease(ctx context.Context, r *streamRun, rng *rand.Rand) {
+	some := r.someNodes(rng, (len(r.nodes)+1)/2)
+	freeze := between(rng, 2*time.Second, 8*time.Second)
+	for _, node := range some {
+		node.signal(syscall.SIGSTOP, nodeRestartDelay(rng))
+	}
+	r.disturbing.Go(func() {
+		_ = fault.Sleep(ctx, freeze) // an ended run thaws them as well
+		for _, node := range some {
+			node.signal(syscall.SIGCONT, time.Second)
+		}
+	})
+	releaseSoftware(ctx, r, rng)
+}
+
 // moveRoute changes the services of a route, and at times kills nodes right after that.
 func moveRoute(ctx context.Context, r *streamRun, rng *rand.Rand) {
 	weights := []map[string]float64{{mainEngine: 1}, {secondEngine: 1}, {mainEngine: 0.5, secondEngine: 0.5}}[rng.IntN(3)]
