processes: servers that break their streams

Streams went on within one response only after a server was killed or frozen. A share of the streams, drawn by the seed, now stalls, is cut or ends properly in the middle of an event; -stream-breaks sets the share.

--- a/internal/processes/stream_run_test.go
+++ b/internal/processes/stream_run_test.go
@@ -26,6 +26,7 @@
 	streamLogs     = flag.String("stream-logs", "", "directory in which the logs of failed seeds are kept; empty: only their ends are printed")
 	streamEmpty    = flag.String("stream-restarts", "", "what servers hold that start again: nothing or models; empty: seeds take turns")
 	streamUnframed = flag.Float64("stream-unframed", -1, "share of servers that send streams without framing; negative: none, some or all, drawn by the seed")
+	streamBreaks   = flag.Float64("stream-breaks", -1, "share of streams that their servers break; negative: none, some or many, drawn by the seed")
 	frontProgram   = flag.String("front-program", "", "program of the entry nodes; empty: this repository's")
 )
 
@@ -44,7 +45,8 @@
 
 	restartEmpty bool       // servers that start again hold no models
 	unframed     float64    // share of servers that send streams without framing
-	framings     *rand.Rand // draws which they are, apart from the other draws
+	breaks       float64    // share of streams that their servers break
+	framings     *rand.Rand // draws which servers are unframed, apart from the other draws
 	disturbing   sync.WaitGroup
 	releasing    sync.Mutex // held during a release
 
@@ -90,6 +92,9 @@
 	if r.unframed = []float64{0, 0.3, 1}[r.framings.IntN(3)]; *streamUnframed >= 0 {
 		r.unframed = *streamUnframed
 	}
+	if r.breaks = []float64{0, 0.1, 0.4}[r.framings.IntN(3)]; *streamBreaks >= 0 {
+		r.breaks = *streamBreaks
+	}
 	r.deploy(rng)
 	ctx, cancel := context.WithTimeout(t.Context(), *streamFor)
 	defer cancel()
@@ -117,7 +122,7 @@
 	expiring.Go(func() { r.expiry.run(t.Context(), func(id string) { r.logf("entry of %s has expired", id) }) })
 	t.Cleanup(expiring.Wait)
 	r.writeDesired(map[string]float64{mainEngine: 1})
-	r.servers = &serverFleet{dir: r.dir, host: host, store: r.gates[0].address, slots: r.plan.slots, logf: r.logf, unframed: r.unframed, framings: r.framings, reserved: map[*serverProcess]bool{}}
+	r.servers = &serverFleet{dir: r.dir, host: host, store: r.gates[0].address, slots: r.plan.slots, logf: r.logf, unframed: r.unframed, breaks: r.breaks, framings: r.framings, reserved: map[*serverProcess]bool{}}
 	t.Cleanup(r.servers.close)
 }
 
@@ -260,7 +265,7 @@
 		r.t.Errorf("not the server's response: %s", wrong)
 	}
 	counts := countStreams(r.streams, reasons)
-	r.t.Logf("seed %d, %s, servers restart empty %t, unframed %v: %v\n  plain requests: %s", seed, r.plan.name, r.restartEmpty, r.unframed, counts, list(r.plain.outcomes))
+	r.t.Logf("seed %d, %s, servers restart empty %t, unframed %v, breaks %v: %v\n  plain requests: %s", seed, r.plan.name, r.restartEmpty, r.unframed, r.breaks, counts, list(r.plain.outcomes))
 	assert.Check(r.t, counts.whole > 0, "no stream was whole")
 	r.keepLogs(seed)
 }
--- a/internal/processes/stream_servers_test.go
+++ b/internal/processes/stream_servers_test.go
@@ -54,6 +54,7 @@
 	logf  func(format string, args ...any)
 
 	unframed float64 // share of servers that send streams without framing
+	breaks   float64 // share of each server's streams that break
 
 	mu       sync.Mutex
 	framings *rand.Rand // draws which servers they are
@@ -91,6 +92,7 @@
 		c.EntryDelay = time.Duration(rng.Int64N(int64(heartbeat)))
 	}
 	c.Unframed = f.framings.Float64() < f.unframed
+	c.Breaks, c.Seed = f.breaks, uint64(f.next)
 	if service != plainService {
 		c.Models, c.MemoryMB, c.Held = modelStore, serverMemoryMB, held
 	}
--- a/standin/modelserver/http.go
+++ b/standin/modelserver/http.go
@@ -167,34 +167,3 @@
 	Stream   string `json:"stream"` // Digest of its body
 	Number   int    `json:"n"`
 }
-
-// serveStream sends the events that follow the last one that the caller has. Each is sent in two
-// parts, so that a server that crashes may stop in the middle of an event.
-func (s *Server) serveStream(w http.ResponseWriter, r *http.Request, events int, e Event) {
-	w.Header().Set("Content-Type", "text/event-stream")
-	if s.config.Unframed {
-		w.Header().Set("Transfer-Encoding", "identity") // net/http sends no chunks then, and closes the connection
-	}
-	last, _ := strconv.Atoi(r.Header.Get(platform.HeaderLastEventID)) // zero if there is none
-	flush := http.NewResponseController(w)
-	pause := s.config.FirstEvent
-	for e.Number = last + 1; e.Number <= events; e.Number++ {
-		data, err := json.Marshal(e)
-		if err != nil {
-			panic(err) // texts and numbers can't fail
-		}
-		text := fmt.Sprintf("id: %d\ndata: %s\n\n", e.Number, data)
-		cut := len(text) * (e.Number%5 + 1) / 6
-		for _, part := range []string{text[:cut], text[cut:]} {
-			select {
-			case <-r.Context().Done():
-				return
-			case <-time.After(pause / 2):
-			}
-			if _, err := io.WriteString(w, part); err != nil || flush.Flush() != nil {
-				return
-			}
-		}
-		pause = s.config.Gap
-	}
-}
--- a/standin/modelserver/modelserver.go
+++ b/standin/modelserver/modelserver.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -38,6 +39,8 @@
 	FirstEvent time.Duration // from a request to the first event of its stream
 	Gap        time.Duration // between two events
 	Work       time.Duration // of a plain request
+	Breaks     float64       // share of streams that break, as a faulty server's do
+	Seed       uint64        // of the draws which streams break, and how
 	Unframed   bool          // streams have neither a length nor chunks and end with their connections
 
 	EntryDelay time.Duration // from the start, at which it serves, to its first entry
@@ -56,7 +59,8 @@
 type Server struct {
 	config Config
 	store  *storeClient
-	born   int64 // start time, Unix milliseconds
+	born   int64      // start time, Unix milliseconds
+	draws  *rand.Rand // of breaks; guarded by mu
 
 	writing sync.Mutex // held during a write to the store
 
@@ -75,7 +79,8 @@
 // SignalWithdraw.
 func Run(config Config, signals <-chan os.Signal) error {
 	s := &Server{config: config, store: newStoreClient(config.StoreAddress), born: time.Now().UnixMilli(), state: "ready",
-		held: set(config.Held), onDisk: set(append(config.OnDisk, config.Held...))}
+		draws: rand.New(rand.NewPCG(config.Seed, 0)),
+		held:  set(config.Held), onDisk: set(append(config.OnDisk, config.Held...))}
 	l, err := listen(config.Address)
 	if err != nil {
 		return err
