processes: what the nodes logged about a broken stream; disturbances by name

The logs of nodes were lost unless a flag kept them. A breach now prints the lines of all nodes that name one of the stream's tries; -stream-only brings about only some disturbances.

--- a/internal/processes/stream_faults_test.go
+++ b/internal/processes/stream_faults_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"syscall"
 	"time"
 
@@ -41,18 +42,22 @@
 
 // disturb brings about disturbances, some of which overlap, until the context ends.
 func (r *streamRun) disturb(ctx context.Context, rng *rand.Rand) {
+	chosen := slices.DeleteFunc(slices.Clone(disturbances), func(d disturbance) bool { return !strings.Contains(d.name, *streamOnly) })
 	total := 0
-	for _, d := range disturbances {
+	for _, d := range chosen {
 		total += d.weight
 	}
+	if total == 0 {
+		return
+	}
 	for {
 		if fault.Sleep(ctx, between(rng, 100*time.Millisecond, 2500*time.Millisecond)) != nil {
 			r.disturbing.Wait()
 			return
 		}
 		at := rng.IntN(total)
-		i := slices.IndexFunc(disturbances, func(d disturbance) bool { at -= d.weight; return at < 0 })
-		d, own := disturbances[i], rand.New(rand.NewPCG(rng.Uint64(), rng.Uint64()))
+		i := slices.IndexFunc(chosen, func(d disturbance) bool { at -= d.weight; return at < 0 })
+		d, own := chosen[i], rand.New(rand.NewPCG(rng.Uint64(), rng.Uint64()))
 		r.logf("disturbance: %s", d.name)
 		r.disturbing.Go(func() { d.run(ctx, r, own) })
 	}
--- a/internal/processes/stream_run_test.go
+++ b/internal/processes/stream_run_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -27,6 +28,7 @@
 	streamEmpty    = flag.String("stream-restarts", "", "what servers hold that start again: nothing or models; empty: seeds take turns")
 	streamUnframed = flag.Float64("stream-unframed", -1, "share of servers that send streams without framing; negative: none, some or all, drawn by the seed")
 	streamBreaks   = flag.Float64("stream-breaks", -1, "share of streams that their servers break; negative: none, some or many, drawn by the seed")
+	streamOnly     = flag.String("stream-only", "", "part of the names of the disturbances that are brought about; empty: all")
 	frontProgram   = flag.String("front-program", "", "program of the entry nodes; empty: this repository's")
 )
 
@@ -258,7 +260,7 @@
 	}
 	for _, s := range r.streams {
 		if found := s.check(); len(found) > 0 {
-			r.t.Errorf("%d breaches, the first %v\n%v", len(found), found[0], s)
+			r.t.Errorf("%d breaches, the first %v\n%vlogs of the nodes:\n%s", len(found), found[0], s, r.logsOf(s))
 		}
 	}
 	for _, wrong := range r.plain.wrong {
@@ -270,6 +272,23 @@
 	r.keepLogs(seed)
 }
 
+// logsOf returns what the nodes have logged about the stream's tries, by their IDs.
+func (r *streamRun) logsOf(s *callerStream) string {
+	var found strings.Builder
+	for _, n := range r.nodes {
+		text, err := os.ReadFile(n.logPath())
+		if err != nil {
+			return err.Error()
+		}
+		for line := range strings.Lines(string(text)) {
+			if slices.ContainsFunc(s.tries, func(t streamTry) bool { return strings.Contains(line, t.id) }) {
+				found.WriteString(line)
+			}
+		}
+	}
+	return found.String()
+}
+
 // keepLogs keeps the logs of a failed run, or prints the end of its timeline.
 func (r *streamRun) keepLogs(seed uint64) {
 	timeline := strings.Join(r.timeline, "\n") + "\n"
