front: the line of a server keeps the order of its first fields

TestDrainingServerGetsNoRequests failed since: it matches the text of the log, and software was put between service and draining. It stands behind draining now.

--- a/internal/front/resumed_stream_test.go
+++ b/internal/front/resumed_stream_test.go
@@ -131,5 +131,5 @@
 	for _, want := range []string{"after_event= first_event=1 last_event=3", "after_event=3 first_event=4 last_event=6", "server=s1 start=1700000000000 software=v1 sends="} {
 		c.eventually(func() bool { return strings.Contains(c.text(), want) })
 	}
-	assert.Assert(t, strings.Contains(c.text(), "event=server server=s1 service=llm software=v1 "))
+	assert.Assert(t, strings.Contains(c.text(), "event=server server=s1 service=llm draining=false software=v1 "))
 }
--- a/internal/front/watch.go
+++ b/internal/front/watch.go
@@ -349,7 +349,7 @@
 	if known && before.Draining == entry.Draining && before.Start == entry.Start {
 		return
 	}
-	level.Info(n.log).Log("event", "server", "server", entry.ID, "service", entry.Service, "software", entry.Software, "draining", entry.Draining, "start", entry.Start, "revision", entry.Revision, "source", source)
+	level.Info(n.log).Log("event", "server", "server", entry.ID, "service", entry.Service, "draining", entry.Draining, "software", entry.Software, "start", entry.Start, "revision", entry.Revision, "source", source)
 	if entry.Draining {
 		n.announceDeparture(entry, false)
 		return
