front: fields without data are no event of a stream

A sound stream that was resumed, or taken up, was refused if the server began each response with fields such as retry: an event without an ID was not expected there. Callers ignore an event without data, so only one with data counts now, also where a stream must have one. Found in review; TestFieldsWithoutDataBreakNoStream failed before.

--- a/internal/front/events.go
+++ b/internal/front/events.go
@@ -107,6 +107,16 @@
 // loggedEventID returns the ID of an event as the log has it.
 func loggedEventID(id string) string { return id[:min(len(id), maxLoggedEventID)] }
 
+// hasData reports whether an event has data. Callers ignore one that has none.
+func hasData(event []byte) bool {
+	for line := range bytes.FieldsFuncSeq(event, func(r rune) bool { return r == '\r' || r == '\n' }) {
+		if name, _, _ := bytes.Cut(line, []byte(":")); string(name) == "data" {
+			return true
+		}
+	}
+	return false
+}
+
 // holdsEvent reports whether text holds an event or the beginning of one. Whole comment
 // lines are no event.
 func holdsEvent(text []byte) bool {
--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -51,7 +51,7 @@
 			return x.streamFailed(server, fmt.Errorf("%w: ID %q after %q", errEventOrder, loggedEventID(id), loggedEventID(x.lastEventID)))
 		}
 		goesOn = goesOn || id != ""
-		if holdsEvent(event) {
+		if hasData(event) {
 			events++
 			x.eventBegun = false
 		}
@@ -88,7 +88,7 @@
 	}
 	if id != "" {
 		x.firstEventID, x.lastEventID, x.sentWithoutID = cmp.Or(x.firstEventID, id), id, false
-	} else if holdsEvent(event) {
+	} else if hasData(event) {
 		x.sentWithoutID = true
 	}
 	return true
@@ -101,7 +101,7 @@
 // an ID may if goesOn is true: an ID has shown that the server goes on after them.
 func (x *exchange) inOrder(event []byte, id string, goesOn bool) bool {
 	if id == "" {
-		return goesOn || !holdsEvent(event)
+		return goesOn || !hasData(event)
 	}
 	return follows(id, x.lastEventID)
 }
--- a/internal/front/takeup_test.go
+++ b/internal/front/takeup_test.go
@@ -201,3 +201,25 @@
 	c.eventually(func() bool { return strings.Contains(c.text(), "event=request id=r1 ") })
 	assert.Assert(t, strings.Contains(c.text(), " sends=1 runs=1 framing=chunks end=complete "))
 }
+
+// TestFieldsWithoutDataBreakNoStream guards against a sound stream that is refused because a server
+// begins each response with fields that are no event.
+func TestFieldsWithoutDataBreakNoStream(t *testing.T) {
+	const fields = "retry: 1000\n\n"
+	c := newCluster(t)
+	serve := func(rw http.ResponseWriter, r *http.Request) {
+		rw.Header().Set("Content-Type", "text/event-stream")
+		fmt.Fprint(rw, fields)
+		if r.Header.Get(platform.HeaderLastEventID) == "3" {
+			writeEvents(rw, 4, 6, false)
+			return
+		}
+		writeEvents(rw, 1, 3, true)
+	}
+	c.backendServer("s1", "llm", serve)
+	c.backendServer("s2", "llm", serve)
+	n := c.node("127.0.0.1", 0)
+	got := c.call(n, http.MethodPost, "/proof/x", "r1", platform.HeaderModel, "m")
+	assert.Equal(t, strings.ReplaceAll(got.body, fields, ""), eventText(1, 6))
+	assert.Assert(t, !got.truncated)
+}
