front: a whole stream without framing is passed on if its server restarted before it

Its caller got a reset: the end of the stream was compared with the start in the server's entry, and the server had restarted before the stream began, ahead of its entry. It is compared with the start that the report named when the response began, if one was requested then, as on routes that may be resumed. On the others, such a stream is still reset until the entry is known. Found in review; TestUnframedStreamOfRestartedServerIsComplete failed before.

--- a/internal/front/starts.go
+++ b/internal/front/starts.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -38,12 +39,12 @@
 	return server, err
 }
 
-// checkStart returns an error unless the start of the server that the entry names responds now, and
-// the start that does; zero if none does or it is not told.
+// checkStart returns an error unless the given start of the server responds now, and the start that
+// does; zero if none does or it is not told.
 //
 // The report is requested on a connection of its own: a response on another one may be an earlier
 // one, or of a process that has ended.
-func (x *exchange) checkStart(ctx context.Context, server replicas.Entry) (int64, error) {
+func (x *exchange) checkStart(ctx context.Context, server replicas.Entry, want int64) (int64, error) {
 	var start int64
 	var err error
 	for range startCheckTries {
@@ -51,7 +52,7 @@
 			break
 		}
 	}
-	if err == nil && start != server.Start {
+	if err == nil && start != want {
 		err = errOtherStart
 	}
 	return start, err
@@ -75,7 +76,8 @@
 		return fmt.Errorf("%w: it names none", errOtherStart)
 	}
 	began := bootclock.Now()
-	start, err := x.checkStart(ctx, server)
+	start, err := x.checkStart(ctx, server, server.Start)
+	x.liveStart = start
 	if err != nil {
 		level.Info(x.node.log).Log("event", "server_start_unconfirmed", "id", x.params.ID, "server", server.ID, "service", server.Service,
 			"software", server.Software, "start", server.Start, "reported", start, "took_ms", bootclock.Now().Sub(began).Milliseconds(), "err", err)
@@ -92,7 +94,7 @@
 	if x.params.Model == "" || server.Start == 0 {
 		err = x.checkAccepts(server)
 	} else {
-		_, err = x.checkStart(x.r.Context(), server)
+		_, err = x.checkStart(x.r.Context(), server, cmp.Or(x.liveStart, server.Start))
 	}
 	level.Info(x.node.log).Log("event", "stream_end_check", "id", x.params.ID, "server", server.ID, "start", server.Start, "alive", err == nil,
 		"took_ms", bootclock.Now().Sub(began).Milliseconds(), "err", err)
