front: a server known to have restarted goes on with no stream

Streams were refused with 502 though servers of their version served: what the check of a server's start had found was forgotten, so the next stream was sent to the same server with the outdated entry, which failed fast and so had the least load. Each also cost a run and a part of the retry budget.

The table keeps it now until the server's own entry comes, and counts the unknown version against an only version.

--- a/internal/front/restarted_stream_test.go
+++ b/internal/front/restarted_stream_test.go
@@ -1,6 +1,7 @@
 package front_test
 
 import (
+	"fmt"
 	"net/http"
 	"testing"
 
@@ -79,3 +80,34 @@
 		})
 	}
 }
+
+// TestStreamsGoOnBesideRestartedServers guards against streams that are refused though servers of their
+// version serve: each would be sent to the servers with outdated entries first, which fail fast and so
+// have the least load.
+func TestStreamsGoOnBesideRestartedServers(t *testing.T) {
+	const streams, servers, restarted, attempts = 24, 6, 4, 2
+	c := newCluster(t)
+	var all []*backendServer
+	for i := range servers {
+		all = append(all, c.versionedServer(fmt.Sprint("s", i), "v1"))
+	}
+	n := c.node("127.0.0.1", 0)
+	for i := range streams {
+		assert.Equal(t, c.call(n, http.MethodPost, "/proof/x", fmt.Sprint("r", i), platform.HeaderModel, "m").body, eventText(1, 3))
+	}
+	before := map[*backendServer]int{}
+	for _, b := range all[:restarted] {
+		b.restart()
+		before[b] = b.count()
+	}
+	goOn := 0
+	for i := range streams {
+		if got := c.takeUp(n, fmt.Sprint(i), fmt.Sprint("r", i)); got.status == http.StatusOK && got.body == eventText(4, 6) {
+			goOn++
+		}
+	}
+	assert.Assert(t, goOn >= streams-restarted/attempts, "%d of %d", goOn, streams)
+	for _, b := range all[:restarted] {
+		assert.Assert(t, b.count() <= before[b]+1, "%s got %d streams", b.id, b.count()-before[b])
+	}
+}
--- a/internal/front/starts.go
+++ b/internal/front/starts.go
@@ -78,6 +78,9 @@
 	began := bootclock.Now()
 	start, err := x.checkStart(ctx, server, server.Start)
 	x.liveStart = start
+	if errors.Is(err, errOtherStart) {
+		x.node.markRestarted(server)
+	}
 	if err != nil {
 		level.Info(x.node.log).Log("event", "server_start_unconfirmed", "id", x.params.ID, "server", server.ID, "service", server.Service,
 			"software", server.Software, "start", server.Start, "reported", start, "took_ms", bootclock.Now().Sub(began).Milliseconds(), "err", err)
@@ -85,6 +88,13 @@
 	return err
 }
 
+// markRestarted records that a later start than the entry's runs under the server's ID.
+func (n *Node) markRestarted(server replicas.Entry) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.table.MarkRestarted(server)
+}
+
 // livesOn reports whether the process that sent a response until its connection was closed still
 // runs. The kernel closes the connections of a process that ends in order. Of a server without
 // reports, or without a known start, it is only checked that it accepts connections.
--- a/replicas/software.go
+++ b/replicas/software.go
@@ -26,6 +26,9 @@
 	if svc := t.services[service]; svc != nil {
 		for _, s := range svc.servers {
 			versions = append(versions, s.Software)
+			if s.restarted {
+				versions = append(versions, "")
+			}
 		}
 	}
 	for d, at := range t.departed {
@@ -37,10 +40,18 @@
 	return slices.Compact(versions)
 }
 
+// MarkRestarted records that a later start runs under the ID and address of the server that has the
+// entry. Until its own entry is set, it goes on with no response.
+func (t *Table) MarkRestarted(e Entry) {
+	if t.SameStart(e) {
+		t.rows[e.ID].restarted = true
+	}
+}
+
 // continuableBy reports whether the server's software may go on with the response. A
-// server that names no version fits no other one.
+// server that names no version fits no other one, nor does one whose version is not known yet.
 func (r *Requirement) continuableBy(s *Server) bool {
-	return r.Software == nil || s.Software != "" && s.Software == *r.Software
+	return r.Software == nil || s.Software != "" && s.Software == *r.Software && !s.restarted
 }
 
 // mayGoOn reports whether some server that stays may go on with the response, now or later.
--- a/replicas/software_test.go
+++ b/replicas/software_test.go
@@ -47,3 +47,25 @@
 	_, result = tab.Choose(now, req)
 	assert.Equal(t, result, replicas.NoUsableServer)
 }
+
+// TestServerThatHasRestartedGoesOnWithNothing guards against streams that are sent, one after the
+// other, to a server whose entry is known to describe an earlier start, and against an only version
+// that its unknown one contradicts.
+func TestServerThatHasRestartedGoesOnWithNothing(t *testing.T) {
+	tab, v1 := replicas.NewTable(), "v1"
+	e := replicas.Entry{ID: "s1", Revision: 1, Start: 1, Service: "llm", Slots: 1, Software: v1}
+	assert.Assert(t, tab.SetEntry(now, e))
+	choose := func(software *string) replicas.Result {
+		_, result := tab.Choose(now, replicas.Requirement{Service: "llm", Software: software})
+		return result
+	}
+	assert.Equal(t, choose(&v1), replicas.Chosen)
+	tab.MarkRestarted(e)
+	assert.Equal(t, choose(&v1), replicas.NoUsableServer)
+	assert.Equal(t, choose(nil), replicas.Chosen)
+	assert.DeepEqual(t, tab.Softwares(now, "llm", 0), []string{"", v1})
+	e.Revision, e.Start = 2, 2
+	assert.Assert(t, tab.SetEntry(now, e))
+	assert.Equal(t, choose(&v1), replicas.Chosen)
+	assert.DeepEqual(t, tab.Softwares(now, "llm", 0), []string{v1})
+}
--- a/replicas/table.go
+++ b/replicas/table.go
@@ -34,6 +34,7 @@
 	ejected        bool          // see service.refreshEjections
 	expiredUntil   time.Time     // until when the server is retained although its entry expired in a store outage; zero if it exists
 	listedDraining bool          // its entry, or another node, says that it is draining
+	restarted      bool          // a later start runs under its ID and address, with software that is not known yet
 	notice         *notice       // what this start has said of itself to this node; nil if nothing
 	hash           uint64        // hash of the ID
 	preferenceCost float64       // see Table.SpreadBy
