front: a delayed message confirms the desired state as of when it was sent

Found in review, not seen with a caller; TestDelayedMessageDoesNotConfirmDesiredState failed before.

--- a/internal/front/peers.go
+++ b/internal/front/peers.go
@@ -56,12 +56,13 @@
 	KnownIPs       []string                `json:"k,omitempty"`  // IPs of other nodes that are alive; partial messages name some of them
 }
 
-// confirmedAge returns the age of the desired state's confirmation, negative if unknown.
-func (m *message) confirmedAge() time.Duration {
+// confirmedAge returns the age of the desired state's confirmation when a message with the given
+// delay is received, negative if unknown.
+func (m *message) confirmedAge(delay time.Duration) time.Duration {
 	if m.ConfirmedAgeMS == nil {
 		return -1
 	}
-	return time.Duration(*m.ConfirmedAgeMS) * time.Millisecond
+	return delay + time.Duration(*m.ConfirmedAgeMS)*time.Millisecond
 }
 
 // leaderState is what a node publishes about its leadership of a cell.
--- a/internal/front/received.go
+++ b/internal/front/received.go
@@ -116,7 +116,7 @@
 	n.applySuspects(now, m)
 	n.applyArrivals(now, p, m.Arrivals)
 	n.applyLeaders(now, m)
-	n.sync.PeerReported(now, m.DesiredVersion, m.confirmedAge())
+	n.sync.PeerReported(now, m.DesiredVersion, m.confirmedAge(delay))
 	n.dispatchWaiting(now)
 }
 
--- a/internal/front/streams_test.go
+++ b/internal/front/streams_test.go
@@ -7,6 +7,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/redwingnotch/redwingnotch/configsync"
 	"github.com/redwingnotch/redwingnotch/internal/bootclock"
 	"github.com/redwingnotch/redwingnotch/platform"
 	"github.com/redwingnotch/redwingnotch/replicas"
@@ -57,6 +58,25 @@
 	assert.Equal(t, only(sent+3*time.Second, 110*time.Millisecond), "v1", "sent just now")
 }
 
+// TestDelayedMessageDoesNotConfirmDesiredState guards against a node that stood still and calls its
+// routes current by a message from before.
+func TestDelayedMessageDoesNotConfirmDesiredState(t *testing.T) {
+	age := int64(10)
+	m := message{ConfirmedAgeMS: &age}
+	assert.Equal(t, m.confirmedAge(20*time.Second), 20*time.Second+10*time.Millisecond)
+	n := newTestNode(t, platform.Settings{}, "127.0.0.2")
+	n.sync = configsync.New(bootclock.Now(), configsync.Settings{ApplyTimeout: 2 * time.Second})
+	now := bootclock.Now()
+	n.sync.PutInForce(now, 7)
+	receive := func(at time.Time, sequence uint64, sent time.Duration) {
+		n.receivedAt(at, message{Node: "p", IP: "127.0.0.2", Zone: "z", Incarnation: 1, Sequence: sequence, SentMS: 1 + sent.Milliseconds(), DesiredVersion: 7, ConfirmedAgeMS: &age})
+	}
+	receive(now, 1, 0)
+	thawed := now.Add(20 * time.Second)
+	receive(thawed, 2, 100*time.Millisecond) // sent before the node stood still
+	assert.Assert(t, n.sync.Status(thawed).ConfirmedAge > 19*time.Second, "%v", n.sync.Status(thawed).ConfirmedAge)
+}
+
 // question lets the node ask a peer for a stream of the service, and hands it the answers that
 // answer returns for the question's key.
 func (n *testNode) question(peer, service string, answer func(key uint64) []streamAnswer) map[string]streamAnswer {
