front: a caller that leaves during the check of a server takes no retry

A request whose caller had left, or whose node stopped, while the start of its server was checked counted as failed at the server: it took a part of the service's retry budget and ended as 502 in the log. Found in review; TestCallerThatLeavesDuringCheckTakesNoRetry failed before.

--- a/internal/front/attempt.go
+++ b/internal/front/attempt.go
@@ -323,12 +323,7 @@
 // bodyFailed handles a response whose body broke off, came too slowly or is too
 // large.
 func (x *exchange) bodyFailed(server replicas.Entry, err error) attemptResult {
-	if x.r.Context().Err() != nil {
-		x.abort("caller_left")
-		return attemptDone
-	}
-	if x.stopped() {
-		x.endUnanswered(string(waiting.Stopping))
+	if x.abandoned() {
 		return attemptDone
 	}
 	if x.received.brokenOff() {
--- a/internal/front/restarted_stream_test.go
+++ b/internal/front/restarted_stream_test.go
@@ -1,9 +1,12 @@
 package front_test
 
 import (
+	"context"
 	"fmt"
 	"net/http"
+	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -111,3 +114,27 @@
 		assert.Assert(t, b.count() <= before[b]+1, "%s got %d streams", b.id, b.count()-before[b])
 	}
 }
+
+// TestCallerThatLeavesDuringCheckTakesNoRetry guards against retries that are taken from the budget for
+// callers that have left while the start of their server was checked.
+func TestCallerThatLeavesDuringCheckTakesNoRetry(t *testing.T) {
+	c := newCluster(t)
+	b := c.versionedServer("s1", "v1")
+	n := c.node("127.0.0.1", 0)
+	assert.Equal(t, c.call(n, http.MethodPost, "/proof/x", "r1", platform.HeaderModel, "m").body, eventText(1, 3))
+	unanswered := make(chan struct{})
+	defer close(unanswered)
+	b.mu.Lock()
+	b.handler = func(rw http.ResponseWriter, _ *http.Request) {
+		b.mu.Lock() // no report is answered from now on
+		go func() { <-unanswered; b.mu.Unlock() }()
+		writeEvents(rw, 4, 6, false)
+	}
+	b.mu.Unlock()
+	ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+	defer cancel()
+	c.callWith(ctx, n, http.MethodPost, "/proof/x", "r2", platform.HeaderModel, "m", platform.HeaderLastEventID, "3", "Resumes", "r1")
+	c.eventually(func() bool { return strings.Contains(c.text(), "event=request id=r2") })
+	assert.Assert(t, strings.Contains(c.text(), "event=server_start_unconfirmed id=r2"))
+	assert.Assert(t, !strings.Contains(c.text(), "event=attempt_failed id=r2"))
+}
--- a/internal/front/serve.go
+++ b/internal/front/serve.go
@@ -311,6 +311,20 @@
 	x.endUnanswered("time_over")
 }
 
+// abandoned ends a request whose caller has left, or whose node ends its requests. It returns false
+// if neither is the case.
+func (x *exchange) abandoned() bool {
+	switch {
+	case x.r.Context().Err() != nil:
+		x.abort("caller_left")
+	case x.stopped():
+		x.endUnanswered(string(waiting.Stopping))
+	default:
+		return false
+	}
+	return true
+}
+
 // refuseWaiting ends a request that no server can take in time.
 func (x *exchange) refuseWaiting(d waiting.Decision) {
 	if x.responseStarted || x.runs > 0 {
--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -14,7 +14,6 @@
 	"github.com/redwingnotch/redwingnotch/internal/bootclock"
 	"github.com/redwingnotch/redwingnotch/internal/httpsend"
 	"github.com/redwingnotch/redwingnotch/replicas"
-	"github.com/redwingnotch/redwingnotch/waiting"
 )
 
 // Limits of streams.
@@ -33,6 +32,9 @@
 	defer gap.stop()
 	server, err := x.confirmSoftware(ctx, server)
 	if err != nil {
+		if x.abandoned() {
+			return attemptDone
+		}
 		return x.attemptFailed(server, "server_start_unconfirmed", err)
 	}
 	held := x.node.bodies.Hold()
@@ -217,12 +219,7 @@
 
 // streamFailed handles a stream that broke.
 func (x *exchange) streamFailed(server replicas.Entry, err error) attemptResult {
-	if x.r.Context().Err() != nil {
-		x.abort("caller_left")
-		return attemptDone
-	}
-	if x.stopped() {
-		x.endUnanswered(string(waiting.Stopping))
+	if x.abandoned() {
 		return attemptDone
 	}
 	x.node.observe(server, replicas.Failed, 0)
