processes: the tests of servers that come back draw framings, too

Both panicked in their first server, as the run without disturbances had no source from which newConfig draws which servers send streams without framing. They pass with this code, and fail with the program of as before (24 streams joined in the two).

--- a/internal/processes/stream_restart_test.go
+++ b/internal/processes/stream_restart_test.go
@@ -31,7 +31,8 @@
 
 // startRestartRun starts a store and three nodes.
 func startRestartRun(t *testing.T) *restartRun {
-	r := &restartRun{&streamRun{t: t, plan: deploymentPlans[2], dir: t.TempDir(), api: objectapi.New()}, rand.New(rand.NewPCG(1, 44))}
+	rng := rand.New(rand.NewPCG(1, 44))
+	r := &restartRun{&streamRun{t: t, plan: deploymentPlans[2], dir: t.TempDir(), api: objectapi.New(), framings: rng}, rng}
 	r.startStore()
 	r.startNodes()
 	t.Cleanup(func() { r.keepLogs(0) })
