--- a/internal/processes/stream_faults_test.go
+++ b/internal/processes/stream_faults_test.go
@@ -40,9 +40,9 @@
 	{"freeze nodes in a release", 2, freezeInRelease},
 }
 
-// disturb brings about disturbances, some of which overlap, until the context ends.
-func (r *streamRun) disturb(ctx context.Context, rng *rand.Rand) {
-	chosen := slices.DeleteFunc(slices.Clone(disturbances), func(d disturbance) bool { return !strings.Contains(d.name, *streamOnly) })
+// disturb brings about disturbances whose names hold a text, some of which overlap, until the context ends.
+func (r *streamRun) disturb(ctx context.Context, rng *rand.Rand, only string) {
+	chosen := slices.DeleteFunc(slices.Clone(disturbances), func(d disturbance) bool { return !strings.Contains(d.name, only) })
 	total := 0
 	for _, d := range chosen {
 		total += d.weight
--- a/internal/processes/stream_run_test.go
+++ b/internal/processes/stream_run_test.go
@@ -61,14 +61,31 @@
 	streams  []*callerStream
 }
 
+// streamOptions are the parameters of a seed's run.
+type streamOptions struct {
+	plan     string        // deployment; empty: drawn by the seed
+	restarts string        // what servers hold that start again: nothing or models; empty: drawn by the seed
+	only     string        // part of the names of the disturbances; empty: all
+	unframed float64       // share of servers that send streams without framing; negative: drawn by the seed
+	breaks   float64       // share of streams that their servers break; negative: drawn by the seed
+	duration time.Duration // for which streams begin
+}
+
 // TestStreamsTakenUpStayInOrder guards against streams that, over all tries of their callers, lack
 // an event, repeat one, or join events of two software versions, while nodes, servers and the store fail.
 func TestStreamsTakenUpStayInOrder(t *testing.T) {
+	o := streamOptions{plan: *streamPlans, restarts: *streamEmpty, only: *streamOnly, unframed: *streamUnframed, breaks: *streamBreaks, duration: *streamFor}
 	for seed := *streamSeed; seed < *streamSeed+uint64(*streamSeeds); seed++ {
-		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) { runStreamSeed(t, seed) })
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) { runStreamSeed(t, seed, o) })
 	}
 }
 
+// TestStreamsStayInOrderAtThawedNodes guards against nodes that stood still during a release in
+// place and serve what waited in their sockets by the versions that servers had before.
+func TestStreamsStayInOrderAtThawedNodes(t *testing.T) {
+	runStreamSeed(t, 607, streamOptions{restarts: "nothing", only: "freeze nodes in a release", duration: 25 * time.Second})
+}
+
 // streamRunHosts are the loopback addresses of all seeds, which run one after the other.
 var streamRunHosts []string
 
@@ -80,29 +97,29 @@
 	return streamRunHosts[i]
 }
 
-func runStreamSeed(t *testing.T, seed uint64) {
+func runStreamSeed(t *testing.T, seed uint64, o streamOptions) {
 	rng := rand.New(rand.NewPCG(seed, 44))
 	plan := deploymentPlans[seed%uint64(len(deploymentPlans))]
 	for _, p := range deploymentPlans {
-		if p.name == *streamPlans {
+		if p.name == o.plan {
 			plan = p
 		}
 	}
 	r := &streamRun{t: t, plan: plan, dir: t.TempDir(), api: objectapi.New(), plain: plainCallers{outcomes: map[string]int{}}}
-	r.restartEmpty = rng.IntN(2) == 0 && *streamEmpty == "" || *streamEmpty == "nothing"
+	r.restartEmpty = rng.IntN(2) == 0 && o.restarts == "" || o.restarts == "nothing"
 	r.framings = rand.New(rand.NewPCG(seed, 1))
-	if r.unframed = []float64{0, 0.3, 1}[r.framings.IntN(3)]; *streamUnframed >= 0 {
-		r.unframed = *streamUnframed
+	if r.unframed = []float64{0, 0.3, 1}[r.framings.IntN(3)]; o.unframed >= 0 {
+		r.unframed = o.unframed
 	}
-	if r.breaks = []float64{0, 0.1, 0.4}[r.framings.IntN(3)]; *streamBreaks >= 0 {
-		r.breaks = *streamBreaks
+	if r.breaks = []float64{0, 0.1, 0.4}[r.framings.IntN(3)]; o.breaks >= 0 {
+		r.breaks = o.breaks
 	}
 	r.deploy(rng)
-	ctx, cancel := context.WithTimeout(t.Context(), *streamFor)
+	ctx, cancel := context.WithTimeout(t.Context(), o.duration)
 	defer cancel()
 	var disturbed sync.WaitGroup
 	faults := rand.New(rand.NewPCG(rng.Uint64(), rng.Uint64()))
-	disturbed.Go(func() { r.disturb(ctx, faults) })
+	disturbed.Go(func() { r.disturb(ctx, faults, o.only) })
 	r.call(ctx, rng)
 	disturbed.Wait()
 	r.report(seed)
