--- a/internal/front/attempt.go
+++ b/internal/front/attempt.go
@@ -56,7 +56,7 @@
 	defer slow.Stop()
 	x.sends++
 	x.server = server
-	x.received, x.attemptBegan, x.liveStart = receivedResponse{}, time.Time{}, 0
+	x.received, x.attemptBegan = receivedResponse{}, time.Time{}
 	sent := bootclock.Now()
 	resp, err := httpsend.Do(x.client(server), x.serverRequest(ctx, server))
 	if err != nil {
--- a/internal/front/serve.go
+++ b/internal/front/serve.go
@@ -58,7 +58,6 @@
 	lastEventID     string               // ID of the last stream event with one that the caller has: passed on, or received before this request
 	closedAfter     string               // lastEventID when a server last ended the stream with its connection; empty if none has
 	eventBegun      bool                 // a server has sent the beginning of the event after lastEventID
-	liveStart       int64                // start of the latest attempt's server that its report named when the response began; zero if none did
 	software        *string              // version of the software of the server that began the stream; nil until one has
 	sentWithoutID   bool                 // an event without an ID was passed on since, which a resumed stream would repeat
 	responseStarted bool                 // a part of the response was passed on
--- a/internal/front/starts.go
+++ b/internal/front/starts.go
@@ -1,7 +1,6 @@
 package front
 
 import (
-	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -39,12 +38,12 @@
 	return server, err
 }
 
-// checkStart returns an error unless the given start of the server responds now, and the start that
-// does; zero if none does or it is not told.
+// checkStart returns an error unless the start of the server that the entry names responds now, and
+// the start that does; zero if none does or it is not told.
 //
 // The report is requested on a connection of its own: a response on another one may be an earlier
 // one, or of a process that has ended.
-func (x *exchange) checkStart(ctx context.Context, server replicas.Entry, want int64) (int64, error) {
+func (x *exchange) checkStart(ctx context.Context, server replicas.Entry) (int64, error) {
 	var start int64
 	var err error
 	for range startCheckTries {
@@ -52,7 +51,7 @@
 			break
 		}
 	}
-	if err == nil && start != want {
+	if err == nil && start != server.Start {
 		err = errOtherStart
 	}
 	return start, err
@@ -76,8 +75,7 @@
 		return fmt.Errorf("%w: it names none", errOtherStart)
 	}
 	began := bootclock.Now()
-	start, err := x.checkStart(ctx, server, server.Start)
-	x.liveStart = start
+	start, err := x.checkStart(ctx, server)
 	if errors.Is(err, errOtherStart) {
 		x.node.markRestarted(server)
 	}
@@ -96,15 +94,16 @@
 }
 
 // livesOn reports whether the process that sent a response until its connection was closed still
-// runs. The kernel closes the connections of a process that ends in order. Of a server without
-// reports, or without a known start, it is only checked that it accepts connections.
+// runs. The kernel closes the connections of a process that ends in order. Only the entry's start
+// was known before the response: a report that came with it may be of a process that took over
+// meanwhile. Of a server without reports, or without a known start, it is only checked that it accepts connections.
 func (x *exchange) livesOn(server replicas.Entry) bool {
 	began := bootclock.Now()
 	var err error
 	if x.params.Model == "" || server.Start == 0 {
 		err = x.checkAccepts(server)
 	} else {
-		_, err = x.checkStart(x.r.Context(), server, cmp.Or(x.liveStart, server.Start))
+		_, err = x.checkStart(x.r.Context(), server)
 	}
 	level.Info(x.node.log).Log("event", "stream_end_check", "id", x.params.ID, "server", server.ID, "start", server.Start, "alive", err == nil,
 		"took_ms", bootclock.Now().Sub(began).Milliseconds(), "err", err)
