front: a report without a start shows no restart

A server one of whose reports lacked its start went on with no stream until its entry named another. Only a later start than the entry's shows a restart. Found in review; TestReportWithoutStartMarksNoRestart failed before.

--- a/internal/front/restarted_stream_test.go
+++ b/internal/front/restarted_stream_test.go
@@ -138,3 +138,21 @@
 	assert.Assert(t, strings.Contains(c.text(), "event=server_start_unconfirmed id=r2"))
 	assert.Assert(t, !strings.Contains(c.text(), "event=attempt_failed id=r2"))
 }
+
+// TestReportWithoutStartMarksNoRestart guards against a server that goes on with no stream any more
+// because one of its reports lacked its start.
+func TestReportWithoutStartMarksNoRestart(t *testing.T) {
+	c := newCluster(t)
+	b := c.versionedServer("s1", "v1")
+	n := c.node("127.0.0.1", 0)
+	assert.Equal(t, c.call(n, http.MethodPost, "/proof/x", "r1", platform.HeaderModel, "m").body, eventText(1, 3))
+	set := func(restarts int64) {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		b.restarts = restarts
+	}
+	set(-b.born)
+	assert.Assert(t, c.takeUp(n, "a", "r1").status != http.StatusOK)
+	set(0)
+	assert.Equal(t, c.takeUp(n, "b", "r1").status, http.StatusOK)
+}
--- a/internal/front/starts.go
+++ b/internal/front/starts.go
@@ -76,7 +76,7 @@
 	}
 	began := bootclock.Now()
 	start, err := x.checkStart(ctx, server)
-	if errors.Is(err, errOtherStart) {
+	if start > server.Start {
 		x.node.markRestarted(server)
 	}
 	if err != nil {
