--- a/internal/front/events.go
+++ b/internal/front/events.go
@@ -24,8 +24,8 @@
 }
 
 // next reads one event, including the empty line that ends it, and returns it with
-// its ID, empty if it has none. If the stream ends or fails, it returns what followed the last event and
-// the error, io.EOF at the end.
+// its ID, empty if it has none. If the stream ends or fails, it returns what followed the last event
+// and the error, io.EOF at the end.
 func (e *eventReader) next() (event []byte, id string, err error) {
 	for {
 		start := len(event)
--- a/internal/front/starts.go
+++ b/internal/front/starts.go
@@ -96,7 +96,8 @@
 // livesOn reports whether the process that sent a response until its connection was closed still
 // runs. The kernel closes the connections of a process that ends in order. Only the entry's start
 // was known before the response: a report that came with it may be of a process that took over
-// meanwhile. Of a server without reports, or without a known start, it is only checked that it accepts connections.
+// meanwhile. Of a server without reports, or without a known start, it is only checked that it
+// accepts connections.
 func (x *exchange) livesOn(server replicas.Entry) bool {
 	began := bootclock.Now()
 	var err error
