--- a/routes/routes.go
+++ b/routes/routes.go
@@ -40,6 +40,7 @@
 	Splits      []Split       // at least one
 	MaxAttempts int           // limit of attempts of one request that backend servers may have run
 	Resumable   bool          // an interrupted stream may continue on another backend server
+	Public      bool          // requests need no API key
 }
 
 // Idempotent reports whether a request on the route may run more than once.
@@ -117,6 +118,9 @@
 	Services map[string]*Service
 	Limits   Limits
 
+	Teams       []Team // teams that the state lists and that could be decoded
+	RequireKeys bool   // requests need the API key of a team, except on public routes
+
 	byHost map[string][]*Route
 }
 
