front: places for keys and allowances in the path of a request

Cause: keys, allowances, shares and the concurrency limit are built side by side. Both calls admit everything for now. The specification is docs/design/competing-callers.md. Result: no behaviour changes.

--- a/internal/front/received.go
+++ b/internal/front/received.go
@@ -29,7 +29,7 @@
 			sleep(ctx, sendInterval)
 			continue
 		}
-		if n.receiveStreams(buffer[:size]) {
+		if n.receiveStreams(buffer[:size]) || n.receiveConfirm(buffer[:size]) || n.receiveAllowance(buffer[:size]) {
 			continue
 		}
 		m, err := decodeMessage(buffer[:size])
--- a/internal/front/serve.go
+++ b/internal/front/serve.go
@@ -40,7 +40,8 @@
 	r            *http.Request
 	params       platform.RequestParams
 	route        *routes.Route
-	service      string // service that the route selected
+	team         *routes.Team // team whose key the request carries; nil without one
+	service      string       // service that the route selected
 	body         []byte
 	held         *bytebudget.Holding // memory of the body
 	content      uint64              // see contentHash; zero until it is needed
@@ -121,6 +122,9 @@
 		x.fail(http.StatusBadRequest, "malformed")
 		return false
 	}
+	if table.RequireKeys && !x.authenticate() {
+		return false
+	}
 	if x.route.Kind == routes.Streaming {
 		x.lastEventID = x.params.LastEventID
 	}
@@ -131,7 +135,7 @@
 		x.refuse(string(waiting.Stopping), shortRetryAfter)
 		return false
 	}
-	return x.readBody(table.Limits.MaxBodyBytes)
+	return x.readBody(table.Limits.MaxBodyBytes) && x.takeAllowance()
 }
 
 // limitWrite ends the connection of a caller that does not read what is written next by the
