loader: copies of overloaded models are loaded before rare models that requests wait for

Change: copies at servers that have an overloaded model on disk are planned before waiting requests; a model whose pending loads all read from the weight store is also loaded from a disk that has it.

--- a/loader/demand.go
+++ b/loader/demand.go
@@ -116,12 +116,20 @@
 	return perSecond
 }
 
+// total returns the requests per second for a model.
+func (d demand) total(now time.Time, model string) float64 {
+	fast, slow := d.perSecond(now, model)
+	return fast + slow
+}
+
+// copyRate returns the requests per second that one copy of a model serves well.
+func (c *Core) copyRate() float64 { return slotRate * float64(max(1, c.engine.Slots)) }
+
 // neededCopies returns how many copies of a model serve its demand multiplied by
 // factor.
 func (c *Core) neededCopies(now time.Time, model string, factor float64) int {
-	fast, slow := c.demand.perSecond(now, model)
-	all := (fast + slow) * factor
-	n := 1 + int(all/(slotRate*float64(max(1, c.engine.Slots))))
+	all := c.demand.total(now, model) * factor
+	n := 1 + int(all/c.copyRate())
 	if all >= secondCopyRate {
 		n++
 	}
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -146,6 +146,7 @@
 		c.expireOrder(now, s)
 	}
 	c.planMissing(now)
+	c.planOverloaded(now)
 	c.planWaiting(now, in.Demand)
 	c.planExtraCopies(now)
 	if now.Sub(c.startedAt) > preloadStartDelay || c.allReported() {
--- a/loader/plans.go
+++ b/loader/plans.go
@@ -83,13 +83,15 @@
 	var queued []string // models that wait for the weight store
 	for _, d := range demand {
 		m := c.models[d.Model]
-		if m == nil || c.copyCountAt(now, d.Model, d.Software) > 0 || slices.Contains(queued, d.Model) {
+		slow := d.Software == "" && c.onlySlowCopy(now, d.Model) && c.onAnyDisk(d.Model)
+		if m == nil || !slow && c.copyCountAt(now, d.Model, d.Software) > 0 || slices.Contains(queued, d.Model) {
 			continue
 		}
 		if d.Software == "" && !c.onAnyDisk(d.Model) && !c.canPlanStoreLoad(now, false) {
 			queued = append(queued, d.Model)
 		}
 		choice, ok := c.cheapestServer(now, m, d.Software, protected)
+		ok = ok && !(slow && choice.server.sourceOf(d.Model) == fromStore)
 		if !c.hasLowestCost(now, costName(d), choice, ok && choice.evictedWorth <= c.evictionLimit(now, d.Model)) {
 			continue
 		}
@@ -126,6 +128,9 @@
 func (c *Core) planMissing(now time.Time) {
 	for _, name := range c.underReplicated(now) {
 		if c.copyCount(now, name) > 0 {
+			if c.onlySlowCopy(now, name) && c.onAnyDisk(name) {
+				c.planCopy(now, name, c.modelTally(now, name).worth)
+			}
 			continue
 		}
 		if c.planCopy(now, name, c.modelTally(now, name).worth) == needsStore {
@@ -173,6 +178,9 @@
 		return notPlanned
 	}
 	choice, ok := c.cheapestServer(now, c.models[name], "", nil)
+	if ok && c.onlySlowCopy(now, name) && choice.server.sourceOf(name) == fromStore {
+		ok = false // a second slow load delays the first
+	}
 	if !c.hasLowestCost(now, name, choice, ok && choice.evictedWorth < gain) {
 		return notPlanned
 	}
--- a/loader/tally.go
+++ b/loader/tally.go
@@ -14,6 +14,7 @@
 type tally struct {
 	holders map[string][]*server // servers that hold a model, by model
 	loading map[string]int       // servers that stay and whose load of a model is ordered or planned, by model
+	slow    map[string]int       // those of loading that load from the weight store
 	models  map[string]*modelTally
 	victims map[*server][]victim
 }
@@ -38,7 +39,7 @@
 	if c.tally != nil {
 		return c.tally
 	}
-	t := &tally{holders: map[string][]*server{}, loading: map[string]int{}, models: map[string]*modelTally{}, victims: map[*server][]victim{}}
+	t := &tally{holders: map[string][]*server{}, loading: map[string]int{}, slow: map[string]int{}, models: map[string]*modelTally{}, victims: map[*server][]victim{}}
 	for _, s := range c.servers {
 		c.compared += 1 + len(s.holds)
 		for name := range s.holds {
@@ -56,12 +57,27 @@
 		return
 	}
 	for _, name := range s.pendingLoads() {
-		if !s.keeps(name) {
-			t.loading[name] += sign
+		if s.keeps(name) {
+			continue
+		}
+		t.loading[name] += sign
+		if s.pendingFromStore(name) {
+			t.slow[name] += sign
 		}
 	}
 }
 
+// pendingFromStore reports whether the pending load of the model reads from the weight store.
+func (s *server) pendingFromStore(model string) bool {
+	switch {
+	case s.remoteStatus != nil:
+		return s.remoteStatus.FromStore
+	case s.orderedLoad() == model:
+		return s.order.usesStore
+	}
+	return s.sourceOf(model) == fromStore
+}
+
 // pendingLoads returns the models whose load is ordered or planned at the server.
 func (s *server) pendingLoads() []string {
 	var models []string
