credentials, front: requests need the API key of a team

Cause: teams and their keys are decoded, and every request was admitted. Change: package credentials decides about keys, by the time as of which the state in force is known to be the newest, and when a node asks others or reads the store for it. The front rejects with 401 or 503, checks again before each attempt, passes on the team's name, and is not ready while its keys are too old. Result: builds; the tests of configsync and platform pass.

--- a/configsync/configsync.go
+++ b/configsync/configsync.go
@@ -44,6 +44,7 @@
 	nextWatch  time.Time // no watch is sent before this time
 	reading    bool      // a read is in flight
 	watching   bool      // a watch is in flight
+	requested  bool      // a read was requested that has not been sent
 	watchWait  time.Duration
 }
 
@@ -73,8 +74,8 @@
 func (c *Core) Tick(now time.Time, confirms bool) Actions {
 	var a Actions
 	stale := now.Sub(c.confirmed) >= c.share(minAgeShare+(maxAgeShare-minAgeShare)*c.settings.Spread)
-	if !c.reading && !now.Before(c.nextRead) && (c.revision == 0 || c.known > c.inForce || stale) {
-		c.reading, a.Read = true, true
+	if !c.reading && !now.Before(c.nextRead) && (c.revision == 0 || c.known > c.inForce || stale || c.requested) {
+		c.reading, c.requested, a.Read = true, false, true
 	}
 	switch {
 	case c.watching:
@@ -85,6 +86,9 @@
 	return a
 }
 
+// RequestRead lets a read be sent as soon as none is in flight and no failed one delays it.
+func (c *Core) RequestRead() { c.requested = true }
+
 // ReadDone handles the end of a read that was sent at the given time. What it returned has
 // been put in force; the revision is that of the store.
 func (c *Core) ReadDone(now, sent time.Time, revision uint64, err error, confirms bool) {
--- a/internal/front/attempt.go
+++ b/internal/front/attempt.go
@@ -143,6 +143,8 @@
 			TimeLeft:    x.deadline.Sub(bootclock.Now()),
 			Priority:    x.enginePriority(),
 			LastEventID: x.lastEventID,
+			RequireKeys: x.keyed,
+			Team:        x.teamName(),
 		}),
 	}
 	if len(x.body) > 0 {
@@ -166,6 +168,9 @@
 	if x.params.Model == "" {
 		return -1
 	}
+	if x.keyed {
+		return x.node.keys.enginePriority(x.rank())
+	}
 	return min(maxEnginePriority, x.route.Priority*enginePriorityStep)
 }
 
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -80,6 +80,7 @@
 	lost               map[startKey]*lostRequests     // requests that lost their connections within lossRetention
 	poison             *poison.Table                  // traits of requests under which servers ended
 	refusedAt          time.Time                      // when this node last decided to refuse a trait
+	keys               *keyState                      // API keys; has its own mutex
 	refusals           refusalsState                  // what is known of the refusals in the store
 	ends               []poison.Report                // ends of servers under this node's requests that it still publishes
 	innocent           []innocentTrait                // traits that this node knows to be innocent and still publishes
@@ -120,6 +121,7 @@
 		freshStore:      platform.NewClient(platform.Options{BaseURL: "http://" + s.StoreAddress, CallTimeout: storeTimeout, SingleUse: true, OnCall: countCall}),
 		table:           replicas.NewTable(),
 		queue:           waiting.NewQueue(),
+		keys:            newKeyState(s),
 		waiters:         map[uint64]waiter{},
 		retryBudgets:    map[string]*dispatch.RetryBudget{},
 		arrivals:        map[arrivalKey]*arrivalCount{},
@@ -275,6 +277,7 @@
 		n.mu.Lock()
 		n.removeExpired(now)
 		n.reconcileDesired(ctx, now)
+		n.reconcileKeys(now)
 		n.decidePoison(now)
 		n.reconcileRefusals(ctx, now)
 		n.dispatchWaiting(now)
--- a/internal/front/received.go
+++ b/internal/front/received.go
@@ -117,6 +117,7 @@
 	n.applyArrivals(now, p, m.Arrivals)
 	n.applyLeaders(now, m)
 	n.sync.PeerReported(now, m.DesiredVersion, m.confirmedAge(delay))
+	n.keys.noteVersion(m.DesiredVersion)
 	n.dispatchWaiting(now)
 }
 
--- a/internal/front/resolve.go
+++ b/internal/front/resolve.go
@@ -43,6 +43,8 @@
 		return "no desired state yet"
 	case !n.refusalsKnown.Load():
 		return "refusals not read yet"
+	case n.keys.notReady(bootclock.Now()):
+		return "API keys not confirmed"
 	}
 	return ""
 }
--- a/internal/front/serve.go
+++ b/internal/front/serve.go
@@ -12,6 +12,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/go-kit/log/level"
 
+	"github.com/redwingnotch/redwingnotch/credentials"
 	"github.com/redwingnotch/redwingnotch/internal/bootclock"
 	"github.com/redwingnotch/redwingnotch/internal/bytebudget"
 	"github.com/redwingnotch/redwingnotch/platform"
@@ -40,8 +41,10 @@
 	r            *http.Request
 	params       platform.RequestParams
 	route        *routes.Route
-	team         *routes.Team // team whose key the request carries; nil without one
-	service      string       // service that the route selected
+	team         *routes.Team    // team whose key the request carries; nil without one
+	key          credentials.Key // what it carries as its key; set if keyed is set
+	keyed        bool            // the desired state required keys at a check of the request
+	service      string          // service that the route selected
 	body         []byte
 	held         *bytebudget.Holding // memory of the body
 	content      uint64              // see contentHash; zero until it is needed
@@ -277,6 +280,10 @@
 			x.refuseWaiting(waiting.Decision{Refused: waiting.Stopping, RetryAfter: shortRetryAfter})
 			return
 		}
+		if !x.authorizeAttempt() {
+			n.attemptEnded(d.Server)
+			return
+		}
 		if x.attempt(ctx, d.Server) == attemptDone {
 			return
 		}
@@ -296,7 +303,7 @@
 			Excluded:     x.excluded,
 			Software:     x.software,
 		},
-		Priority: x.route.Priority,
+		Priority: x.rank(),
 		Arrived:  x.arrived,
 		Deadline: x.firstByteDeadline(),
 	}
@@ -395,7 +402,7 @@
 	if x.route != nil {
 		route = x.route.Name
 	}
-	level.Info(x.node.log).Log("event", "request", "id", x.params.ID, "route", route, "service", x.service,
+	level.Info(x.requestLogger()).Log("event", "request", "id", x.params.ID, "route", route, "service", x.service,
 		"model", x.params.Model, "adapter", x.params.Adapter, "outcome", x.outcome, "status", x.status, "reason", x.reason,
 		"server", x.server.ID, "start", x.server.Start, "software", x.server.Software, "sends", x.sends, "runs", x.runs, "framing", x.received.framing, "end", x.received.end,
 		"inside_event", x.received.insideEvent, "after_event", loggedEventID(x.params.LastEventID), "first_event", loggedEventID(x.firstEventID), "last_event", loggedEventID(x.lastEventID),
--- a/internal/front/sync.go
+++ b/internal/front/sync.go
@@ -9,6 +9,7 @@
 	"github.com/go-kit/log/level"
 
 	"github.com/redwingnotch/redwingnotch/configsync"
+	"github.com/redwingnotch/redwingnotch/credentials"
 	"github.com/redwingnotch/redwingnotch/internal/bootclock"
 	"github.com/redwingnotch/redwingnotch/internal/telemetry"
 	"github.com/redwingnotch/redwingnotch/platform"
@@ -40,6 +41,8 @@
 	for _, o := range objects {
 		err = errors.Join(err, n.setDesired(o))
 	}
+	n.keys.readDone(sent, objects, err)
+	n.answerWaiting(err == nil)
 	now := bootclock.Now()
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -67,6 +70,7 @@
 			err = errors.Join(err, n.setDesired(e.Object))
 		}
 	}
+	n.keys.watchDone(sent, w.Wait, events, err)
 	now := bootclock.Now()
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -90,18 +94,24 @@
 		return nil
 	}
 	t, err := platform.DecodeDesired(o.Value)
-	if err != nil {
+	var index *credentials.Index
+	if t != nil {
+		var faults []error
+		index, faults = credentials.NewIndex(t.Version, t.Teams)
+		err = errors.Join(append([]error{err}, faults...)...)
+	}
+	if err != nil && n.keys.firstFault(o.Version) {
 		level.Error(n.log).Log("event", "desired_state_unreadable", "revision", o.Version, "err", err)
 	}
 	if t == nil || t.Version == 0 {
 		return err
 	}
-	n.putInForce(t)
+	n.putInForce(t, index)
 	return nil
 }
 
 // putInForce puts the table in force unless the one in force is as new or newer.
-func (n *Node) putInForce(t *routes.Table) {
+func (n *Node) putInForce(t *routes.Table, index *credentials.Index) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if old := n.desired.Load(); old != nil && old.Version >= t.Version {
@@ -109,6 +119,7 @@
 	}
 	now := bootclock.Now()
 	n.desired.Store(t)
+	n.keys.putInForce(t, index)
 	n.sync.PutInForce(now, t.Version)
 	inForce := map[string]bool{}
 	for _, r := range t.Routes {
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -34,6 +34,7 @@
 	connections  metric.Int64Counter
 	storeCalls   metric.Int64Counter
 	resumptions  metric.Int64Counter
+	keyRejects   metric.Int64Counter
 	labelOptions sync.Map // labels -> metric.MeasurementOption
 }
 
@@ -103,7 +104,7 @@
 // addInstruments registers all instruments and returns the first error.
 func (m *Metrics) addInstruments() error {
 	meter := m.provider.Meter("redwingnotch")
-	var errs [13]error
+	var errs [14]error
 	m.requests, errs[0] = meter.Int64Counter("redwingnotch_requests", metric.WithDescription("Requests by kind, rank, outcome and code."))
 	m.duration, errs[1] = meter.Float64Histogram("redwingnotch_request_duration", metric.WithUnit("s"),
 		metric.WithDescription("Time from arrival to the end of the answer."), metric.WithExplicitBucketBoundaries(latencyBounds...))
@@ -124,6 +125,8 @@
 	m.storeCalls, errs[11] = meter.Int64Counter("redwingnotch_store_calls", metric.WithDescription("Calls to the platform's store by kind of object and call."))
 	m.resumptions, errs[12] = meter.Int64Counter("redwingnotch_stream_resumptions",
 		metric.WithDescription("Streams that callers took up again, by how their origin was known and why they were refused."))
+	m.keyRejects, errs[13] = meter.Int64Counter("redwingnotch_key_rejections",
+		metric.WithDescription("Requests rejected because of their API keys, by status and reason."))
 	for _, err := range errs {
 		if err != nil {
 			return err
@@ -194,6 +197,23 @@
 	m.resumptions.Add(context.Background(), 1, metric.WithAttributes(attribute.String("source", source), attribute.String("refused", refused)))
 }
 
+// KeyRejected counts a request that was rejected because of its API key, by the status of the
+// response, zero if its connection was closed instead, and the reason.
+func (m *Metrics) KeyRejected(status int, reason string) {
+	m.keyRejects.Add(context.Background(), 1, m.labelOption(keyRejectLabels{status, reason}))
+}
+
+// keyRejectLabels are the labels of rejections because of API keys.
+type keyRejectLabels struct {
+	status int
+	reason string
+}
+
+// attributes implements labels.
+func (l keyRejectLabels) attributes() []attribute.KeyValue {
+	return []attribute.KeyValue{attribute.Int("status", l.status), attribute.String("reason", l.reason)}
+}
+
 // storeCallLabels are the labels of the calls to the store.
 type storeCallLabels struct{ kind, call string }
 
--- a/routes/team.go
+++ b/routes/team.go
@@ -11,6 +11,7 @@
 // Team is a customer whose callers identify themselves with API keys.
 type Team struct {
 	Name        string
+	Index       int // position in the list of the desired state
 	Keys        []KeyHash
 	Priority    int     // 0 is the most urgent; precedes the priority of the route
 	PlainTokens float64 // tokens that a request counts as if it names none
