--- a/credentials/refresh.go
+++ b/credentials/refresh.go
@@ -12,7 +12,6 @@
 	freshShare       = 0.38 // age of a confirmation that ends a round of queries
 	firstReadShare   = 0.42 // age at which the first node that gets no replies reads the store
 	lastReadShare    = 0.54 // the same for the last node; its read must end before staleShare
-	earlyReadShare   = 0.15 // age of its own confirmation from which the watching node reads the store for unknown keys
 	readRetryShare   = 0.08 // least time between two reads
 	pendingMaxShare  = staleShare
 	maxPendingPerRun = 64 // limit of queries that wait for replies; early refreshes add some
@@ -87,6 +86,10 @@
 // state; nonce is a random number, used if the node sends a query.
 func (r *Refresher) Tick(now time.Time, c *Checker, watches bool, nonce uint64) Refresh {
 	r.forget(now)
+	if r.roundBegan.IsZero() {
+		// Nodes that start together ask, and read if they get no replies, at different times.
+		r.roundBegan = now.Add(-time.Duration(r.spread * float64(share(r.bounds.Revocation, queryShare))))
+	}
 	if watches {
 		return Refresh{Read: r.readsWatching(now, c)}
 	}
@@ -122,12 +125,9 @@
 // watch confirms the state; it reads if that fails or has not begun.
 func (r *Refresher) readsWatching(now time.Time, c *Checker) bool {
 	r.asked, r.unanswered = AskNone, false
-	own, limit := c.OwnAge(now), ownReadShare
-	if r.hurry {
-		limit = earlyReadShare
-	}
-	r.hurry = false
-	return (own < 0 || own >= share(r.bounds.Revocation, limit)) && r.takeRead(now)
+	r.hurry = false // its watch ends with each change, so reading for unknown keys gains nothing
+	own := c.OwnAge(now)
+	return (own < 0 || own >= share(r.bounds.Revocation, ownReadShare)) && r.takeRead(now)
 }
 
 // takeRead reports whether a read may be sent, and records it.
