--- a/internal/front/harness_test.go
+++ b/internal/front/harness_test.go
@@ -98,6 +98,7 @@
 	metricsAddr string        // metrics address of nodes started from now on
 	gracePeriod time.Duration // grace period of nodes started from now on
 	slots       int           // slots of servers registered from now on
+	revocation  time.Duration // with it, nodes started from now on accept no key that may be outdated; zero if they do
 }
 
 // Write implements io.Writer for the nodes' logs.
@@ -239,7 +240,8 @@
 	return platform.Settings{
 		Node: "node-" + ip, IP: ip, Zone: "z1", Region: "r", Zones: []string{"z1"}, CallerListen: at(), ControlListen: at(), ReadyListen: at(), ResolveListen: at(),
 		PeerPort: peerPort, Seeds: []string{"127.0.0.2:1"}, FirstStart: true, StoreAddress: c.address, HeartbeatInterval: 1200 * time.Millisecond,
-		Bounds: platform.Bounds{GracePeriod: c.gracePeriod, ConfigApplyTimeout: 2 * time.Second, ContactTimeout: contactTimeout, DrainTimeout: 2 * time.Second, RetryBudgetRatio: 0.2, RetryBudgetSlack: 58, OrderLease: 3 * time.Second, MaxTTL: 5 * time.Second},
+		Bounds: platform.Bounds{GracePeriod: c.gracePeriod, ConfigApplyTimeout: 2 * time.Second, ContactTimeout: contactTimeout, DrainTimeout: 2 * time.Second, RetryBudgetRatio: 0.2, RetryBudgetSlack: 58, OrderLease: 3 * time.Second, MaxTTL: 5 * time.Second,
+			FailClosed: c.revocation > 0, RevocationTimeout: max(c.revocation, time.Second)},
 	}
 }
 
