--- a/credentials/refresh.go
+++ b/credentials/refresh.go
@@ -6,19 +6,20 @@
 // is as old as the wait of its watch; with one interval and the replies it reaches about 0.4 at the
 // others, and the reads of those that get no replies begin there.
 const (
-	queryShare       = 0.15 // interval of queries to the watching node
-	replyShare       = 0.03 // time for a reply before others are asked; nodes on small VMs may be delayed for 0.1 s
-	ownReadShare     = 0.3  // age of its own confirmation at which a node that is asked reads the store
-	freshShare       = 0.38 // age of a confirmation that ends a round of queries
-	firstReadShare   = 0.42 // age at which the first node that gets no replies reads the store
-	lastReadShare    = 0.54 // the same for the last node; its read must end before staleShare
-	readRetryShare   = 0.08 // least time between two reads
-	pendingMaxShare  = staleShare
-	maxPendingPerRun = 64 // limit of queries that wait for replies; early refreshes add some
+	queryShare     = 0.15 // interval of queries to the watching node
+	replyShare     = 0.03 // time for a reply before others are asked; nodes on small VMs may be delayed for 0.1 s
+	ownReadShare   = 0.3  // age of its own confirmation at which a node that is asked reads the store
+	freshShare     = 0.38 // age of a confirmation that ends a round of queries
+	firstReadShare = 0.42 // age at which the first node that gets no replies reads the store
+	lastReadShare  = 0.54 // the same for the last node; its read must end before staleShare
+	readRetryShare = 0.08 // least time between two reads
 )
 
-// minHurryGap is the least time between two early refreshes, whatever the number of unknown keys.
-const minHurryGap = 100 * time.Millisecond
+// Times that do not depend on Bounds.
+const (
+	minHurryGap = 100 * time.Millisecond // least time between two early refreshes, whatever the number of unknown keys
+	pendingFor  = 3 * time.Second        // time after which a reply no longer counts; its confirmation would be as old
+)
 
 // Asked says whom a node asks for a confirmation.
 type Asked uint8
@@ -142,7 +143,7 @@
 // forget drops queries to which a reply would come too late to be of use.
 func (r *Refresher) forget(now time.Time) {
 	for nonce, at := range r.pending {
-		if now.Sub(at) >= share(r.bounds.Revocation, pendingMaxShare) || len(r.pending) > maxPendingPerRun {
+		if now.Sub(at) >= pendingFor {
 			delete(r.pending, nonce)
 		}
 	}
--- a/internal/front/credentials.go
+++ b/internal/front/credentials.go
@@ -142,12 +142,18 @@
 	return d
 }
 
+// checkKey checks the request's key now and sets its team.
+func (x *exchange) checkKey() credentials.Decision {
+	x.keyCheck = x.node.keys.check(x.key)
+	x.team = x.keyCheck.Team
+	return x.keyCheck
+}
+
 // authenticate finds the team whose key the request carries. If the request may not go on, it
 // responds and returns false. It is called only if the desired state requires keys.
 func (x *exchange) authenticate() bool {
 	x.keyed, x.key = true, credentials.ParseKey(x.r.Header[platform.HeaderAuthorization])
-	d := x.node.keys.check(x.key)
-	x.team = d.Team
+	d := x.checkKey()
 	if x.route.Public || d.Result == credentials.Accepted {
 		return true
 	}
@@ -172,8 +178,8 @@
 	if route := table.Match(x.r.Host, path); route != nil {
 		public = route.Public
 	}
-	before, d := x.team, x.node.keys.check(x.key)
-	x.team = d.Team
+	before := x.team
+	d := x.checkKey()
 	if public || d.Result == credentials.Accepted {
 		return true
 	}
@@ -187,22 +193,22 @@
 
 // rejectKey ends a request that may not be sent because of its key.
 func (x *exchange) rejectKey(d credentials.Decision, reason string) {
-	status := http.StatusServiceUnavailable
 	switch {
 	case x.responseStarted || x.runs > 0:
 		x.endUnanswered(reason)
-		status = x.status
 	case d.Result.Final():
-		status = http.StatusUnauthorized
 		x.w.Header().Set("WWW-Authenticate", platform.AuthScheme)
-		x.fail(status, reason)
+		x.fail(http.StatusUnauthorized, reason)
 	case d.Result == credentials.Behind:
 		x.refuse(reason, behindKeysRetryAfter)
 	default:
 		x.refuse(reason, staleKeysRetryAfter)
 	}
+	status := x.status
+	if x.outcome == "aborted" {
+		status = 0
+	}
 	x.node.metrics.KeyRejected(status, reason)
-	level.Debug(x.node.log).Log("event", "key_rejected", "id", x.params.ID, "reason", reason, "version", d.Version, "age_ms", d.Age.Milliseconds())
 }
 
 // rank returns the request's priority among all requests; 0 is the first.
@@ -221,12 +227,12 @@
 	return x.team.Name
 }
 
-// requestLogger returns the logger of the request's log line, which names the team if the desired
-// state has teams.
+// requestLogger returns the logger of the request's log line. If the desired state has teams, that names
+// the team, and the version and age of the state by which the key was last checked.
 func (x *exchange) requestLogger() log.Logger {
 	logger := level.Info(x.node.log)
 	if x.keyed {
-		logger = log.WithSuffix(logger, "team", x.teamName())
+		logger = log.WithSuffix(logger, "team", x.teamName(), "keys_version", x.keyCheck.Version, "keys_age_ms", x.keyCheck.Age.Milliseconds())
 	}
 	return logger
 }
--- a/internal/front/serve.go
+++ b/internal/front/serve.go
@@ -41,10 +41,11 @@
 	r            *http.Request
 	params       platform.RequestParams
 	route        *routes.Route
-	team         *routes.Team    // team whose key the request carries; nil without one
-	key          credentials.Key // what it carries as its key; set if keyed is set
-	keyed        bool            // the desired state required keys at a check of the request
-	service      string          // service that the route selected
+	team         *routes.Team         // team whose key the request carries; nil without one
+	key          credentials.Key      // what it carries as its key; set if keyed is set
+	keyed        bool                 // the desired state required keys at a check of the request
+	keyCheck     credentials.Decision // the latest check
+	service      string               // service that the route selected
 	body         []byte
 	held         *bytebudget.Holding // memory of the body
 	content      uint64              // see contentHash; zero until it is needed
