--- a/internal/front/credentials_test.go
+++ b/internal/front/credentials_test.go
@@ -70,12 +70,14 @@
 }
 
 // Guards against a deployment without teams whose callers' own Authorization fields are dropped or
-// refused.
+// refused, or whose nodes ask each other for confirmations.
 func TestDeploymentWithoutTeamsPassesKeysOn(t *testing.T) {
 	c := newCluster(t)
 	b := c.backendServer("s1", "plain", text("done"))
-	c.revocation = 2 * time.Second
-	n := c.node("127.0.0.1", 0)
+	c.revocation = time.Second
+	port := freePort(t, "127.0.0.1")
+	sent := datagramsAt(t, "127.0.0.2", port)
+	n := c.node("127.0.0.1", port)
 	for id, fields := range map[string][]string{"r1": {"Bearer own"}, "r2": {"Token own", "Basic own"}} {
 		assert.Equal(t, c.keyed(n, "/safe/x", id, fields...).status, http.StatusOK)
 		assert.DeepEqual(t, b.headersOf(id)[platform.HeaderAuthorization], fields)
@@ -83,6 +85,8 @@
 	}
 	c.eventually(func() bool { return strings.Count(c.text(), "event=request ") == 2 })
 	assert.Assert(t, !strings.Contains(c.text(), "team="))
+	c.eventually(func() bool { return strings.Count(sent(), `{"n":`) > 5 })
+	assert.Assert(t, !strings.Contains(sent(), "confirm"))
 }
 
 // datagramsAt collects what nodes with the peer port send to the IP.
