front: keys are in force before the table that requires them

Cause: a request that found a new table with teams before their keys were in force could get 401 for a valid key. Change: the keys come into force first, and a check by a state without teams requires none.

--- a/internal/front/credentials.go
+++ b/internal/front/credentials.go
@@ -131,10 +131,14 @@
 	return k.ranks.Priority(rank)
 }
 
-// check decides about a key now. An unknown key lets the node refresh its state early.
+// check decides about a key now, by the state in force, which may require none. An unknown key lets the
+// node refresh its state early.
 func (k *keyState) check(key credentials.Key) credentials.Decision {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	if !k.required {
+		return credentials.Decision{Result: credentials.Accepted, Version: k.checker.Version(), Age: k.checker.Age(bootclock.Now())}
+	}
 	d := k.checker.Check(bootclock.Now(), key)
 	if d.Refresh {
 		k.refresher.Hurry()
@@ -166,8 +170,7 @@
 // false.
 func (x *exchange) authorizeAttempt() bool {
 	table := x.node.desired.Load()
-	if !table.RequireKeys {
-		x.team = nil // what carries a key is still not passed on, see keyed
+	if !x.keyed && !table.RequireKeys {
 		return true
 	}
 	if !x.keyed {
--- a/internal/front/sync.go
+++ b/internal/front/sync.go
@@ -118,8 +118,8 @@
 		return
 	}
 	now := bootclock.Now()
+	n.keys.putInForce(t, index) // first: a request that finds the table must not be judged by older keys
 	n.desired.Store(t)
-	n.keys.putInForce(t, index)
 	n.sync.PutInForce(now, t.Version)
 	inForce := map[string]bool{}
 	for _, r := range t.Routes {
