--- a/internal/front/confirm_test.go
+++ b/internal/front/confirm_test.go
@@ -94,6 +94,29 @@
 	assert.Equal(t, n.keys.check(credentials.ParseKey([]string{"Token x"})).Result, credentials.Behind)
 }
 
+// Guards against nodes that ask one that does not watch the desired state, because the order of those
+// that they ask is not the order of succession.
+func TestAskedNodesAreInTheOrderOfSuccession(t *testing.T) {
+	ips, now := []string{"10.0.0.1", "10.0.0.2", "10.0.0.3", "10.0.0.4"}, bootclock.Now()
+	for _, asker := range ips {
+		seen := newPeers(now, platform.Settings{IP: asker})
+		for _, ip := range ips {
+			if p := seen.add(now, ip); p != nil {
+				p.Node, p.received = ip, now
+			}
+		}
+		for i, ip := range seen.succession(now) {
+			own := newPeers(now, platform.Settings{IP: ip})
+			for _, other := range ips {
+				if p := own.add(now, other); p != nil && other != asker {
+					p.Node, p.received = other, now
+				}
+			}
+			assert.Equal(t, own.countSuccessors(now, ""), i, "%s asks %s", asker, ip)
+		}
+	}
+}
+
 // Guards against a watch that confirms more than it shows: one that has ended early, with a change or
 // with an error, and one of a store without a desired state.
 func TestWatchConfirmsNoMoreThanItShows(t *testing.T) {
--- a/internal/front/credentials_test.go
+++ b/internal/front/credentials_test.go
@@ -74,8 +74,7 @@
 	c := newCluster(t)
 	b := c.backendServer("s1", "plain", text("done"))
 	c.revocation = time.Second
-	port := freePort(t, "127.0.0.1")
-	sent := datagramsAt(t, "127.0.0.2", port)
+	port, sent := datagramsAt(t, "127.0.0.2")
 	n := c.node("127.0.0.1", port)
 	for id, fields := range map[string][]string{"r1": {"Bearer own"}, "r2": {"Token own", "Basic own"}} {
 		assert.Equal(t, c.keyed(n, "/safe/x", id, fields...).status, http.StatusOK)
@@ -88,14 +87,15 @@
 	assert.Assert(t, !strings.Contains(sent(), "confirm"))
 }
 
-// datagramsAt returns a function that returns all datagrams that have arrived at the IP and port.
-func datagramsAt(t *testing.T, ip string, port int) func() string {
-	socket, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.ParseIP(ip), Port: port})
+// datagramsAt returns a peer port, and a function that returns all datagrams that have arrived at it at
+// the IP.
+func datagramsAt(t *testing.T, ip string) (int, func() string) {
+	socket, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.ParseIP(ip)})
 	assert.NilError(t, err)
 	t.Cleanup(func() { socket.Close() })
 	var all strings.Builder
 	buffer := make([]byte, 64<<10)
-	return func() string {
+	return socket.LocalAddr().(*net.UDPAddr).Port, func() string {
 		for {
 			assert.NilError(t, socket.SetReadDeadline(time.Now().Add(time.Millisecond)))
 			size, err := socket.Read(buffer)
@@ -113,8 +113,7 @@
 	c := newCluster(t)
 	b := c.backendServer("s1", "plain", text("done"))
 	c.putTeams(2, alphaKey)
-	port := freePort(t, "127.0.0.1")
-	sent := datagramsAt(t, "127.0.0.2", port)
+	port, sent := datagramsAt(t, "127.0.0.2")
 	n := c.node("127.0.0.1", port)
 	for i, r := range []struct {
 		path   string
