--- a/replicas/choose.go
+++ b/replicas/choose.go
@@ -28,6 +28,8 @@
 	Model        string      // empty for plain services
 	Adapter      string      // empty if the request uses no adapter
 	Zone         string      // availability zone of this node
+	Tokens       int         // prompt and maximum output; zero if unknown
+	CacheTokens  int         // size of a server's KV cache; zero if unknown
 	SharedTokens int         // prompt tokens that other requests share
 	PrefixKey    string      // identifies the shared parts of the prompt; requests with equal keys prefer the same server
 	Excluded     []Exclusion // servers that must not be chosen
@@ -64,11 +66,12 @@
 	AllLeaving                   // all servers of the service leave
 	Paused                       // all servers that have the model or adapter turn requests away for some time
 	AllTried                     // all servers of a plain service are excluded for good
+	CacheFull                    // all servers that have the model or adapter are full, and some of them only because the request does not fit into the rest of the KV cache
 )
 
 // String returns the result's name.
 func (r Result) String() string {
-	return [...]string{"chosen", "no_model", "full", "no_server", "all_leaving", "paused", "all_tried"}[r]
+	return [...]string{"chosen", "no_model", "full", "no_server", "all_leaving", "paused", "all_tried", "cache_full"}[r]
 }
 
 // candidates is what a selection has found among the servers of a service.
@@ -78,6 +81,7 @@
 	triedLately   bool    // some server has the model ready, but is excluded for now
 	shedding      bool    // such a server turns requests away now
 	open          bool    // some of these does not turn requests away now
+	cacheFull     bool    // such a server has a free slot, but no room in its KV cache
 	best          *Server // the one of lowest cost that is not full
 	bestCost      float64
 	preferred     *Server // the one that prompt affinity prefers
@@ -118,6 +122,9 @@
 	if c.preferred != nil && (c.best == nil || c.preferredCost-affinityBonus < c.bestCost) && c.preferredCost < math.Inf(1) {
 		return c.preferred.Entry, Chosen
 	}
+	if c.best == nil && c.cacheFull {
+		return Entry{}, CacheFull
+	}
 	if c.best == nil {
 		return Entry{}, Full
 	}
@@ -142,7 +149,9 @@
 		return
 	}
 	c.open = true
-	cost := s.cost(now, req.Zone)
+	slotCost := s.cost(now, req.Zone)
+	cost := t.addCacheCost(now, req, s, slotCost)
+	c.cacheFull = c.cacheFull || cost > slotCost && math.IsInf(cost, 1)
 	if cost < math.Inf(1) && (c.best == nil || cost < c.bestCost) {
 		c.best, c.bestCost = s, cost
 	}
--- a/replicas/service.go
+++ b/replicas/service.go
@@ -18,6 +18,7 @@
 	ejectedAt  time.Time            // when the ejected servers were last selected
 	outdated   bool                 // the servers or their health have changed since
 	candidates []outlier            // buffer of refreshEjections
+	sizes      meanSize             // of the requests that this node sent
 }
 
 // outlier is a server that performs worse than the mean of its service.
--- a/replicas/table.go
+++ b/replicas/table.go
@@ -38,6 +38,7 @@
 	notice         *notice       // what this start has said of itself to this node; nil if nothing
 	hash           uint64        // hash of the ID
 	preferenceCost float64       // see Table.SpreadBy
+	cache          cacheUse      // known use of its KV cache
 	connections    *atomic.Int64 // open connections of this node; nil if they are not counted
 	models         []string      // models under which the service lists it
 }
@@ -50,8 +51,10 @@
 
 // peerLoad is the number of requests that another node has in flight.
 type peerLoad struct {
+	at       time.Time      // when they were received
 	until    time.Time      // end of the time for which the counts are used
 	inFlight map[string]int // by server ID
+	tokens   PeerTokens     // their tokens; unknown unless SetPeerTokens was called
 }
 
 // plannedLoads lists the models whose loads wait for the weight store.
@@ -130,6 +133,7 @@
 	for _, p := range t.peerLoads {
 		row.peerInFlight += p.inFlight[e.ID]
 	}
+	t.addPeersCacheUse(row)
 	row.Draining = e.Draining || row.notice.saidLeaving()
 	row.preferenceCost = t.preferenceCostOf(row)
 	if t.connections != nil {
@@ -295,13 +299,16 @@
 // counts are used for maxAge, or for minPeerLoadMaxAge if that is longer.
 func (t *Table) SetPeerLoad(now time.Time, node string, inFlight map[string]int, maxAge time.Duration) {
 	t.dropPeerLoad(node)
-	t.peerLoads[node] = peerLoad{until: now.Add(max(maxAge, minPeerLoadMaxAge)), inFlight: inFlight}
+	p := peerLoad{at: now, until: now.Add(max(maxAge, minPeerLoadMaxAge)), inFlight: inFlight}
+	t.peerLoads[node] = p
 	t.addPeerLoad(inFlight, 1)
+	t.addPeerTokens(p, 1)
 }
 
 // dropPeerLoad removes what another node has in flight.
 func (t *Table) dropPeerLoad(node string) {
 	t.addPeerLoad(t.peerLoads[node].inFlight, -1)
+	t.addPeerTokens(t.peerLoads[node], -1)
 	delete(t.peerLoads, node)
 }
 
--- a/waiting/waiting.go
+++ b/waiting/waiting.go
@@ -6,8 +6,6 @@
 package waiting
 
 import (
-	"math"
-	"slices"
 	"time"
 
 	"github.com/redwingnotch/redwingnotch/replicas"
@@ -23,18 +21,21 @@
 	noServerRetryAfter = 500 * time.Millisecond // Retry-After if the service has no server
 	stoppingRetryAfter = 20 * time.Millisecond  // Retry-After of a stopping node; short, as another node accepts the request at once
 	minFullRetryAfter  = 300 * time.Millisecond // minimum Retry-After if all servers are full; Retry-After if the time limit has ended
-	rateWindow         = 2 * time.Second        // time constant of the send rate
-	maxSaturationGap   = 300 * time.Millisecond // a service is no longer saturated if no request found it full for longer than this
 	shortTimeLimit     = 400 * time.Millisecond // requests with a shorter time limit reserve half of responseReserve
 )
 
 // Request is one request that needs a backend server.
 type Request struct {
-	Key         uint64 // unique at this node
-	Requirement replicas.Requirement
-	Priority    int       // 0 is the most urgent
-	Arrived     time.Time // arrival at this node
-	Deadline    time.Time // time until which the caller waits for the first byte of the response; at most the end of its or the route's time limit
+	Key          uint64 // unique at this node
+	Requirement  replicas.Requirement
+	Priority     int       // of the route; 0 is the most urgent
+	Team         string    // team whose share the request counts in; empty if there are no teams
+	TeamPriority int       // precedes Priority; 0 is the most urgent
+	Cost         float64   // tokens that the request counts in the team's share
+	Arrived      time.Time // arrival at this node
+	Deadline     time.Time // time until which the caller waits for the first byte of the response; at most the end of its or the route's time limit
+
+	wait Wait // of the latest decision to let it wait
 }
 
 // Decision is the outcome of a queued request: it is assigned to a server or
@@ -43,6 +44,7 @@
 	Key        uint64
 	Server     replicas.Entry
 	Refused    Reason        // empty if Server is set
+	Wait       Wait          // why the request waited, or why it was refused rather than sent
 	RetryAfter time.Duration // time after which the caller may retry; zero if Server is set, or if no retry can succeed
 }
 
@@ -51,12 +53,13 @@
 
 // Reasons for refusing a request.
 const (
-	NoServer         Reason = "no_server"       // the service has no usable server
-	ModelNotReady    Reason = "model_not_ready" // the model can't be ready in time
-	Overloaded       Reason = "overloaded"      // no slot is expected to become free in time
-	ServersShed      Reason = "servers_shed"    // all servers that have the model turn requests away for some time
-	Stopping         Reason = "stopping"        // the node is stopping
-	DeadlineExceeded Reason = "time_over"       // no server was free before the deadline
+	NoServer         Reason = "no_server"        // the service has no usable server
+	ModelNotReady    Reason = "model_not_ready"  // the model can't be ready in time
+	Overloaded       Reason = "overloaded"       // no slot is expected to become free in time
+	ServersShed      Reason = "servers_shed"     // all servers that have the model turn requests away for some time
+	Stopping         Reason = "stopping"         // the node is stopping
+	DeadlineExceeded Reason = "time_over"        // no server was free before the deadline
+	ExceedsCache     Reason = "exceeds_kv_cache" // the request alone does not fit into the KV cache of a server
 )
 
 // ModelDemand is the number and urgency of the queued requests for one model or adapter.
@@ -70,27 +73,41 @@
 	Deadline time.Time // latest deadline of the requests
 }
 
-// Queue holds the requests of an entry node that wait for a backend server.
-type Queue struct {
-	requests  []Request              // ordered by urgency
-	rates     map[string]*rate       // send rate by service
-	saturated map[string]*saturation // current or last saturation by service
-}
+// Cause says why a request is not sent at once.
+type Cause string
 
-// saturation is a period in which requests found no free slot.
-type saturation struct{ from, last time.Time }
+// Causes of waiting.
+const (
+	NoSlot     Cause = "slots"    // all servers that have the model are full
+	NoCache    Cause = "kv_cache" // a server has a free slot, but no room in its KV cache
+	NotNext    Cause = "turn"     // a server has room, but requests for the model are ahead
+	ModelLoads Cause = "model"    // no server has the model ready
+	NoneUsable Cause = "server"   // no server may be used
+)
 
-// rate is an exponentially decaying count of requests.
-type rate struct {
-	at    time.Time // time of the last decay
-	count float64
+// Wait describes the latest decision to let a request wait, or to refuse it.
+type Wait struct {
+	Cause    Cause         // empty if the request was sent at once
+	Ahead    int           // more urgent requests for the same model
+	Expected time.Duration // estimated wait for a slot; zero if there is no estimate
+}
+
+// Queue holds the requests of an entry node that wait for a backend server.
+type Queue struct {
+	ranks []*rank            // in order
+	lanes map[queueKey]*lane // by model; only those with requests
+	count int                // number of requests
+	rates map[queueKey]*rate // of sends, by model
+	holds map[string]*hold   // by service
 }
 
 // NewQueue returns an empty queue.
-func NewQueue() *Queue { return &Queue{rates: map[string]*rate{}, saturated: map[string]*saturation{}} }
+func NewQueue() *Queue {
+	return &Queue{lanes: map[queueKey]*lane{}, rates: map[queueKey]*rate{}, holds: map[string]*hold{}}
+}
 
 // Len returns the number of queued requests.
-func (q *Queue) Len() int { return len(q.requests) }
+func (q *Queue) Len() int { return q.count }
 
 // State is the input of decisions.
 type State struct {
@@ -100,7 +117,13 @@
 
 	// unavailable holds the targets for which no server was chosen in this pass over the
 	// queue. Requests that are assigned meanwhile only make servers fuller.
-	unavailable map[targetKey]replicas.Result
+	unavailable map[targetKey]unavailable
+}
+
+// unavailable is the result for requests with at least as many tokens.
+type unavailable struct {
+	result replicas.Result
+	tokens int
 }
 
 // targetKey is what requests without a history need of a server.
@@ -113,16 +136,24 @@
 		return s.Table.Choose(now, *r)
 	}
 	key := targetKey{r.Service, r.Model, r.Adapter}
-	if result, known := s.unavailable[key]; known {
-		return replicas.Entry{}, result
+	if u, known := s.unavailable[key]; known && (u.result != replicas.CacheFull || r.Tokens >= u.tokens) {
+		return replicas.Entry{}, u.result
 	}
 	server, result := s.Table.Choose(now, *r)
 	if result != replicas.Chosen {
-		s.unavailable[key] = result
+		s.unavailable[key] = unavailable{result, r.Tokens}
 	}
 	return server, result
 }
 
+// cacheTokens returns the size of the KV cache of the service's servers, zero if unknown.
+func (s *State) cacheTokens(service string) int {
+	if svc := s.Services[service]; svc != nil && svc.Engine != nil {
+		return svc.Engine.KVCacheTokens
+	}
+	return 0
+}
+
 // withdrawn reports whether no server may load the required model, as the desired state does not
 // have it.
 func (s *State) withdrawn(r *replicas.Requirement) bool {
@@ -132,89 +163,95 @@
 
 // Offer decides on a new request. If it returns false, the request is queued.
 func (q *Queue) Offer(now time.Time, r Request, s State) (Decision, bool) {
-	at, _ := slices.BinarySearchFunc(q.requests, r, compareUrgency)
-	ahead := 0
-	for _, other := range q.requests[:at] {
-		if other.Requirement.Service == r.Requirement.Service && other.Requirement.Model == r.Requirement.Model {
-			ahead++
-		}
-	}
-	d, done := q.decide(now, &r, s, ahead)
+	d, done := q.decide(now, &r, s, q.ahead(now, &r))
 	if !done {
-		q.requests = slices.Insert(q.requests, at, r)
-	}
-	return d, done
-}
-
-// compareUrgency orders requests by priority, then by deadline, then by key.
-func compareUrgency(a, b Request) int {
-	if a.Priority != b.Priority {
-		return a.Priority - b.Priority
-	}
-	if c := a.Deadline.Compare(b.Deadline); c != 0 {
-		return c
+		q.insert(now, &r)
+		return d, false
 	}
-	if a.Key < b.Key {
-		return -1
+	if d.Refused == "" && q.lanes[keyOf(&r)] != nil {
+		q.charge(now, &r) // others wait for the same servers
 	}
-	return 1
+	return d, true
 }
 
-// Cancel removes a request whose caller no longer waits.
-func (q *Queue) Cancel(key uint64) {
-	q.requests = slices.DeleteFunc(q.requests, func(r Request) bool { return r.Key == key })
+// charge counts a request that is sent in its team's share.
+func (q *Queue) charge(now time.Time, r *Request) {
+	clock := q.rankOf(r).clock(r.Requirement.Service)
+	clock.Charge(now, clock.Team(now, r.Team), r.cost())
 }
 
 // RefuseAll refuses all queued requests because the node is stopping.
 func (q *Queue) RefuseAll(now time.Time) []Decision {
 	var decisions []Decision
-	for _, r := range q.requests {
-		decisions = append(decisions, refuse(Decision{Key: r.Key}, Stopping, stoppingRetryAfter))
+	for _, k := range q.ranks {
+		k.walk(func(f *flow, i item) bool {
+			decisions = append(decisions, refuse(Decision{Key: i.request.Key}, Stopping, stoppingRetryAfter))
+			q.left(f)
+			return false
+		})
+		q.endWalk(k)
 	}
-	clear(q.requests)
-	q.requests = q.requests[:0]
 	return decisions
 }
 
-// queueKey groups requests that compete for the same servers.
-type queueKey struct{ service, model string }
+// endWalk removes the requests from the rank that do not stay after a walk.
+func (q *Queue) endWalk(k *rank) {
+	for _, f := range k.flows {
+		clear(f.items[f.kept:])
+		f.items = f.items[:f.kept]
+	}
+	q.dropEmpty(k)
+}
 
 // Dispatch decides on all queued requests again and returns those that leave the
 // queue.
 func (q *Queue) Dispatch(now time.Time, s State) []Decision {
 	var decisions []Decision
-	ahead := map[queueKey]int{}
-	remaining := q.requests[:0]
-	s.unavailable = map[targetKey]replicas.Result{}
-	for i := range q.requests {
-		r := q.requests[i]
-		key := queueKey{r.Requirement.Service, r.Requirement.Model}
-		if d, done := q.decide(now, &r, s, ahead[key]); done {
+	s.unavailable = map[targetKey]unavailable{}
+	for _, l := range q.lanes {
+		l.ahead = 0
+	}
+	for _, k := range q.ranks {
+		k.walk(func(f *flow, i item) bool {
+			d, done := q.decide(now, i.request, s, f.lane.ahead)
+			if !done {
+				f.lane.ahead++
+				f.items[f.kept] = i
+				return true
+			}
 			decisions = append(decisions, d)
-			continue
-		}
-		ahead[key]++
-		remaining = append(remaining, r)
+			if d.Refused == "" {
+				f.clock.Charge(now, f.team, i.cost)
+			}
+			q.left(f)
+			return false
+		})
+		q.endWalk(k)
 	}
-	clear(q.requests[len(remaining):])
-	q.requests = remaining
 	return decisions
 }
 
 // decide assigns or refuses a request, or returns false if it has to wait. ahead
 // is the number of more urgent queued requests with the same queueKey.
 func (q *Queue) decide(now time.Time, r *Request, s State, ahead int) (Decision, bool) {
-	d := Decision{Key: r.Key}
+	d := Decision{Key: r.Key, Wait: r.wait}
 	if !now.Before(r.Deadline) {
 		return refuse(d, DeadlineExceeded, minFullRetryAfter), true
 	}
+	r.Requirement.CacheTokens = s.cacheTokens(r.Requirement.Service)
+	if limit := r.Requirement.CacheTokens; limit > 0 && r.Requirement.Tokens > limit {
+		d.Refused, d.Wait.Cause = ExceedsCache, NoCache
+		return d, true // no server takes it later either
+	}
 	server, result := s.choose(now, &r.Requirement)
 	if result == replicas.Chosen && ahead == 0 {
-		s.Table.Begin(now, server.ID)
-		q.countSent(now, r.Requirement.Service)
+		s.Table.BeginSized(now, server.ID, r.Requirement.Size())
+		q.rateOf(now, keyOf(r)).count++
 		d.Server = server
 		return d, true
 	}
+	r.wait = Wait{Cause: causeOf(result), Ahead: ahead}
+	d.Wait = r.wait
 	reserve := responseReserve
 	if r.Deadline.Sub(r.Arrived) < shortTimeLimit {
 		reserve /= 2
@@ -223,6 +260,27 @@
 	if !now.Before(latest) {
 		return refuse(d, DeadlineExceeded, minFullRetryAfter), true
 	}
+	return q.awaitOrRefuse(now, r, s, result, d, latest)
+}
+
+// causeOf returns why a request with the result waits.
+func causeOf(result replicas.Result) Cause {
+	switch result {
+	case replicas.Chosen:
+		return NotNext
+	case replicas.Full:
+		return NoSlot
+	case replicas.CacheFull:
+		return NoCache
+	case replicas.NoModel:
+		return ModelLoads
+	}
+	return NoneUsable
+}
+
+// awaitOrRefuse refuses a request that can't be sent now with d, or returns false if it is
+// expected to be sent by latest.
+func (q *Queue) awaitOrRefuse(now time.Time, r *Request, s State, result replicas.Result, d Decision, latest time.Time) (Decision, bool) {
 	switch result {
 	case replicas.AllLeaving:
 		return refuse(d, NoServer, noServerRetryAfter), true
@@ -232,7 +290,8 @@
 		return refuse(d, ServersShed, s.Table.PauseEnd(now, r.Requirement).Sub(now)), true
 	case replicas.NoUsableServer:
 		if r.Requirement.Software != nil {
-			return Decision{Key: d.Key, Refused: NoServer}, true // servers of the version that began a stream do not come back in time
+			d.Refused = NoServer
+			return d, true // servers of the version that began a stream do not come back in time
 		}
 		if now.Sub(r.Arrived) >= time.Duration(noServerWaitShare*float64(r.Deadline.Sub(r.Arrived))) {
 			return refuse(d, NoServer, noServerRetryAfter), true
@@ -244,9 +303,11 @@
 		if ready, known := q.expectedReady(now, r, s); known && ready.After(latest) {
 			return refuse(d, ModelNotReady, ready.Sub(now)), true
 		}
-	default: // Full, or Chosen while more urgent requests wait
-		if wait := q.expectedWait(now, r.Requirement.Service, ahead); now.Add(wait).After(latest) {
-			return refuse(d, Overloaded, max(minFullRetryAfter, wait/2)), true
+	default: // Full, CacheFull, or Chosen while more urgent requests wait
+		r.wait.Expected = q.expectedWait(now, r, s, r.wait.Ahead)
+		d.Wait = r.wait
+		if now.Add(r.wait.Expected).After(latest) {
+			return refuse(d, Overloaded, max(minFullRetryAfter, r.wait.Expected/2)), true
 		}
 	}
 	return d, false
@@ -289,66 +350,15 @@
 	return ready, true
 }
 
-// expectedWait estimates how long a request waits for a slot, from the number of
-// requests ahead and the service's recent send rate. The rate equals the capacity
-// of the servers only once they have been full for rateWindow; until then
-// expectedWait returns zero.
-func (q *Queue) expectedWait(now time.Time, service string, ahead int) time.Duration {
-	span := q.saturated[service]
-	if span == nil || now.Sub(span.last) > maxSaturationGap {
-		span = &saturation{from: now}
-		q.saturated[service] = span
-	}
-	span.last = now
-	if now.Sub(span.from) < rateWindow {
-		return 0
-	}
-	perSecond := q.sendRate(now, service)
-	if perSecond <= 0 {
-		return 0
-	}
-	return time.Duration(float64(ahead) / perSecond * float64(time.Second))
-}
-
-// countSent adds a sent request to the service's send rate.
-func (q *Queue) countSent(now time.Time, service string) {
-	r := q.rates[service]
-	if r == nil {
-		r = &rate{at: now}
-		q.rates[service] = r
-	}
-	r.decay(now)
-	r.count++
-}
-
-// sendRate returns the service's recent send rate in requests per second.
-func (q *Queue) sendRate(now time.Time, service string) float64 {
-	r := q.rates[service]
-	if r == nil {
-		return 0
-	}
-	r.decay(now)
-	return r.count / rateWindow.Seconds()
-}
-
-// decay reduces the count according to the time since the last decay.
-func (r *rate) decay(now time.Time) {
-	if age := now.Sub(r.at); age > 0 {
-		r.count *= math.Exp(-float64(age) / float64(rateWindow))
-	}
-	r.at = now
-}
-
 // Demand returns the queued demand for models and adapters that no server has
 // ready, the most urgent first.
 func (q *Queue) Demand(now time.Time, t *replicas.Table) []ModelDemand {
 	var demand []ModelDemand
 	index := map[ModelDemand]int{}
 	available := map[ModelDemand]bool{}
-	for i := range q.requests {
-		r := &q.requests[i]
+	q.each(func(r *Request) {
 		if r.Requirement.Model == "" {
-			continue
+			return
 		}
 		key := ModelDemand{Service: r.Requirement.Service, Model: r.Requirement.Model, Adapter: r.Requirement.Adapter}
 		if r.Requirement.Software != nil {
@@ -359,19 +369,19 @@
 			if r.Deadline.After(demand[at].Deadline) {
 				demand[at].Deadline = r.Deadline
 			}
-			continue
+			return
 		}
 		if available[key] && len(r.Requirement.Excluded) == 0 {
-			continue
+			return
 		}
 		if _, result := t.Choose(now, r.Requirement); result != replicas.NoModel {
 			available[key] = true
-			continue
+			return
 		}
 		index[key] = len(demand)
 		d := key
 		d.Count, d.Priority, d.Deadline = 1, r.Priority, r.Deadline
 		demand = append(demand, d)
-	}
+	})
 	return demand
 }
