--- a/internal/front/attempt.go
+++ b/internal/front/attempt.go
@@ -47,7 +47,7 @@
 // attempt sends the request to one server and passes its response on.
 func (x *exchange) attempt(ctx context.Context, server replicas.Entry) attemptResult {
 	n := x.node
-	defer n.attemptEnded(server)
+	defer x.attemptEnded(server, bootclock.Now(), x.runs)
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	timeout := x.giveUpTimer(server, cancel)
@@ -412,12 +412,15 @@
 }
 
 // attemptEnded records the end of an attempt at the server, which may free a slot
-// for a waiting request.
-func (n *Node) attemptEnded(server replicas.Entry) {
+// for a waiting request. held is how long the server ran it; zero if it did not.
+func (n *Node) attemptEnded(server replicas.Entry, size replicas.Size, held time.Duration) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.table.SameStart(server) {
-		n.table.End(server.ID)
+		n.table.EndSized(server.ID, size)
+	}
+	if held > 0 {
+		n.queue.Ended(server.Service, held)
 	}
 	n.dispatchWaiting(bootclock.Now())
 }
--- a/internal/front/attempt_test.go
+++ b/internal/front/attempt_test.go
@@ -27,12 +27,12 @@
 	n.observe(before, replicas.Unreachable, 0)
 	n.markAbsent(before, "m", "")
 	n.setReportedLoad(before, platform.ServerLoad{Running: before.Slots})
-	n.attemptEnded(before)
+	n.attemptEnded(before, replicas.Size{}, 0)
 	assert.Equal(t, n.table.InFlight()[after.ID], 1)
 	assert.Equal(t, len(n.table.Unreachable(now)), 0)
 	_, result := n.table.Choose(now, replicas.Requirement{Service: "s", Model: "m", Zone: "z"})
 	assert.Equal(t, result, replicas.Chosen)
 
-	n.attemptEnded(after)
+	n.attemptEnded(after, replicas.Size{}, 0)
 	assert.Equal(t, n.table.InFlight()[after.ID], 0)
 }
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -356,16 +356,16 @@
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.queue.Cancel(r.Key)
+	wait := n.queue.Cancel(r.Key)
 	delete(n.waiters, r.Key)
 	select {
 	case d := <-decided: // decided just before ctx ended
 		if d.Refused == "" && n.table.SameStart(d.Server) {
-			n.table.End(d.Server.ID)
+			n.table.EndSized(d.Server.ID, r.Requirement.Size())
 		}
 	default:
 	}
-	return waiting.Decision{}, context.Cause(ctx)
+	return waiting.Decision{Wait: wait}, context.Cause(ctx)
 }
 
 // retryBudget returns the service's retry budget. The operators' slack is divided
--- a/internal/front/peers.go
+++ b/internal/front/peers.go
@@ -54,6 +54,8 @@
 	InnocentAgeMS  []int64                 `json:"ja,omitempty"` // milliseconds since then, for each of Innocent; missing from builds that do not tell
 	Refusals       []refusalState          `json:"p,omitempty"`  // traits that the sender refuses; in partial messages only while they are new
 	KnownIPs       []string                `json:"k,omitempty"`  // IPs of other nodes that are alive; partial messages name some of them
+
+	tokensInFlight
 }
 
 // confirmedAge returns the age of the desired state's confirmation when a message with the given
--- a/internal/front/received.go
+++ b/internal/front/received.go
@@ -13,6 +13,7 @@
 
 	"github.com/redwingnotch/redwingnotch/internal/bootclock"
 	"github.com/redwingnotch/redwingnotch/leadership"
+	"github.com/redwingnotch/redwingnotch/replicas"
 	"github.com/redwingnotch/redwingnotch/waiting"
 )
 
@@ -91,6 +92,7 @@
 		n.peers.add(now, ip)
 	}
 	n.table.SetPeerLoad(now, m.IP, m.InFlight, p.maxStateAge())
+	n.table.SetPeerTokens(m.IP, replicas.PeerTokens(m.tokensInFlight))
 	for _, server := range m.Down {
 		n.table.MarkUnreachable(now, server)
 		n.serverDown(now, server)
--- a/internal/front/serve.go
+++ b/internal/front/serve.go
@@ -68,6 +68,7 @@
 	attemptBegan    time.Time            // when the latest attempt's first event arrived; zero before
 	received        receivedResponse     // end of the latest response of a server
 	server          replicas.Entry       // last server that the request was sent to
+	waitedFor       string               // latest waiting.Cause; empty if it never waited
 	waited          time.Duration        // total time until a server was assigned, over all attempts
 	firstByteAfter  time.Duration        // time from arrival to the response's first byte
 	reason          string               // why the request or its response failed; may be empty
@@ -263,17 +264,20 @@
 	for {
 		began := bootclock.Now()
 		d, err := n.acquire(ctx, x.waitingRequest(), x.traits())
-		x.waited += bootclock.Now().Sub(began)
+		took := bootclock.Now().Sub(began)
+		x.waited += took
 		if err != nil {
+			x.recordWait(d, took, "left")
 			x.waitEnded()
 			return
 		}
+		x.recordWait(d, took, "")
 		if d.Refused != "" {
 			x.refuseWaiting(d)
 			return
 		}
 		if !x.endsBeforeStop() {
-			n.attemptEnded(d.Server)
+			x.attemptEnded(d.Server, began, x.runs)
 			x.refuseWaiting(waiting.Decision{Refused: waiting.Stopping, RetryAfter: shortRetryAfter})
 			return
 		}
@@ -285,7 +289,7 @@
 
 // waitingRequest returns the request as package waiting needs it.
 func (x *exchange) waitingRequest() waiting.Request {
-	return waiting.Request{
+	r := waiting.Request{
 		Requirement: replicas.Requirement{
 			Service:      x.service,
 			Model:        x.params.Model,
@@ -300,6 +304,8 @@
 		Arrived:  x.arrived,
 		Deadline: x.firstByteDeadline(),
 	}
+	x.setShare(&r)
+	return r
 }
 
 // fast reports whether the request's latency target is shorter than a load.
@@ -399,7 +405,7 @@
 		"model", x.params.Model, "adapter", x.params.Adapter, "outcome", x.outcome, "status", x.status, "reason", x.reason,
 		"server", x.server.ID, "start", x.server.Start, "software", x.server.Software, "sends", x.sends, "runs", x.runs, "framing", x.received.framing, "end", x.received.end,
 		"inside_event", x.received.insideEvent, "after_event", loggedEventID(x.params.LastEventID), "first_event", loggedEventID(x.firstEventID), "last_event", loggedEventID(x.lastEventID),
-		"parts", x.formatParts(), "waited_ms", ms(x.waited), "first_ms", ms(x.firstByteAfter),
+		"parts", x.formatParts(), "waited_ms", ms(x.waited), "waited_for", x.waitedFor, "first_ms", ms(x.firstByteAfter),
 		"total_ms", ms(bootclock.Now().Sub(x.arrived)), "limit_ms", ms(x.deadline.Sub(x.arrived)))
 	x.recordMetrics()
 	if x.outcome == "aborted" {
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -34,6 +34,7 @@
 	connections  metric.Int64Counter
 	storeCalls   metric.Int64Counter
 	resumptions  metric.Int64Counter
+	waits        waitMetrics
 	labelOptions sync.Map // labels -> metric.MeasurementOption
 }
 
@@ -94,7 +95,7 @@
 		provider: sdk.NewMeterProvider(sdk.WithReader(exporter)),
 		handler:  promhttp.HandlerFor(registry, promhttp.HandlerOpts{}),
 	}
-	if err := m.addInstruments(); err != nil {
+	if err := errors.Join(m.addInstruments(), m.addWaitInstruments()); err != nil {
 		return nil, fmt.Errorf("metrics: %w", err)
 	}
 	return m, nil
--- a/waiting/order.go
+++ b/waiting/order.go
@@ -284,18 +284,20 @@
 	}
 }
 
-// Cancel removes a request whose caller no longer waits.
-func (q *Queue) Cancel(key uint64) {
+// Cancel removes a request whose caller no longer waits, and returns why it waited.
+func (q *Queue) Cancel(key uint64) Wait {
 	for _, k := range q.ranks {
 		for _, f := range k.flows {
 			at := slices.IndexFunc(f.items, func(i item) bool { return i.request.Key == key })
 			if at < 0 {
 				continue
 			}
+			wait := f.items[at].request.wait
 			f.items = slices.Delete(f.items, at, at+1)
 			q.left(f)
 			q.dropEmpty(k)
-			return
+			return wait
 		}
 	}
+	return Wait{}
 }
