waiting: load tests; the expected wait counts requests that are sent first though they come later

Requests of other teams and higher ranks overtake those of a team that floods, so the wait of its requests is estimated from the rate that is left to it.

--- /dev/null
+++ b/waiting/load_test.go
@@ -0,0 +1,154 @@
+package waiting_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+const ms = time.Millisecond
+
+// urgent is a latency-sensitive stream: its first event is due within 500 ms.
+var urgent = call{model: "common", tokens: 726, limit: 2 * time.Second, first: 50 * ms, hold: time.Second}
+
+// capacity of servers(4, 16) with requests that take a second.
+const perSecond = 64.0
+
+// TestTeamAtSevenTimesItsLoad guards against a team whose burst delays the other teams of its
+// rank. The load: eight teams, one of them a quarter of it, which comes at seven times its usual
+// load for 8 s.
+func TestTeamAtSevenTimesItsLoad(t *testing.T) {
+	build := func() *load {
+		l := &load{servers: servers(4, 16), cache: 171805}
+		for i := range 8 {
+			c, share := urgent, 0.75/7
+			c.team = fmt.Sprint("team", i)
+			if i == 0 {
+				share = 0.25
+				l.calls = append(l.calls, stream(100, 6*share*0.7*perSecond, 4*time.Second, 12*time.Second, c)...)
+			}
+			l.calls = append(l.calls, stream(uint64(i), share*0.7*perSecond, 0, 20*time.Second, c)...)
+		}
+		return l
+	}
+	_, after := compare(t, build, "team0")
+	others := after.outcomeOf(func(c *call) bool { return c.team != "team0" })
+	t.Logf("other teams: %v", others)
+	assert.Assert(t, others.inTimeShare() >= 0.99, "%v", others)
+	assert.Assert(t, others.p99 <= 500*ms, "first events of the other teams are due within 500 ms: %v", others)
+}
+
+// TestBurstOfStreamsOnRareModels guards against latency-tolerant streams to models with one
+// server each that take the slots of latency-sensitive ones there. The load: they come at 2.4
+// times the usual load for 6 s.
+func TestBurstOfStreamsOnRareModels(t *testing.T) {
+	build := func() *load {
+		l := &load{servers: servers(4, 16), cache: 171805}
+		sensitive := urgent
+		sensitive.team = "a"
+		l.calls = stream(1, 0.5*perSecond, 0, 16*time.Second, sensitive)
+		for i := range 4 {
+			tolerant := call{model: fmt.Sprint("rare", i), team: "b", rank: 2, tokens: 800, limit: 8 * time.Second, first: 100 * ms, hold: 2 * time.Second}
+			l.calls = append(l.calls, stream(uint64(10+i), 1.5, 0, 16*time.Second, tolerant)...)
+			l.calls = append(l.calls, stream(uint64(20+i), 1.4*1.5, 4*time.Second, 10*time.Second, tolerant)...)
+		}
+		return l
+	}
+	_, after := compare(t, build, "")
+	sensitive := after.outcomeOf(func(c *call) bool { return c.team == "a" })
+	tolerant := after.outcomeOf(func(c *call) bool { return c.team == "b" })
+	t.Logf("latency-sensitive: %v; latency-tolerant: %v", sensitive, tolerant)
+	assert.Assert(t, sensitive.inTimeShare() >= 0.99, "%v", sensitive)
+	assert.Equal(t, tolerant.late, 0)
+}
+
+// TestLargeRequestsAlongsideSmallOnes guards against servers that hold more than their KV cache,
+// and against small requests that wait for large ones although there is room. The load: prompts
+// of 9,190 tokens that come faster than the KV caches take them, alongside streams.
+func TestLargeRequestsAlongsideSmallOnes(t *testing.T) {
+	const cache = 211383
+	build := func() *load {
+		l := &load{servers: servers(2, 48), cache: cache}
+		small, large := urgent, call{model: "common", team: "large", rank: 1, tokens: 9190, limit: 3 * time.Second, first: 700 * ms, hold: 4 * time.Second}
+		small.team = "small"
+		l.calls = append(stream(1, 24, 0, 20*time.Second, small), stream(2, 12, 0, 20*time.Second, large)...)
+		return l
+	}
+	before, after := compare(t, build, "")
+	small := after.outcomeOf(func(c *call) bool { return c.team == "small" })
+	t.Logf("small: %v; large: %v", small, after.outcomeOf(func(c *call) bool { return c.team == "large" }))
+	assert.Assert(t, before.mostTokens > cache, "the load must exceed the KV cache without the bound")
+	assert.Assert(t, after.mostTokens <= cache)
+	assert.Assert(t, small.inTimeShare() >= 0.99, "%v", small)
+}
+
+// TestCallersThatRetryImmediately guards against a team whose callers come again at once after
+// each rejection, which must not gain a larger share, nor delay the other teams.
+func TestCallersThatRetryImmediately(t *testing.T) {
+	build := func() *load {
+		l := &load{servers: servers(4, 16), cache: 171805}
+		eager, patient := urgent, urgent
+		eager.team, eager.retries, patient.team = "eager", 20, "patient"
+		l.calls = append(stream(1, 2.5*perSecond, 2*time.Second, 8*time.Second, eager), stream(2, 0.4*perSecond, 0, 10*time.Second, patient)...)
+		return l
+	}
+	_, after := compare(t, build, "eager")
+	patient := after.outcomeOf(func(c *call) bool { return c.team == "patient" })
+	assert.Assert(t, patient.inTimeShare() >= 0.99, "%v", patient)
+	assert.Assert(t, patient.p99 <= 500*ms, "%v", patient)
+}
+
+// TestCallersThatDisconnect guards against requests that count in their team's share although
+// their callers left while they waited: the team's other requests would wait for them.
+func TestCallersThatDisconnect(t *testing.T) {
+	build := func() *load {
+		l := &load{servers: servers(4, 16), cache: 171805}
+		for _, team := range []string{"stays", "leaves"} {
+			c := urgent
+			c.team = team
+			l.calls = append(l.calls, stream(uint64(len(team)), 0.4*perSecond, 0, 12*time.Second, c)...)
+			if team == "leaves" {
+				c.leaves = 300 * ms
+				l.calls = append(l.calls, stream(9, 2*perSecond, 2*time.Second, 8*time.Second, c)...)
+			}
+		}
+		return l
+	}
+	_, after := compare(t, build, "leaves")
+	stays := after.outcomeOf(func(c *call) bool { return c.team == "stays" })
+	assert.Assert(t, stays.inTimeShare() >= 0.99, "%v", stays)
+	assert.Assert(t, stays.p99 <= 500*ms, "%v", stays)
+}
+
+// TestShortSpikeLosesNothing guards against an expected wait that rejects what would have been
+// served: 300 ms at three times the capacity, whose backlog is served well before the deadlines.
+func TestShortSpikeLosesNothing(t *testing.T) {
+	build := func() *load {
+		l := &load{servers: servers(4, 16), cache: 171805, calls: stream(1, 0.6*perSecond, 0, 6*time.Second, urgent)}
+		l.calls = append(l.calls, stream(2, 2.4*perSecond, 2*time.Second, 2300*ms, urgent)...)
+		return l
+	}
+	_, after := compare(t, build, "none")
+	o := after.outcomeOf(all)
+	assert.Equal(t, o.inTime, o.calls, "%v", o)
+}
+
+// TestLastingBurstIsRejectedEarly guards against requests that are held until their deadline
+// although the burst was foreseeably too much for the servers: 6 s at three times the capacity.
+func TestLastingBurstIsRejectedEarly(t *testing.T) {
+	for seed := range uint64(10) {
+		build := func() *load {
+			l := &load{servers: servers(4, 16), cache: 171805, calls: stream(2*seed, 0.6*perSecond, 0, 10*time.Second, urgent)}
+			l.calls = append(l.calls, stream(2*seed+1, 2.4*perSecond, 2*time.Second, 8*time.Second, urgent)...)
+			return l
+		}
+		_, after := compare(t, build, "none")
+		o := after.outcomeOf(all)
+		assert.Equal(t, o.rejectedLate, 0, "seed %d: %v", seed, o)
+		assert.Equal(t, o.late, 0, "seed %d: %v", seed, o)
+		busy := after.busyShare(3*time.Second, 8*time.Second)
+		assert.Assert(t, busy >= 0.99, "seed %d: the servers are idle while requests are rejected: %.3f", seed, busy)
+	}
+}
--- a/waiting/order.go
+++ b/waiting/order.go
@@ -147,22 +147,25 @@
 	})
 }
 
-// ahead returns how many waiting requests for the same model are to be sent before the new one.
-func (q *Queue) ahead(now time.Time, r *Request) int {
+// placeOf returns the place of a new request among the waiting ones.
+func (q *Queue) placeOf(now time.Time, r *Request) place {
 	l := q.lanes[keyOf(r)]
 	if l == nil {
-		return 0
+		return place{}
 	}
 	k := q.rankOf(r)
 	clock := k.clock(r.Requirement.Service)
 	own := l.flowOf(k, r.Team)
-	ahead, start, fair := 0, 0.0, clock.OtherWaits(r.Team)
+	p, start, fair := place{teams: clock.Waiting()}, 0.0, clock.OtherWaits(r.Team)
 	if fair {
 		start = clock.Start(clock.Team(now, r.Team))
 	}
-	if own != nil {
-		ahead, _ = own.find(r)
-		for _, i := range own.items[:ahead] {
+	if own == nil {
+		p.teams++
+	} else {
+		p.own, _ = own.find(r)
+		p.ahead = p.own
+		for _, i := range own.items[:p.own] {
 			start += i.cost
 		}
 	}
@@ -171,15 +174,15 @@
 		switch {
 		case f == own || c > 0:
 		case c < 0:
-			ahead += len(f.items)
+			p.ahead += len(f.items)
 		case fair:
-			ahead += f.before(start, r)
+			p.ahead += f.before(start, r)
 		default:
 			position, _ := f.find(r)
-			ahead += position
+			p.ahead += position
 		}
 	}
-	return ahead
+	return p
 }
 
 // before returns how many of the flow's requests are to be sent before one of another team in the
--- a/waiting/rate.go
+++ b/waiting/rate.go
@@ -1,6 +1,7 @@
 package waiting
 
 import (
+	"maps"
 	"math"
 	"time"
 )
@@ -11,17 +12,22 @@
 	maxSaturationGap = 300 * time.Millisecond // requests for a model no longer saturate its servers if none found them full for longer than this
 	holdMemory       = 64                     // number of latest requests over which the mean time at a server is taken
 	minHolds         = 3                      // number of requests from which on that mean is used
+	minRateShare     = 0.1                    // least part of the rate that a rank is taken to get; the rates of higher ranks vary
+	maxExpectedWait  = time.Hour              // limit of the estimate where nearly nothing is sent
+	acceptMargin     = 1.2                    // factor on the estimate for a new request; the rate varies, and an accepted request is to be served
+	keepMargin       = 0.8                    // factor on it for a request that was accepted before
 	maxRates         = 256                    // number of models with rates from which on outdated ones are removed
 )
 
 // rate is the rate at which requests for one model are sent: an exponentially decaying count. When
 // the servers become full, it starts with what they have completed so far.
 type rate struct {
-	at        time.Time // time of the last decay
-	count     float64
-	fullSince time.Time // when requests first found no free slot
-	fullAt    time.Time // when one last did
-	seeded    bool      // count started with what the servers completed before fullSince
+	decaying
+	ranks     map[sender]*decaying // sent requests by rank
+	teams     map[sender]*decaying // sent requests by rank and team
+	fullSince time.Time            // when requests first found no free slot
+	fullAt    time.Time            // when one last did
+	seeded    bool                 // count started with what the servers completed before fullSince
 }
 
 // hold is the mean time that requests of a service occupy a slot.
@@ -54,11 +60,19 @@
 	return perSecond, perSecond > 0
 }
 
+// place is a request's place among the waiting requests for its model.
+type place struct {
+	ahead int // more urgent requests
+	own   int // those of them that are of its team and rank
+	teams int // teams that wait in its rank, its own included
+}
+
 // expectedWait estimates how long a request waits for a slot, from the number of requests ahead
 // and the rate at which they are sent. The rate equals the capacity of the servers once they have
 // been full for rateWindow. Until then, it starts with their capacity as known before; without
-// that, expectedWait returns zero.
-func (q *Queue) expectedWait(now time.Time, r *Request, s State, ahead int) time.Duration {
+// that, expectedWait returns zero. Requests that come later and are sent first, of a higher rank
+// or of teams below their shares, are taken into account as the rate at which such ones are sent.
+func (q *Queue) expectedWait(now time.Time, r *Request, s State, p place) time.Duration {
 	l := q.rateOf(now, keyOf(r))
 	if l.fullAt.IsZero() || now.Sub(l.fullAt) > maxSaturationGap {
 		perSecond, known := q.capacity(now, r, s)
@@ -68,15 +82,78 @@
 		l.fullSince = now
 	}
 	l.fullAt = now
-	if !l.seeded && now.Sub(l.fullSince) < rateWindow || l.count <= 0 {
+	if !l.seeded && now.Sub(l.fullSince) < rateWindow || l.count <= 0 || p.ahead == 0 {
 		return 0
 	}
-	perSecond := l.count / rateWindow.Seconds()
-	return time.Duration(min(float64(ahead)/perSecond, maxExpectedWait.Seconds()) * float64(time.Second))
+	all := l.count
+	higher, others := l.sentBefore(now, r)
+	left := max(all-higher, minRateShare*all)
+	left = max(left-others, left/float64(max(1, p.teams)))
+	windows := max(float64(p.ahead)/all, float64(p.own)/left)
+	return time.Duration(min(windows*rateWindow.Seconds(), maxExpectedWait.Seconds()) * float64(time.Second))
+}
+
+// sender identifies the requests of a team in a rank.
+type sender struct {
+	teamPriority, priority int
+	team                   string
+}
+
+// senderOf returns the request's sender. An empty team stands for all of the rank.
+func senderOf(r *Request, team string) sender { return sender{r.TeamPriority, r.Priority, team} }
+
+// decaying is an exponentially decaying count.
+type decaying struct {
+	at    time.Time
+	count float64
+}
+
+// value returns the count as of now.
+func (d *decaying) value(now time.Time) float64 {
+	if age := now.Sub(d.at); age > 0 {
+		d.count *= math.Exp(-float64(age) / float64(rateWindow))
+		d.at = now
+	}
+	return d.count
+}
+
+// sent counts a request that is sent.
+func (q *Queue) sent(now time.Time, r *Request) {
+	l := q.rateOf(now, keyOf(r))
+	l.count++
+	l.add(now, &l.ranks, senderOf(r, ""))
+	l.add(now, &l.teams, senderOf(r, r.Team))
+}
+
+// add counts a request in one of the rate's counts.
+func (l *rate) add(now time.Time, counts *map[sender]*decaying, key sender) {
+	if *counts == nil {
+		*counts = map[sender]*decaying{}
+	}
+	d := (*counts)[key]
+	if d == nil {
+		d = &decaying{at: now}
+		(*counts)[key] = d
+	}
+	d.count = d.value(now) + 1
 }
 
-// maxExpectedWait limits the estimate where nearly nothing is sent.
-const maxExpectedWait = time.Hour
+// sentBefore returns how many requests of higher ranks, and of other teams in the request's rank,
+// were sent.
+func (l *rate) sentBefore(now time.Time, r *Request) (higher, others float64) {
+	for key, d := range l.ranks {
+		switch {
+		case key.teamPriority < r.TeamPriority, key.teamPriority == r.TeamPriority && key.priority < r.Priority:
+			higher += d.value(now)
+		case key.teamPriority == r.TeamPriority && key.priority == r.Priority:
+			others = d.value(now)
+		}
+	}
+	if own := l.teams[senderOf(r, r.Team)]; own != nil {
+		others -= own.value(now)
+	}
+	return higher, max(0, others)
+}
 
 // rateOf returns the rate of requests for a model as of now.
 func (q *Queue) rateOf(now time.Time, key queueKey) *rate {
@@ -85,13 +162,10 @@
 		if len(q.rates) >= maxRates {
 			q.dropOutdatedRates(now)
 		}
-		l = &rate{at: now}
+		l = &rate{decaying: decaying{at: now}}
 		q.rates[key] = l
 	}
-	if age := now.Sub(l.at); age > 0 {
-		l.count *= math.Exp(-float64(age) / float64(rateWindow))
-	}
-	l.at = now
+	l.value(now)
 	return l
 }
 
@@ -100,6 +174,8 @@
 	for key, l := range q.rates {
 		if now.Sub(l.at) > 2*rateWindow {
 			delete(q.rates, key)
+			continue
 		}
+		maps.DeleteFunc(l.teams, func(_ sender, d *decaying) bool { return now.Sub(d.at) > 5*rateWindow })
 	}
 }
--- a/waiting/waiting.go
+++ b/waiting/waiting.go
@@ -35,7 +35,8 @@
 	Arrived      time.Time // arrival at this node
 	Deadline     time.Time // time until which the caller waits for the first byte of the response; at most the end of its or the route's time limit
 
-	wait Wait // of the latest decision to let it wait
+	accepted bool // it was let wait
+	wait     Wait // of the latest decision to let it wait
 }
 
 // Decision is the outcome of a queued request: it is assigned to a server or
@@ -163,8 +164,9 @@
 
 // Offer decides on a new request. If it returns false, the request is queued.
 func (q *Queue) Offer(now time.Time, r Request, s State) (Decision, bool) {
-	d, done := q.decide(now, &r, s, q.ahead(now, &r))
+	d, done := q.decide(now, &r, s, q.placeOf(now, &r))
 	if !done {
+		r.accepted = true
 		q.insert(now, &r)
 		return d, false
 	}
@@ -213,7 +215,7 @@
 	}
 	for _, k := range q.ranks {
 		k.walk(func(f *flow, i item) bool {
-			d, done := q.decide(now, i.request, s, f.lane.ahead)
+			d, done := q.decide(now, i.request, s, place{f.lane.ahead, f.kept, f.clock.Waiting()})
 			if !done {
 				f.lane.ahead++
 				f.items[f.kept] = i
@@ -231,9 +233,8 @@
 	return decisions
 }
 
-// decide assigns or refuses a request, or returns false if it has to wait. ahead
-// is the number of more urgent queued requests with the same queueKey.
-func (q *Queue) decide(now time.Time, r *Request, s State, ahead int) (Decision, bool) {
+// decide assigns or refuses a request, or returns false if it has to wait.
+func (q *Queue) decide(now time.Time, r *Request, s State, p place) (Decision, bool) {
 	d := Decision{Key: r.Key, Wait: r.wait}
 	if !now.Before(r.Deadline) {
 		return refuse(d, DeadlineExceeded, minFullRetryAfter), true
@@ -244,13 +245,13 @@
 		return d, true // no server takes it later either
 	}
 	server, result := s.choose(now, &r.Requirement)
-	if result == replicas.Chosen && ahead == 0 {
+	if result == replicas.Chosen && p.ahead == 0 {
 		s.Table.BeginSized(now, server.ID, r.Requirement.Size())
-		q.rateOf(now, keyOf(r)).count++
+		q.sent(now, r)
 		d.Server = server
 		return d, true
 	}
-	r.wait = Wait{Cause: causeOf(result), Ahead: ahead}
+	r.wait = Wait{Cause: causeOf(result), Ahead: p.ahead}
 	d.Wait = r.wait
 	reserve := responseReserve
 	if r.Deadline.Sub(r.Arrived) < shortTimeLimit {
@@ -260,7 +261,10 @@
 	if !now.Before(latest) {
 		return refuse(d, DeadlineExceeded, minFullRetryAfter), true
 	}
-	return q.awaitOrRefuse(now, r, s, result, d, latest)
+	if result == replicas.Full || result == replicas.CacheFull || result == replicas.Chosen {
+		return q.awaitSlot(now, r, s, p, latest)
+	}
+	return q.awaitServer(now, r, s, result, d, latest)
 }
 
 // causeOf returns why a request with the result waits.
@@ -278,9 +282,25 @@
 	return NoneUsable
 }
 
-// awaitOrRefuse refuses a request that can't be sent now with d, or returns false if it is
-// expected to be sent by latest.
-func (q *Queue) awaitOrRefuse(now time.Time, r *Request, s State, result replicas.Result, d Decision, latest time.Time) (Decision, bool) {
+// awaitSlot refuses a request whose servers are full, or that has more urgent ones ahead, or
+// returns false if it is expected to be sent by latest.
+func (q *Queue) awaitSlot(now time.Time, r *Request, s State, p place, latest time.Time) (Decision, bool) {
+	wait := q.expectedWait(now, r, s, p)
+	r.wait.Expected = wait
+	d := Decision{Key: r.Key, Wait: r.wait}
+	margin := acceptMargin
+	if r.accepted {
+		margin = keepMargin
+	}
+	if now.Add(time.Duration(margin * float64(wait))).After(latest) {
+		return refuse(d, Overloaded, max(minFullRetryAfter, wait/2)), true
+	}
+	return d, false
+}
+
+// awaitServer refuses a request for which no server can be used now with d, or returns false if
+// it is expected to be sent by latest.
+func (q *Queue) awaitServer(now time.Time, r *Request, s State, result replicas.Result, d Decision, latest time.Time) (Decision, bool) {
 	switch result {
 	case replicas.AllLeaving:
 		return refuse(d, NoServer, noServerRetryAfter), true
@@ -303,12 +323,6 @@
 		if ready, known := q.expectedReady(now, r, s); known && ready.After(latest) {
 			return refuse(d, ModelNotReady, ready.Sub(now)), true
 		}
-	default: // Full, CacheFull, or Chosen while more urgent requests wait
-		r.wait.Expected = q.expectedWait(now, r, s, r.wait.Ahead)
-		d.Wait = r.wait
-		if now.Add(r.wait.Expected).After(latest) {
-			return refuse(d, Overloaded, max(minFullRetryAfter, r.wait.Expected/2)), true
-		}
 	}
 	return d, false
 }
