replicas, waiting: nodes take turns at the room of nearly full KV caches; tests of order, capacity and speed

Nodes that wait for room all saw the same room between two messages and filled it together: 313,434 tokens at 9 nodes, against a cache of 211,383.

--- a/internal/front/serve.go
+++ b/internal/front/serve.go
@@ -276,6 +276,7 @@
 			x.refuseWaiting(d)
 			return
 		}
+		x.tellCacheUse(d.Server)
 		if !x.endsBeforeStop() {
 			x.attemptEnded(d.Server, began, x.runs)
 			x.refuseWaiting(waiting.Decision{Refused: waiting.Stopping, RetryAfter: shortRetryAfter})
--- a/internal/front/shares.go
+++ b/internal/front/shares.go
@@ -87,9 +87,26 @@
 	return n.table.PeerLoadAge(bootclock.Now())
 }
 
+// tellCacheUse tells the other nodes at once of a request that was sent to a server whose KV cache
+// is nearly full.
+func (x *exchange) tellCacheUse(server replicas.Entry) {
+	n := x.node
+	t := n.desired.Load()
+	if t == nil || t.Services[x.service] == nil || t.Services[x.service].Engine == nil {
+		return
+	}
+	now := bootclock.Now()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.table.CacheNearlyFull(now, server.ID, replicas.Requirement{Tokens: x.tokens(), CacheTokens: t.Services[x.service].Engine.KVCacheTokens}) {
+		n.publish(now, sendAllNow)
+	}
+}
+
 // tokensInFlight is the part of a message about the tokens of the requests in flight, in units of
 // replicas.TokenUnit.
 type tokensInFlight struct {
-	Tokens map[string]int            `json:"lt,omitempty"` // without shared parts of prompts, by backend server
-	Shared map[string]map[string]int `json:"ls,omitempty"` // shared parts of prompts, by backend server and prefix key
+	Tokens  map[string]int            `json:"lt,omitempty"` // without shared parts of prompts, by backend server
+	Shared  map[string]map[string]int `json:"ls,omitempty"` // shared parts of prompts, by backend server and prefix key
+	Waiting map[string]int            `json:"lw,omitempty"` // number of requests that wait for room in a KV cache, by service
 }
--- a/internal/front/tell.go
+++ b/internal/front/tell.go
@@ -170,7 +170,7 @@
 		SentMS: 1 + now.Sub(p.startedAt).Milliseconds(), CallerAddr: n.settings.CallerListen, Ready: n.ready(), Stopping: n.stopping.Load(), InFlight: n.table.InFlight(),
 		Down: n.table.Unreachable(now), KnownIPs: p.aliveIPs(now),
 	}
-	m.tokensInFlight = tokensInFlight(n.table.TokensInFlight())
+	m.tokensInFlight = tokensInFlight(n.table.TokensInFlight(n.queue.CacheWaiters()))
 	if t := n.desired.Load(); t != nil {
 		m.DesiredVersion = t.Version
 		if age, confirmed := n.sync.OwnConfirmedAge(now); confirmed {
--- a/replicas/cache.go
+++ b/replicas/cache.go
@@ -3,11 +3,32 @@
 import (
 	"math"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // TokenUnit is the unit in which nodes tell each other the tokens of their requests in flight.
 const TokenUnit = 256
 
+// cacheReserve is the part of a KV cache that is left free for what other nodes have sent since
+// their last messages.
+const cacheReserve = 0.2
+
+// largeSpread is the factor by which nodes differ more in the servers that they prefer for
+// requests larger than a slot's part of the KV cache. Nodes that know the same loads would else
+// send many of them to the same server between two messages.
+const largeSpread = 4
+
+// nearlyFull is the part of a KV cache in use from which on nodes tell each other at once what
+// they send there. What becomes free is seen by many nodes that have requests waiting for it.
+const nearlyFull = 0.6
+
+// cacheTurn is the time in which nodes learn what others have sent to a nearly full server.
+const cacheTurn = 50 * time.Millisecond
+
+// turnShare is the part of the free room that the nodes are to use in one turn, on average.
+const turnShare = 0.5
+
 // sizeMemory is the number of latest requests over which the mean size of a service's requests
 // is taken.
 const sizeMemory = 64
@@ -115,8 +136,9 @@
 
 // PeerTokens are the tokens that another node has in flight, in units of TokenUnit.
 type PeerTokens struct {
-	Tokens map[string]int            // by server ID, without shared parts
-	Shared map[string]map[string]int // shared parts, by server ID and PrefixKey
+	Tokens  map[string]int            // by server ID, without shared parts
+	Shared  map[string]map[string]int // shared parts, by server ID and PrefixKey
+	Waiting map[string]int            // number of requests that wait for room in a KV cache, by service
 }
 
 // known reports whether the node tells the sizes of its requests.
@@ -126,7 +148,7 @@
 // each of them is taken to have the mean size.
 func (t *Table) SetPeerTokens(node string, tokens PeerTokens) {
 	p, counted := t.peerLoads[node]
-	if !counted || !tokens.known() {
+	if !counted {
 		return
 	}
 	t.addPeerTokens(p, -1)
@@ -176,10 +198,10 @@
 	}
 }
 
-// TokensInFlight returns the tokens that this node has in flight, for the other nodes'
-// SetPeerTokens.
-func (t *Table) TokensInFlight() PeerTokens {
-	var p PeerTokens
+// TokensInFlight returns the tokens that this node has in flight, and the numbers of its waiting
+// requests, for the other nodes' SetPeerTokens.
+func (t *Table) TokensInFlight(waiting map[string]int) PeerTokens {
+	p := PeerTokens{Waiting: waiting}
 	for id, row := range t.rows {
 		if row.cache.own > 0 {
 			if p.Tokens == nil {
@@ -233,13 +255,49 @@
 		return cost
 	}
 	capacity := float64(req.CacheTokens)
-	used := t.cacheTokens(now, s, capacity/float64(s.Slots))
-	if used+float64(s.cache.need(req.Size())) > capacity {
+	perSlot := capacity / float64(s.Slots)
+	used, need := t.cacheTokens(now, s, perSlot), float64(s.cache.need(req.Size()))
+	usable := capacity
+	if len(t.peerLoads) > 0 {
+		usable *= 1 - cacheReserve
+	}
+	if used+need > usable || used > nearlyFull*capacity && !t.takesTurn(now, s, (usable-used)/need) {
 		return math.Inf(1)
 	}
+	if need > perSlot {
+		cost += (largeSpread - 1) * s.preferenceCost
+	}
 	return cost + max(0, used/capacity-float64(load)/float64(s.Slots))
 }
 
+// takesTurn reports whether this node may use the room that a nearly full KV cache has, for so many
+// requests. All nodes with waiting requests see the same room. In each turn, each of them uses
+// it with the probability at which the room is enough for those that do.
+func (t *Table) takesTurn(now time.Time, s *Server, room float64) bool {
+	others := 0
+	for _, p := range t.peerLoads {
+		if p.tokens.Waiting[s.Service] > 0 {
+			others++
+		}
+	}
+	if others == 0 {
+		return true
+	}
+	draw := mix(xxhash.Sum64String(t.node) ^ mix(s.hash^uint64(now.UnixNano()/int64(cacheTurn))))
+	return float64(draw>>11)/(1<<53) < turnShare*room/float64(others+1)
+}
+
+// CacheNearlyFull reports whether a request that was sent to the server leaves so little room in
+// its KV cache that other nodes have to know at once.
+func (t *Table) CacheNearlyFull(now time.Time, id string, req Requirement) bool {
+	row := t.rows[id]
+	if row == nil || req.CacheTokens <= 0 || req.Tokens <= 0 || len(t.peerLoads) == 0 {
+		return false
+	}
+	capacity := float64(req.CacheTokens)
+	return t.cacheTokens(now, row, capacity/float64(row.Slots)) > nearlyFull*capacity
+}
+
 // Occupancy is the use of the servers that may take a request.
 type Occupancy struct {
 	Own   int // requests of this node
--- a/waiting/load_test.go
+++ b/waiting/load_test.go
@@ -84,6 +84,31 @@
 	assert.Assert(t, small.inTimeShare() >= 0.99, "%v", small)
 }
 
+// TestNodesTogetherKeepWithinKVCache guards against nodes that each see room in the same KV cache
+// and fill it together. The load: prompts of 9,190 tokens that need 70% of the caches, at 9 and 30
+// nodes, and more than the caches hold, at 9 nodes.
+func TestNodesTogetherKeepWithinKVCache(t *testing.T) {
+	const cache = 211383
+	for _, size := range []struct {
+		nodes, servers int
+		interval       time.Duration
+		rate           float64 // of large requests, per server
+	}{{9, 9, 200 * ms, 4}, {9, 9, 200 * ms, 6}, {9, 9, 203 * ms, 6}, {30, 20, 600 * ms, 4}} {
+		build := func() *load {
+			l := &load{nodes: size.nodes, interval: size.interval, servers: servers(size.servers, 48), cache: cache}
+			small, large := urgent, call{model: "common", team: "large", rank: 1, tokens: 9190, limit: 3 * time.Second, first: 700 * ms, hold: 4 * time.Second}
+			small.team = "small"
+			l.calls = append(stream(1, 12*float64(size.servers), 0, 8*time.Second, small), stream(2, size.rate*float64(size.servers), 0, 8*time.Second, large)...)
+			return l
+		}
+		t.Logf("%+v", size)
+		_, after := compare(t, build, "large")
+		assert.Assert(t, after.mostTokens <= cache, "%+v", size)
+		small := after.outcomeOf(func(c *call) bool { return c.team == "small" })
+		assert.Assert(t, small.inTimeShare() >= 0.99, "%v", small)
+	}
+}
+
 // TestCallersThatRetryImmediately guards against a team whose callers come again at once after
 // each rejection, which must not gain a larger share, nor delay the other teams.
 func TestCallersThatRetryImmediately(t *testing.T) {
--- a/waiting/order.go
+++ b/waiting/order.go
@@ -287,6 +287,26 @@
 	}
 }
 
+// CacheWaiters returns the number of requests that wait for room in a KV cache, by service; nil if
+// there are none.
+func (q *Queue) CacheWaiters() map[string]int {
+	var waiting map[string]int
+	for _, l := range q.lanes {
+		for _, f := range l.flows {
+			for _, i := range f.items {
+				if i.request.wait.Cause != NoCache {
+					continue
+				}
+				if waiting == nil {
+					waiting = map[string]int{}
+				}
+				waiting[l.key.service]++
+			}
+		}
+	}
+	return waiting
+}
+
 // Cancel removes a request whose caller no longer waits, and returns why it waited.
 func (q *Queue) Cancel(key uint64) Wait {
 	for _, k := range q.ranks {
--- a/waiting/simulation_test.go
+++ b/waiting/simulation_test.go
@@ -18,6 +18,7 @@
 // call is a request of a simulated load.
 type call struct {
 	at       time.Duration // arrival
+	node     int           // at which it arrives
 	team     string
 	model    string
 	rank     int
@@ -48,12 +49,14 @@
 	}
 }
 
-// load is a load on the servers that one node knows.
+// load is a load on servers.
 type load struct {
-	calls   []*call
-	servers []replicas.Entry
-	cache   int  // KV cache of a server
-	enabled bool // teams, tokens and times at servers are known; before this part they were not
+	nodes    int           // entry nodes; one if zero. Calls arrive at them at random
+	interval time.Duration // of the messages of each node to the others
+	calls    []*call
+	servers  []replicas.Entry
+	cache    int  // KV cache of a server
+	enabled  bool // teams, tokens and times at servers are known; before this part they were not
 
 	mostTokens int // most tokens that a server held at once
 }
@@ -67,11 +70,12 @@
 // simulation plays a load against a queue.
 type simulation struct {
 	*load
-	queue  *waiting.Queue
-	state  waiting.State
-	events []event // ordered by time
+	queues []*waiting.Queue // by node
+	states []waiting.State  // by node
+	events []event          // ordered by time
 	byKey  map[uint64]*call
 	held   map[string]int // tokens by server
+	busy   map[string]int // requests by server
 }
 
 // schedule adds an event.
@@ -86,16 +90,30 @@
 	if !l.enabled {
 		engine.KVCacheTokens = 0
 	}
-	s := &simulation{load: l, queue: waiting.NewQueue(), state: state(l.servers...), byKey: map[uint64]*call{}, held: map[string]int{}}
-	s.state.Services = map[string]*routes.Service{"llm": {Name: "llm", Engine: engine}}
+	s := &simulation{load: l, byKey: map[uint64]*call{}, held: map[string]int{}, busy: map[string]int{}}
+	for i := range max(1, l.nodes) {
+		s.queues = append(s.queues, waiting.NewQueue())
+		s.states = append(s.states, state(l.servers...))
+		s.states[i].Table.SpreadBy(fmt.Sprint(i))
+		s.states[i].Services = map[string]*routes.Service{"llm": {Name: "llm", Engine: engine}}
+	}
+	source := rand.New(rand.NewPCG(uint64(len(l.calls)), 1))
 	end := time.Duration(0)
 	for _, c := range l.calls {
+		c.node = source.IntN(len(s.queues))
 		s.events = append(s.events, event{c.at, func() { s.offer(c.at, c) }})
 		end = max(end, c.at+c.limit)
 	}
 	slices.SortStableFunc(s.events, func(a, b event) int { return cmp.Compare(a.at, b.at) })
 	for tick := time.Duration(0); tick <= end; tick += 20 * time.Millisecond {
-		s.schedule(tick, func() { s.dispatch(tick) })
+		for i := range s.queues {
+			s.schedule(tick, func() { s.dispatch(tick, i) })
+		}
+	}
+	for i := range l.nodes {
+		for at := l.interval * time.Duration(i) / time.Duration(l.nodes); at <= end; at += l.interval {
+			s.schedule(at, func() { s.tell(at, i) })
+		}
 	}
 	for len(s.events) > 0 {
 		e := s.events[0]
@@ -113,25 +131,37 @@
 	if s.enabled {
 		r.Team, r.Cost, r.Requirement.Tokens = c.team, float64(c.tokens), c.tokens
 	}
-	d, done := s.queue.Offer(now.Add(at), r, s.state)
+	d, done := s.queues[c.node].Offer(now.Add(at), r, s.states[c.node])
 	if done {
 		s.decided(at, d)
 	} else if c.leaves > 0 {
 		s.schedule(at+c.leaves, func() {
 			if c.sent < 0 && c.rejected == "" {
-				s.queue.Cancel(key)
+				s.queues[c.node].Cancel(key)
 				c.left = true
 			}
 		})
 	}
 }
 
-func (s *simulation) dispatch(at time.Duration) {
-	for _, d := range s.queue.Dispatch(now.Add(at), s.state) {
+func (s *simulation) dispatch(at time.Duration, node int) {
+	for _, d := range s.queues[node].Dispatch(now.Add(at), s.states[node]) {
 		s.decided(at, d)
 	}
 }
 
+// tell sends what a node has in flight to the others.
+func (s *simulation) tell(at time.Duration, node int) {
+	table := s.states[node].Table
+	for i := range s.states {
+		if i != node {
+			s.states[i].Table.SetPeerLoad(now.Add(at), fmt.Sprint(node), table.InFlight(), 3*s.interval)
+			s.states[i].Table.SetPeerTokens(fmt.Sprint(node), table.TokensInFlight(s.queues[node].CacheWaiters()))
+			s.dispatch(at, i)
+		}
+	}
+}
+
 // decided carries a decision out.
 func (s *simulation) decided(at time.Duration, d waiting.Decision) {
 	c := s.byKey[d.Key]
@@ -146,17 +176,25 @@
 		return
 	}
 	c.sent = at
+	if need := (replicas.Requirement{Tokens: c.tokens, CacheTokens: s.cache}); s.enabled && s.states[c.node].Table.CacheNearlyFull(now.Add(at), d.Server.ID, need) {
+		s.schedule(at+2*time.Millisecond, func() { s.tell(at+2*time.Millisecond, c.node) })
+	}
+	s.busy[d.Server.ID]++
 	s.held[d.Server.ID] += c.tokens
 	s.mostTokens = max(s.mostTokens, s.held[d.Server.ID])
+	s.schedule(at+c.first, func() {
+		s.states[c.node].Table.SetReportedLoad(now.Add(at+c.first), d.Server.ID, replicas.ReportedLoad{Requests: s.busy[d.Server.ID], Pace: 1})
+	})
 	s.schedule(at+c.hold, func() {
+		s.busy[d.Server.ID]--
 		s.held[d.Server.ID] -= c.tokens
 		size := replicas.Requirement{}
 		if s.enabled {
 			size.Tokens = c.tokens
-			s.queue.Ended("llm", c.hold)
+			s.queues[c.node].Ended("llm", c.hold)
 		}
-		s.state.Table.EndSized(d.Server.ID, size.Size())
-		s.dispatch(at + c.hold)
+		s.states[c.node].Table.EndSized(d.Server.ID, size.Size())
+		s.dispatch(at+c.hold, c.node)
 	})
 }
 
