--- a/waiting/simulation_test.go
+++ b/waiting/simulation_test.go
@@ -183,6 +183,9 @@
 	s.held[d.Server.ID] += c.tokens
 	s.mostTokens = max(s.mostTokens, s.held[d.Server.ID])
 	s.schedule(at+c.first, func() {
+		if s.nodes == 0 {
+			return // what the server reports tells its only node nothing new
+		}
 		s.states[c.node].Table.SetReportedLoad(now.Add(at+c.first), d.Server.ID, replicas.ReportedLoad{Requests: s.busy[d.Server.ID], Pace: 1})
 	})
 	s.schedule(at+c.hold, func() {
