--- a/waiting/simulation_test.go
+++ b/waiting/simulation_test.go
@@ -152,11 +152,12 @@
 
 // tell sends what a node has in flight to the others.
 func (s *simulation) tell(at time.Duration, node int) {
-	table := s.states[node].Table
+	table, name := s.states[node].Table, fmt.Sprint(node)
+	counts, tokens := table.InFlight(), table.TokensInFlight(s.queues[node].CacheWaiters())
 	for i := range s.states {
 		if i != node {
-			s.states[i].Table.SetPeerLoad(now.Add(at), fmt.Sprint(node), table.InFlight(), 3*s.interval)
-			s.states[i].Table.SetPeerTokens(fmt.Sprint(node), table.TokensInFlight(s.queues[node].CacheWaiters()))
+			s.states[i].Table.SetPeerLoad(now.Add(at), name, counts, 3*s.interval)
+			s.states[i].Table.SetPeerTokens(name, tokens)
 			s.dispatch(at, i)
 		}
 	}
