--- a/internal/front/shares.go
+++ b/internal/front/shares.go
@@ -87,8 +87,8 @@
 	return n.table.PeerLoadAge(bootclock.Now())
 }
 
-// tellCacheUse tells the other nodes at once of a request that was sent to a server whose KV cache
-// is nearly full.
+// tellCacheUse tells the other nodes at once of a large request that was sent to a server with much
+// of its KV cache in use.
 func (x *exchange) tellCacheUse(server replicas.Entry) {
 	n := x.node
 	t := n.desired.Load()
@@ -98,7 +98,7 @@
 	now := bootclock.Now()
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.table.CacheNearlyFull(now, server.ID, replicas.Requirement{Tokens: x.tokens(), CacheTokens: t.Services[x.service].Engine.KVCacheTokens}) {
+	if n.table.TellAtOnce(now, server.ID, replicas.Requirement{Tokens: x.tokens(), CacheTokens: t.Services[x.service].Engine.KVCacheTokens}) {
 		n.publish(now, sendAllNow)
 	}
 }
--- a/replicas/cache.go
+++ b/replicas/cache.go
@@ -15,13 +15,15 @@
 const cacheReserve = 0.2
 
 // largeSpread is the factor by which nodes differ more in the servers that they prefer for
-// requests larger than a slot's part of the KV cache. Nodes that know the same loads would else
+// large requests, which are those above a slot's part of the KV cache. Nodes that know the same loads would else
 // send many of them to the same server between two messages.
 const largeSpread = 4
 
-// nearlyFull is the part of a KV cache in use from which on nodes tell each other at once what
-// they send there. What becomes free is seen by many nodes that have requests waiting for it.
-const nearlyFull = 0.6
+// Parts of a KV cache in use.
+const (
+	tellFrom   = 0.3 // from which on nodes tell each other at once of large requests that they send there
+	nearlyFull = 0.6 // from which on nodes with waiting requests take turns
+)
 
 // cacheTurn is the time in which nodes learn what others have sent to a nearly full server.
 const cacheTurn = 50 * time.Millisecond
@@ -287,15 +289,16 @@
 	return float64(draw>>11)/(1<<53) < turnShare*room/float64(others+1)
 }
 
-// CacheNearlyFull reports whether a request that was sent to the server leaves so little room in
-// its KV cache that other nodes have to know at once.
-func (t *Table) CacheNearlyFull(now time.Time, id string, req Requirement) bool {
+// TellAtOnce reports whether other nodes have to know at once of a request that was sent to the
+// server, as it is large and much of the KV cache is in use.
+func (t *Table) TellAtOnce(now time.Time, id string, req Requirement) bool {
 	row := t.rows[id]
 	if row == nil || req.CacheTokens <= 0 || req.Tokens <= 0 || len(t.peerLoads) == 0 {
 		return false
 	}
 	capacity := float64(req.CacheTokens)
-	return t.cacheTokens(now, row, capacity/float64(row.Slots)) > nearlyFull*capacity
+	perSlot := capacity / float64(row.Slots)
+	return float64(req.Tokens) > perSlot && t.cacheTokens(now, row, perSlot) > tellFrom*capacity
 }
 
 // Occupancy is the use of the servers that may take a request.
--- a/waiting/simulation_test.go
+++ b/waiting/simulation_test.go
@@ -177,7 +177,7 @@
 		return
 	}
 	c.sent = at
-	if need := (replicas.Requirement{Tokens: c.tokens, CacheTokens: s.cache}); s.enabled && s.states[c.node].Table.CacheNearlyFull(now.Add(at), d.Server.ID, need) {
+	if need := (replicas.Requirement{Tokens: c.tokens, CacheTokens: s.cache}); s.enabled && s.states[c.node].Table.TellAtOnce(now.Add(at), d.Server.ID, need) {
 		s.schedule(at+2*time.Millisecond, func() { s.tell(at+2*time.Millisecond, c.node) })
 	}
 	s.busy[d.Server.ID]++
