--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -356,7 +356,7 @@
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	wait := n.queue.Cancel(r.Key)
+	wait := n.queue.Cancel(bootclock.Now(), r.Key)
 	delete(n.waiters, r.Key)
 	select {
 	case d := <-decided: // decided just before ctx ended
--- a/internal/front/suspects.go
+++ b/internal/front/suspects.go
@@ -134,7 +134,7 @@
 func (n *Node) refuseWaitingPoison(now time.Time) {
 	for key, w := range n.waiters {
 		if left := n.poison.Refused(now, w.traits); left > 0 {
-			n.queue.Cancel(key)
+			n.queue.Cancel(now, key)
 			n.decideWaiter(waiting.Decision{Key: key, Refused: reasonPoison, RetryAfter: left})
 		}
 	}
--- a/waiting/order.go
+++ b/waiting/order.go
@@ -314,7 +314,7 @@
 }
 
 // Cancel removes a request whose caller no longer waits, and returns why it waited.
-func (q *Queue) Cancel(key uint64) Wait {
+func (q *Queue) Cancel(now time.Time, key uint64) Wait {
 	for _, k := range q.ranks {
 		for _, f := range k.flows {
 			at := slices.IndexFunc(f.items, func(i item) bool { return i.request.Key == key })
@@ -325,6 +325,7 @@
 			f.items = slices.Delete(f.items, at, at+1)
 			q.left(f, i)
 			q.dropEmpty(k)
+			q.gone(now, i.request)
 			return i.request.wait
 		}
 	}
--- a/waiting/order_test.go
+++ b/waiting/order_test.go
@@ -120,7 +120,7 @@
 				if key%100 == 99 { // the queue keeps its size
 					b.StopTimer()
 					for gone := key - 99; gone <= key; gone++ {
-						q.Cancel(gone)
+						q.Cancel(now, gone)
 					}
 					b.StartTimer()
 				}
--- a/waiting/rate.go
+++ b/waiting/rate.go
@@ -21,22 +21,23 @@
 // before. The rate varies, and an accepted request is to be served.
 type margins struct{ accept, keep float64 }
 
-// The rate of one of several nodes varies more: with the first margins, 149 of 2,380 rejections in
+// The rate of one of several nodes, or of one of several teams, varies more: with the first margins, 149 of 2,380 rejections in
 // a simulated burst at 9 nodes came more than a second after the request, with the second 14.
 var (
-	marginsAlone  = margins{1.2, 0.8} // of a node whose servers have no requests of others
+	marginsAlone  = margins{1.2, 0.8} // of a node and team that has its servers to itself
 	marginsShared = margins{1.5, 0.6}
 )
 
-// rate is the rate at which requests for one model are sent: an exponentially decaying count. When
-// the servers become full, it starts with what they have completed so far.
+// rate is the rate at which requests for one model are sent, or leave the queue otherwise than
+// rejected: an exponentially decaying count. When the servers become full, it starts with what
+// they have completed so far.
 type rate struct {
 	decaying
-	ranks     map[sender]*decaying // sent requests by rank
-	teams     map[sender]*decaying // sent requests by rank and team
+	ranks     map[sender]*decaying // by rank
+	teams     map[sender]*decaying // by rank and team
 	fullSince time.Time            // when requests first found no free slot
 	fullAt    time.Time            // when one last did
-	shared    bool                 // the servers had requests of other nodes then
+	shared    bool                 // the servers have requests of other nodes, or other teams or ranks are sent before some requests
 	seeded    bool                 // count started with what the servers completed before fullSince
 }
 
@@ -94,7 +95,8 @@
 		return 0
 	}
 	all := l.count
-	higher, others := l.sentBefore(now, r)
+	higher, others := l.goneBefore(now, r)
+	l.shared = l.shared || higher+others > minRateShare*all
 	left := max(all-higher, minRateShare*all)
 	left = max(left-others, left/float64(max(1, p.teams)))
 	windows := max(float64(p.ahead)/all, float64(p.own)/left)
@@ -137,8 +139,8 @@
 	return d.count
 }
 
-// sent counts a request that is sent.
-func (q *Queue) sent(now time.Time, r *Request) {
+// gone counts a request that is sent, or whose caller no longer waits: those behind it move up.
+func (q *Queue) gone(now time.Time, r *Request) {
 	l := q.rateOf(now, keyOf(r))
 	l.count++
 	l.add(now, &l.ranks, senderOf(r, ""))
@@ -158,9 +160,9 @@
 	d.count = d.value(now) + 1
 }
 
-// sentBefore returns how many requests of higher ranks, and of other teams in the request's rank,
-// were sent.
-func (l *rate) sentBefore(now time.Time, r *Request) (higher, others float64) {
+// goneBefore returns how many requests of higher ranks, and of other teams in the request's rank,
+// are gone.
+func (l *rate) goneBefore(now time.Time, r *Request) (higher, others float64) {
 	for key, d := range l.ranks {
 		switch {
 		case key.teamPriority < r.TeamPriority, key.teamPriority == r.TeamPriority && key.priority < r.Priority:
--- a/waiting/simulation_test.go
+++ b/waiting/simulation_test.go
@@ -137,7 +137,7 @@
 	} else if c.leaves > 0 {
 		s.schedule(at+c.leaves, func() {
 			if c.sent < 0 && c.rejected == "" {
-				s.queues[c.node].Cancel(key)
+				s.queues[c.node].Cancel(now.Add(at+c.leaves), key)
 				c.left = true
 			}
 		})
--- a/waiting/waiting.go
+++ b/waiting/waiting.go
@@ -247,7 +247,7 @@
 	server, result := s.choose(now, &r.Requirement)
 	if result == replicas.Chosen && p.ahead == 0 {
 		s.Table.BeginSized(now, server.ID, r.Requirement.Size())
-		q.sent(now, r)
+		q.gone(now, r)
 		d.Server = server
 		return d, true
 	}
--- a/waiting/waiting_test.go
+++ b/waiting/waiting_test.go
@@ -151,7 +151,7 @@
 func TestCancelRemovesRequest(t *testing.T) {
 	s, q := state(), waiting.NewQueue()
 	q.Offer(now, request(1, "plain", "", 0, time.Second), s)
-	q.Cancel(1)
+	q.Cancel(now, 1)
 	assert.Equal(t, q.Len(), 0)
 }
 
