--- a/internal/front/shares.go
+++ b/internal/front/shares.go
@@ -95,10 +95,14 @@
 	if t == nil || t.Services[x.service] == nil || t.Services[x.service].Engine == nil {
 		return
 	}
+	cache := t.Services[x.service].Engine.KVCacheTokens
+	if x.tokens()*server.Slots <= cache {
+		return // not large, see replicas.Table.TellAtOnce
+	}
 	now := bootclock.Now()
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.table.TellAtOnce(now, server.ID, replicas.Requirement{Tokens: x.tokens(), CacheTokens: t.Services[x.service].Engine.KVCacheTokens}) {
+	if n.table.TellAtOnce(now, server.ID, replicas.Requirement{Tokens: x.tokens(), CacheTokens: cache}) {
 		n.publish(now, sendAllNow)
 	}
 }
--- a/replicas/cache.go
+++ b/replicas/cache.go
@@ -161,6 +161,9 @@
 
 // addPeerTokens adds what another node has in flight, times sign, to the use of the servers.
 func (t *Table) addPeerTokens(p peerLoad, sign int) {
+	for service := range p.tokens.Waiting {
+		t.cacheWaiters[service] += sign
+	}
 	if !p.tokens.known() {
 		for id := range p.inFlight {
 			if row := t.rows[id]; row != nil {
@@ -276,12 +279,7 @@
 // requests. All nodes with waiting requests see the same room. In each turn, each of them uses
 // it with the probability at which the room is enough for those that do.
 func (t *Table) takesTurn(now time.Time, s *Server, room float64) bool {
-	others := 0
-	for _, p := range t.peerLoads {
-		if p.tokens.Waiting[s.Service] > 0 {
-			others++
-		}
-	}
+	others := t.cacheWaiters[s.Service]
 	if others == 0 {
 		return true
 	}
--- a/replicas/table.go
+++ b/replicas/table.go
@@ -82,13 +82,15 @@
 	node        string                    // see SpreadBy
 	connections func(Entry) *atomic.Int64 // see CountConnections; may be nil
 
+	cacheWaiters map[string]int // number of other nodes with requests that wait for room in a KV cache, by service
+
 	departed map[departedSoftware]time.Time // when the last server with that software left
 }
 
 // NewTable returns an empty table.
 func NewTable() *Table {
 	return &Table{rows: map[string]*Server{}, services: map[string]*service{}, removed: map[string]tombstone{}, notices: map[startID]*notice{},
-		peerLoads: map[string]peerLoad{}, planned: map[string]plannedLoads{}, departed: map[departedSoftware]time.Time{}}
+		peerLoads: map[string]peerLoad{}, planned: map[string]plannedLoads{}, departed: map[departedSoftware]time.Time{}, cacheWaiters: map[string]int{}}
 }
 
 // SetEntry inserts or replaces a server's entry and reports whether it did; an
--- a/waiting/order.go
+++ b/waiting/order.go
@@ -192,8 +192,12 @@
 // same rank with the virtual start.
 func (f *flow) before(start float64, r *Request) int {
 	at := f.clock.Start(f.team)
-	if at+f.cost < start {
+	last := f.items[len(f.items)-1]
+	switch lastStart := at + f.cost - last.cost; {
+	case lastStart < start, lastStart == start && compareUrgency(last.request, r) < 0:
 		return len(f.items)
+	case lastStart == start:
+		return len(f.items) - 1
 	}
 	for n, i := range f.items {
 		if at > start || at == start && compareUrgency(i.request, r) > 0 {
