--- a/replicas/table.go
+++ b/replicas/table.go
@@ -38,6 +38,7 @@
 	notice         *notice       // what this start has said of itself to this node; nil if nothing
 	hash           uint64        // hash of the ID
 	preferenceCost float64       // see Table.SpreadBy
+	cache          cacheUse      // known use of its KV cache
 	connections    *atomic.Int64 // open connections of this node; nil if they are not counted
 	models         []string      // models under which the service lists it
 }
@@ -50,8 +51,10 @@
 
 // peerLoad is the number of requests that another node has in flight.
 type peerLoad struct {
+	at       time.Time      // when they were received
 	until    time.Time      // end of the time for which the counts are used
 	inFlight map[string]int // by server ID
+	tokens   PeerTokens     // their tokens; unknown unless SetPeerTokens was called
 }
 
 // plannedLoads lists the models whose loads wait for the weight store.
@@ -79,13 +82,15 @@
 	node        string                    // see SpreadBy
 	connections func(Entry) *atomic.Int64 // see CountConnections; may be nil
 
+	cacheWaiters map[string]int // number of other nodes with requests that wait for room in a KV cache, by service
+
 	departed map[departedSoftware]time.Time // when the last server with that software left
 }
 
 // NewTable returns an empty table.
 func NewTable() *Table {
 	return &Table{rows: map[string]*Server{}, services: map[string]*service{}, removed: map[string]tombstone{}, notices: map[startID]*notice{},
-		peerLoads: map[string]peerLoad{}, planned: map[string]plannedLoads{}, departed: map[departedSoftware]time.Time{}}
+		peerLoads: map[string]peerLoad{}, planned: map[string]plannedLoads{}, departed: map[departedSoftware]time.Time{}, cacheWaiters: map[string]int{}}
 }
 
 // SetEntry inserts or replaces a server's entry and reports whether it did; an
@@ -130,6 +135,7 @@
 	for _, p := range t.peerLoads {
 		row.peerInFlight += p.inFlight[e.ID]
 	}
+	t.addPeersCacheUse(row)
 	row.Draining = e.Draining || row.notice.saidLeaving()
 	row.preferenceCost = t.preferenceCostOf(row)
 	if t.connections != nil {
@@ -295,13 +301,16 @@
 // counts are used for maxAge, or for minPeerLoadMaxAge if that is longer.
 func (t *Table) SetPeerLoad(now time.Time, node string, inFlight map[string]int, maxAge time.Duration) {
 	t.dropPeerLoad(node)
-	t.peerLoads[node] = peerLoad{until: now.Add(max(maxAge, minPeerLoadMaxAge)), inFlight: inFlight}
+	p := peerLoad{at: now, until: now.Add(max(maxAge, minPeerLoadMaxAge)), inFlight: inFlight}
+	t.peerLoads[node] = p
 	t.addPeerLoad(inFlight, 1)
+	t.addPeerTokens(p, 1)
 }
 
 // dropPeerLoad removes what another node has in flight.
 func (t *Table) dropPeerLoad(node string) {
 	t.addPeerLoad(t.peerLoads[node].inFlight, -1)
+	t.addPeerTokens(t.peerLoads[node], -1)
 	delete(t.peerLoads, node)
 }
 
