capacity: how many requests a server runs in time is learned from streams

Package capacity learns from the times of streams at which load they are late, and how much slower or faster a server is than others of its service. The choice of a server counts load relative to the learned slots, and the loader counts a copy by the rate that was seen. Without evidence nothing changes. Entry nodes exchange the estimates in their messages.

--- a/internal/front/attempt.go
+++ b/internal/front/attempt.go
@@ -14,6 +14,7 @@
 
 	"github.com/go-kit/log/level"
 
+	"github.com/redwingnotch/redwingnotch/capacity"
 	"github.com/redwingnotch/redwingnotch/internal/bootclock"
 	"github.com/redwingnotch/redwingnotch/internal/bytebudget"
 	"github.com/redwingnotch/redwingnotch/internal/httpsend"
@@ -429,6 +430,9 @@
 	defer n.mu.Unlock()
 	if n.table.SameStart(server) {
 		n.table.Observe(bootclock.Now(), server.ID, o, latency)
+		if o != replicas.Answered {
+			n.capacity.Failed(bootclock.Now(), capacity.Server{ID: server.ID, Start: server.Start})
+		}
 	}
 }
 
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -90,6 +90,7 @@
 	serversFollowed    *resumption.History            // span for which this node has known all servers
 	publishedStatus    map[string]publishedStatus     // server statuses as last sent to the other nodes
 	nextRepublished    int                            // position of the next unchanged server status to send again
+	capacity           learnedCapacity                // what was learned of the servers' capacity
 
 	lastSent         time.Time     // when the last message was sent to any node
 	lastPeriodicSent time.Time     // when the last periodic message was sent to all nodes
@@ -119,6 +120,7 @@
 		}),
 		freshStore:      platform.NewClient(platform.Options{BaseURL: "http://" + s.StoreAddress, CallTimeout: storeTimeout, SingleUse: true, OnCall: countCall}),
 		table:           replicas.NewTable(),
+		capacity:        newLearnedCapacity(),
 		queue:           waiting.NewQueue(),
 		waiters:         map[uint64]waiter{},
 		retryBudgets:    map[string]*dispatch.RetryBudget{},
@@ -164,7 +166,7 @@
 // error if the node could not start; errors after the start are logged.
 func (n *Node) Run(ctx context.Context) error {
 	level.Info(n.log).Log("event", "start", "zone", n.settings.Zone, "address", n.settings.CallerListen, "first_start", n.settings.FirstStart)
-	if err := n.metrics.ObserveDesiredState(n.observeDesired); err != nil {
+	if err := errors.Join(n.metrics.ObserveDesiredState(n.observeDesired), n.metrics.ObserveCapacity(n.observeCapacity)); err != nil {
 		return err
 	}
 	work, stopWork := context.WithCancel(context.WithoutCancel(ctx))
@@ -277,6 +279,7 @@
 		n.reconcileDesired(ctx, now)
 		n.decidePoison(now)
 		n.reconcileRefusals(ctx, now)
+		n.refreshCapacity(now)
 		n.dispatchWaiting(now)
 		for _, c := range n.cells {
 			n.reconcileLeadership(ctx, now, c)
--- a/internal/front/loads.go
+++ b/internal/front/loads.go
@@ -67,6 +67,7 @@
 		LiveCells:      liveCells,
 		LoadCost:       func(cell, name string) (float64, bool) { return n.loadCost(now, cell, service.Name, name) },
 		Token:          token,
+		CopyRate:       n.copyRate(service),
 		MayOrder:       func(id string) bool { return c.leadership.MayOrder(now, id) && !n.table.Paused(now, id) },
 	})
 	for _, o := range effects.Orders {
--- a/internal/front/received.go
+++ b/internal/front/received.go
@@ -116,6 +116,7 @@
 	n.applySuspects(now, m)
 	n.applyArrivals(now, p, m.Arrivals)
 	n.applyLeaders(now, m)
+	n.applyCapacity(now, m.IP, m.Capacity)
 	n.sync.PeerReported(now, m.DesiredVersion, m.confirmedAge(delay))
 	n.dispatchWaiting(now)
 }
--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -27,7 +27,7 @@
 
 // stream passes on a stream event by event. If the stream breaks and the route
 // allows it, the stream is resumed at another server.
-func (x *exchange) stream(ctx context.Context, cancel context.CancelCauseFunc, server replicas.Entry, resp *http.Response, sent time.Time) attemptResult {
+func (x *exchange) stream(ctx context.Context, cancel context.CancelCauseFunc, server replicas.Entry, resp *http.Response, sent time.Time) (result attemptResult) {
 	gap := x.limitGaps(cancel)
 	defer gap.stop()
 	server, err := x.confirmSoftware(ctx, server)
@@ -43,6 +43,8 @@
 	flusher := http.NewResponseController(x.w)
 	goesOn := x.lastEventID == "" // an ID has shown that the server goes on after the caller's last event
 	events := 0
+	timing := x.timeStream(server, sent)
+	defer func() { timing.ended(result) }()
 	for {
 		event, id, err := reader.next()
 		gap.stop() // a slow caller is no pause of the server
@@ -56,6 +58,7 @@
 		if hasData(event) {
 			events++
 			x.eventBegun = false
+			timing.received()
 		}
 		if x.attemptBegan.IsZero() {
 			x.attemptBegan = bootclock.Now()
@@ -71,6 +74,7 @@
 		if !x.passOn(flusher, event, id) {
 			return attemptDone
 		}
+		timing.passedOn()
 		gap.start()
 	}
 }
--- a/internal/front/tell.go
+++ b/internal/front/tell.go
@@ -144,6 +144,7 @@
 func (n *Node) partial(now time.Time, m message) message {
 	m.Partial = true
 	m.Demand, m.Arrivals, m.Departing, m.KnownIPs = nil, nil, nil, n.peers.nextOf(m.KnownIPs)
+	m.Capacity = m.Capacity.partial()
 	m.Ends, m.Refusals = latestEnds(m.Ends), n.latestRefusals(now, m.Refusals)
 	for _, d := range n.departing {
 		if now.Sub(d.at) < max(departuresInPartialFor, n.peers.maxStateAge()) {
@@ -168,7 +169,7 @@
 	m := message{
 		Node: n.settings.Node, IP: n.settings.IP, Zone: n.settings.Zone, VMClass: vmClass(n.settings), Incarnation: p.incarnation, Sequence: p.sequence,
 		SentMS: 1 + now.Sub(p.startedAt).Milliseconds(), CallerAddr: n.settings.CallerListen, Ready: n.ready(), Stopping: n.stopping.Load(), InFlight: n.table.InFlight(),
-		Down: n.table.Unreachable(now), KnownIPs: p.aliveIPs(now),
+		Down: n.table.Unreachable(now), Capacity: n.capacityReport(now), KnownIPs: p.aliveIPs(now),
 	}
 	if t := n.desired.Load(); t != nil {
 		m.DesiredVersion = t.Version
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -239,5 +239,34 @@
 	return errors.Join(errs[:]...)
 }
 
+// Capacity is what a node has learned of the capacity of backend servers, for its metrics.
+type Capacity struct {
+	Slots      map[string]float64 // learned slots of a usual server, by service
+	Slow, Fast int                // servers that take clearly more or less than the usual time
+}
+
+// ObserveCapacity adds the metrics of the learned capacity, which current returns.
+func (m *Metrics) ObserveCapacity(current func() Capacity) error {
+	meter := m.provider.Meter("redwingnotch")
+	slots, err1 := meter.Float64ObservableGauge("redwingnotch_learned_slots",
+		metric.WithDescription("Requests that a usual backend server of the service runs at once within their objective, as learned."))
+	differing, err2 := meter.Int64ObservableGauge("redwingnotch_servers_of_other_pace",
+		metric.WithDescription("Backend servers that take clearly more (slow) or less (fast) than the usual time of their service."))
+	if err := errors.Join(err1, err2); err != nil {
+		return fmt.Errorf("metrics: %w", err)
+	}
+	slow, fast := metric.WithAttributes(attribute.String("pace", "slow")), metric.WithAttributes(attribute.String("pace", "fast"))
+	_, err := meter.RegisterCallback(func(_ context.Context, o metric.Observer) error {
+		c := current()
+		for service, n := range c.Slots {
+			o.ObserveFloat64(slots, n, metric.WithAttributes(attribute.String("service", service)))
+		}
+		o.ObserveInt64(differing, int64(c.Slow), slow)
+		o.ObserveInt64(differing, int64(c.Fast), fast)
+		return nil
+	}, slots, differing)
+	return err
+}
+
 // Shutdown flushes the metrics and stops their provider.
 func (m *Metrics) Shutdown(ctx context.Context) error { return m.provider.Shutdown(ctx) }
--- a/loader/demand.go
+++ b/loader/demand.go
@@ -23,6 +23,7 @@
 	reloadSeconds           = 1.0             // seconds that unloading the only copy costs each later request
 	slotRate                = 0.6             // requests per second that one slot of a copy serves well
 	secondCopyRate          = 0.7             // requests per second from which a model needs a second copy
+	minCopyRateShare        = 0.25            // least share of slotRate that a copy's learned rate counts as
 	surplusFactor           = 1.3             // a copy is surplus only if it is not needed at this multiple of the demand
 )
 
@@ -121,13 +122,24 @@
 func (c *Core) neededCopies(now time.Time, model string, factor float64) int {
 	fast, slow := c.demand.perSecond(now, model)
 	all := (fast + slow) * factor
-	n := 1 + int(all/(slotRate*float64(max(1, c.engine.Slots))))
+	n := 1 + int(all/c.copyRate())
 	if all >= secondCopyRate {
 		n++
 	}
 	return n
 }
 
+// copyRate returns how many requests per second one copy serves well: slotRate for each slot, or
+// what the servers were seen to do if that is less. An estimate far below is not followed whole:
+// copies that are not needed evict other models.
+func (c *Core) copyRate() float64 {
+	usual := slotRate * float64(max(1, c.engine.Slots))
+	if c.input.CopyRate <= 0 {
+		return usual
+	}
+	return min(usual, max(minCopyRateShare*usual, c.input.CopyRate))
+}
+
 // modelWorth returns the worth of holding the only copy of a model, from its
 // weighted requests per second. A model that was never requested has a small fixed
 // worth, one that was withdrawn none.
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -59,7 +59,8 @@
 	LiveCells      []string              // cells that have a leader, including this one
 	// LoadCost returns the latest load cost that another cell published for a model or model/adapter.
 	LoadCost func(cell, name string) (float64, bool)
-	Token    uint64 // fencing token written into each order
+	Token    uint64  // fencing token written into each order
+	CopyRate float64 // requests per second that one copy of a model was seen to serve well; zero if it serves slotRate for each slot
 	// MayOrder reports whether this node may send orders to a backend server now.
 	MayOrder func(id string) bool
 }
--- a/replicas/choose.go
+++ b/replicas/choose.go
@@ -8,13 +8,13 @@
 )
 
 // Parameters of the server selection. A server's cost is the share of its slots in
-// use, plus the costs and minus the bonus below. The server with the lowest cost is
-// chosen.
+// use, of the learned ones if they are fewer, plus the costs and minus the bonus below.
+// The server with the lowest cost is chosen.
 const (
 	crossZoneCost     = 0.12 // cost of a server in another availability zone
 	affinityBonus     = 0.5  // subtracted for the server that has probably cached a long shared prompt
 	minAffinityTokens = 512  // minimum length of a shared prompt for affinityBonus, in tokens
-	ejectedCost       = 10.0 // cost of an ejected server; any other server that is not full costs less
+	ejectedCost       = 1e6  // cost of an ejected server; any other server that is not full costs less, also at many times its learned slots
 	fullLoadShare     = 1.0  // a server is full if this share of its slots is in use
 	connectCost       = 0.08 // cost of a server to which this node has to open a connection
 	maxPreferenceCost = 0.05 // highest cost of a server that this node does not prefer, see Table.SpreadBy
@@ -160,7 +160,7 @@
 	if share >= fullLoadShare || s.betweenTrials(now) {
 		return math.Inf(1)
 	}
-	cost := share + s.preferenceCost
+	cost := share*s.overstated() + s.preferenceCost
 	if s.Zone != zone {
 		cost += crossZoneCost
 	}
--- a/replicas/table.go
+++ b/replicas/table.go
@@ -40,6 +40,7 @@
 	preferenceCost float64       // see Table.SpreadBy
 	connections    *atomic.Int64 // open connections of this node; nil if they are not counted
 	models         []string      // models under which the service lists it
+	learnedSlots   float64       // see SetLearnedSlots; zero if none are
 }
 
 // ReportedLoad is the load that a server reports with a response.
