--- a/capacity/capacity.go
+++ b/capacity/capacity.go
@@ -15,7 +15,8 @@
 	limitQuantile = 0.25                   // quantile of the requests' time for an event that the estimate is made for: most requests have more
 	maxSlots      = 1000.0                 // learned slots of a service whose responses show no bound
 	refreshAfter  = 250 * time.Millisecond // interval of new estimates
-	minEvents     = 4                      // events by which a response shows its time for an event
+	minEvents     = 4                      // events by which a part of a response shows its time for an event
+	slowPart      = time.Second            // a part that took so long shows it by any number of events
 	fullShare     = 0.9                    // share of the slots from which a server counts as able to run all of them
 )
 
@@ -91,7 +92,7 @@
 // ObserveEvents records that the server took the time for events of a response, and its load in
 // that time. Too few events show nothing: a server that fails may end its responses early.
 func (e *Estimator) ObserveEvents(now time.Time, r Request, server Server, load, events int, took time.Duration) {
-	if events < minEvents || took <= 0 {
+	if events < 1 || took <= 0 || events < minEvents && took < slowPart {
 		return
 	}
 	s := e.service(r.Service)
@@ -171,6 +172,11 @@
 	}
 }
 
+// empty reports whether all observations of the service are too old.
+func (s *service) empty() bool {
+	return s.pace.count+s.first.count+len(s.firstTook.kept)+len(s.events.kept) == 0
+}
+
 // learned returns the slots of a server that has the given ones and takes factor times the usual
 // time. A faster server has no more than its slots.
 func (m Estimate) learned(slots int, factor float64) float64 {
--- a/capacity/curve.go
+++ b/capacity/curve.go
@@ -8,7 +8,7 @@
 
 // Parameters of the samples and of the boundary between good and bad loads.
 const (
-	binSamples   = 10              // samples kept of each bin of a curve
+	binSamples   = 12              // samples kept of each bin of a curve
 	keptSamples  = 48              // samples kept of other kinds
 	sampleMaxAge = time.Minute     // older samples are dropped
 	minSamples   = 12              // samples of a first estimate
--- a/capacity/servers.go
+++ b/capacity/servers.go
@@ -10,9 +10,9 @@
 
 // Parameters of the factors of servers.
 const (
-	evidenceHalfLife = 3 * time.Second // half-life of an observation's weight; a server that gets no requests counts as usual again after a few of them
-	usualWeight      = 4.0             // weight of the assumption that a server takes the usual time
-	maxWeight        = 24.0            // limit of the weight of all observations, so that the assumption gains as soon as they stop
+	evidenceHalfLife = 2 * time.Second // half-life of an observation's weight; a server that gets no requests counts as usual again after a few of them
+	usualWeight      = 3.0             // weight of the assumption that a server takes the usual time
+	maxWeight        = 12.0            // limit of the weight of all observations, so that the assumption gains as soon as they stop
 	maxFactor        = 5.0             // limit of a factor and, inverted, of one below 1
 	differsFrom      = 1.4             // factors nearer to 1 than this count as 1: responses differ that much by themselves
 	differsFully     = 1.8             // factors that differ at least this much count as they are; between the two they are lowered
--- a/capacity/share.go
+++ b/capacity/share.go
@@ -6,9 +6,9 @@
 	"time"
 )
 
-// peerEstimateMaxAge is the time for which another node's estimate of a service is used. Its
-// evidence about servers decays like this node's own.
-const peerEstimateMaxAge = 20 * time.Second
+// peerEstimateMaxAge is the time for which another node's estimate of a service is used; in fleets of
+// 300 nodes, whole messages are 30 s apart. Its evidence about servers decays like this node's own.
+const peerEstimateMaxAge = time.Minute
 
 // ServerReport is a node's evidence about one server, see evidence.
 type ServerReport struct {
@@ -19,13 +19,13 @@
 
 // Report is what one node tells another.
 type Report struct {
-	Services map[string]Estimate
-	Servers  []ServerReport // those that differ most
+	Services map[string]Estimate // nil if it tells only of servers
+	Servers  []ServerReport      // those that differ most
 }
 
 // peer is what another node has told.
 type peer struct {
-	at       time.Time // when the latest report was received
+	at       time.Time // when the services were told
 	services map[string]Estimate
 	servers  map[Server]evidence
 }
@@ -49,7 +49,9 @@
 		p = &peer{servers: map[Server]evidence{}}
 		e.peers[node] = p
 	}
-	p.at, p.services = now, r.Services
+	if r.Services != nil {
+		p.at, p.services = now, r.Services
+	}
 	for _, s := range r.Servers {
 		if finite(s.Sum) && finite(s.Weight) && s.Weight > 0 {
 			limit := s.Weight * math.Log(maxFactor)
@@ -106,7 +108,7 @@
 		}
 		if s.nodes = len(slots); s.nodes == 0 {
 			s.combined = Estimate{}
-			if s.pace.count == 0 && now.Sub(s.pace.latest) > sampleMaxAge {
+			if s.empty() {
 				delete(e.services, name)
 			}
 			continue
--- a/internal/front/capacity.go
+++ b/internal/front/capacity.go
@@ -18,7 +18,8 @@
 	maxBlockedShare       = 0.1             // part of the time in which the caller did not read, up to which the events' times are the server's
 	maxReportedServers    = 16              // servers in a full message
 	maxReportedInPartial  = 4               // servers in a partial message
-	capacityLogInterval   = 2 * time.Second // least time between two log lines about one service, or one server
+	minSumInPartial       = 0.7             // least sum of logarithms of a server in a partial message: one response of twice the usual time
+	capacityLogInterval   = 5 * time.Second // least time between two log lines about one service, or one server
 	capacityLoggedChange  = 1.25            // factor by which learned slots change before that is logged
 	serverLoggedChange    = 1.5             // factor by which a server's factor changes before that is logged
 	capacityWireScale     = 10.0            // numbers of services are sent in tenths
@@ -76,17 +77,28 @@
 
 func scaled(v, scale float64) int64 { return int64(math.Round(v * scale)) }
 
-// partial returns the part of the state for partial messages.
+// partial returns the part of the state for partial messages: the servers that differ clearly, which
+// may have turned slow; nil if there are none. They come first in the state.
 func (s *capacityState) partial() *capacityState {
-	if s == nil || len(s.Servers) <= maxReportedInPartial {
-		return s
+	if s == nil {
+		return nil
+	}
+	n := 0
+	for n < min(len(s.Servers), maxReportedInPartial) && math.Abs(float64(s.Servers[n].Numbers[0])) >= minSumInPartial*evidenceWireScale {
+		n++
 	}
-	return &capacityState{Services: s.Services, Servers: s.Servers[:maxReportedInPartial]}
+	if n == 0 {
+		return nil
+	}
+	return &capacityState{Servers: s.Servers[:n]}
 }
 
 // decode returns the report, without what can't be used.
 func (s *capacityState) decode() capacity.Report {
-	r := capacity.Report{Services: map[string]capacity.Estimate{}}
+	var r capacity.Report
+	if s.Services != nil {
+		r.Services = map[string]capacity.Estimate{}
+	}
 	for name, v := range s.Services {
 		if len(v) == capacityServiceFields {
 			r.Services[name] = capacity.Estimate{Slots: float64(v[0]) / capacityWireScale, Rate: float64(v[1]) / capacityWireScale}
--- a/loader/loader_test.go
+++ b/loader/loader_test.go
@@ -57,7 +57,8 @@
 	reportFails func() bool // reports whether the next report does not arrive; nil for none
 	liveOrders  bool        // a report's number of orders is current, its other values are old
 
-	storeConcurrency int // loads that the weight store runs concurrently at full speed; zero for any number
+	copyRate         float64 // learned rate of a copy; zero for none
+	storeConcurrency int     // loads that the weight store runs concurrently at full speed; zero for any number
 }
 
 // lateOrder is an order that a server carries out long after it was sent.
@@ -250,7 +251,7 @@
 	engine := cmp.Or(c.desired, c.engine)
 	for zone, core := range c.cores {
 		effects := core.Tick(c.now, loader.Input{
-			Engine: engine, Servers: entries, Demand: append([]waiting.ModelDemand(nil), c.demand...), LiveCells: live, Token: 1,
+			Engine: engine, Servers: entries, Demand: append([]waiting.ModelDemand(nil), c.demand...), LiveCells: live, Token: 1, CopyRate: c.copyRate,
 			ServerStatuses: func(id string) (replicas.ServerStatus, bool) { status, ok := c.statuses[id]; return status, ok },
 			LoadCost:       func(cell, name string) (float64, bool) { x, ok := c.cores[cell].LoadCosts(c.now)[name]; return x, ok },
 			MayOrder:       func(string) bool { return true },
