--- a/capacity/capacity.go
+++ b/capacity/capacity.go
@@ -11,7 +11,9 @@
 // Parameters of the estimates.
 const (
 	paceShare     = 0.5                    // part of the time that a request has for an event that an event may take at the learned slots; the rest is for requests that meet more load than was known
+	gapShare      = 0.8                    // part of the objective for the time between events that an event may take there
 	firstShare    = 0.8                    // part of the latency target that the first event may take there
+	harmlessShare = 0.5                    // part of the time that an event may take up to which a server is not slow, whatever the others take
 	limitQuantile = 0.25                   // quantile of the requests' time for an event that the estimate is made for: most requests have more
 	maxSlots      = 1000.0                 // learned slots of a service whose responses show no bound
 	refreshAfter  = 250 * time.Millisecond // interval of new estimates
@@ -45,8 +47,9 @@
 type service struct {
 	pace      curve   // milliseconds per event, by load
 	first     curve   // time to the first event in parts of its target, by load
-	limits    samples // milliseconds that requests have for an event
+	limits    samples // milliseconds that an event may take, by the requests
 	perToken  samples // events per token of the limit, of complete responses
+	allowed   float64 // limitQuantile of limits; zero if there are none
 	events    samples // events of complete responses
 	firstTook samples // milliseconds to the first event
 	own       Estimate
@@ -101,7 +104,12 @@
 		s.limits.add(now, limit, keptSamples)
 	}
 	if usual, known := s.pace.at(load); known {
-		e.observeServer(now, server, math.Log(pace/usual))
+		ratio := math.Log(pace / usual)
+		if ratio > 0 {
+			// A server that is slower than others, but in time, is as good as they are.
+			ratio = max(0, min(ratio, math.Log(pace/(harmlessShare*s.allowed))))
+		}
+		e.observeServer(now, server, ratio)
 	}
 	s.pace.add(now, load, pace)
 }
@@ -118,16 +126,16 @@
 	}
 }
 
-// limit returns how many milliseconds the request has for each event; false if the number of
-// events is not known.
+// limit returns how many milliseconds an event of the request may take; false if the number of events
+// is not known.
 func (s *service) limit(r Request) (float64, bool) {
 	events, known := s.events.quantile(0.5)
 	if ratio, ok := s.perToken.quantile(0.5); ok && r.OutputTokens > 0 {
 		events, known = ratio*float64(r.OutputTokens), true
 	}
-	limit := milliseconds(r.Limit-r.Target) / max(events, 1)
+	limit := paceShare * milliseconds(r.Limit-r.Target) / max(events, 1)
 	if r.MaxGap > 0 {
-		limit = min(limit, milliseconds(r.MaxGap))
+		limit = min(limit, gapShare*milliseconds(r.MaxGap))
 	}
 	return limit, known && limit > 0
 }
@@ -153,7 +161,8 @@
 		kept.expire(now)
 	}
 	limit, _ := s.limits.quantile(limitQuantile)
-	byPace, paceKnown := s.pace.boundary(now, paceShare*limit)
+	s.allowed = limit
+	byPace, paceKnown := s.pace.boundary(now, limit)
 	byFirst, firstKnown := s.first.boundary(now, firstShare)
 	s.own, s.known = Estimate{}, paceKnown && limit > 0
 	if !s.known {
@@ -168,7 +177,7 @@
 	events, _ := s.events.quantile(0.5)
 	if pace, _ := s.pace.at(int(s.own.Slots)); events > 0 && s.own.Slots < maxSlots {
 		const msPerSecond = 1000
-		s.own.Rate = s.own.Slots / (first + events*min(pace, paceShare*limit)) * msPerSecond
+		s.own.Rate = s.own.Slots / (first + events*min(pace, limit)) * msPerSecond
 	}
 }
 
--- a/capacity/servers.go
+++ b/capacity/servers.go
@@ -130,5 +130,5 @@
 	return reports[:min(most, len(reports))]
 }
 
-// minReportedSum is the least sum of logarithms that is told to other nodes.
-const minReportedSum = 0.1
+// minReportedSum is the least sum of logarithms that is told to other nodes: that of one response of 1.35 times the usual time.
+const minReportedSum = 0.3
--- a/internal/front/capacity.go
+++ b/internal/front/capacity.go
@@ -16,7 +16,7 @@
 const (
 	timedPart             = time.Second     // part of a stream that is observed on its own, so that a slow one shows before its end
 	maxBlockedShare       = 0.1             // part of the time in which the caller did not read, up to which the events' times are the server's
-	maxReportedServers    = 16              // servers in a full message
+	maxReportedServers    = 8               // servers in a full message
 	maxReportedInPartial  = 4               // servers in a partial message
 	minSumInPartial       = 0.7             // least sum of logarithms of a server in a partial message: one response of twice the usual time
 	capacityLogInterval   = 5 * time.Second // least time between two log lines about one service, or one server
