--- a/waiting/order.go
+++ b/waiting/order.go
@@ -173,11 +173,12 @@
 		}
 	}
 	for _, f := range l.flows {
-		c := f.rank.compare(r)
 		switch {
-		case f == own || c > 0:
-		case c < 0:
-			p.ahead += len(f.items)
+		case f == own:
+		case f.rank != k:
+			if f.rank.compare(r) < 0 {
+				p.ahead += len(f.items)
+			}
 		case fair:
 			p.ahead += f.before(start, r)
 		default:
--- a/waiting/order_test.go
+++ b/waiting/order_test.go
@@ -105,9 +105,13 @@
 			s.Table.SetPeerLoad(now, fmt.Sprint(i), counts, time.Hour)
 			s.Table.SetPeerTokens(fmt.Sprint(i), replicas.PeerTokens{Tokens: tokens, Waiting: map[string]int{"llm": 1}})
 		}
+		var names [2][100]string
+		for i := range 100 {
+			names[0][i], names[1][i] = fmt.Sprint("m", i%models), fmt.Sprint("team", i)
+		}
 		make := func(key uint64) waiting.Request {
-			r := request(key, "llm", fmt.Sprint("m", key%uint64(models)), 0, time.Minute+time.Duration(key%977)*time.Millisecond)
-			r.Team, r.Cost, r.Requirement.Tokens = fmt.Sprint("team", key*7%100), 726, 726
+			r := request(key, "llm", names[0][key%uint64(models)], 0, time.Minute+time.Duration(key%977)*time.Millisecond)
+			r.Team, r.Cost, r.Requirement.Tokens = names[1][key*7%100], 726, 726
 			return r
 		}
 		for key := range uint64(1000) {
