--- a/replicas/cache_test.go
+++ b/replicas/cache_test.go
@@ -68,38 +68,34 @@
 }
 
 // TestTokensOfOtherNodesCount guards against a KV cache that several nodes fill, each with what it
-// holds in all: with sizes from the messages, with the mean size for nodes that tell none, and no
-// more once a node is silent.
+// holds in all. Requests of a node that tells no sizes have the mean size of this node's requests,
+// and those of a silent node do not count.
 func TestTokensOfOtherNodesCount(t *testing.T) {
-	tab, req := cacheTable(9190, 0)
-	other, _ := cacheTable(0, 0)
+	other, large := cacheTable(9190, 0)
 	for range 10 {
-		other.BeginSized(now, "s1", req.Size())
+		other.BeginSized(now, "s1", large.Size())
 	}
-	own := 0
 	for _, tc := range []struct {
-		name   string
-		tokens replicas.PeerTokens
-		want   int
+		name         string
+		tokens       replicas.PeerTokens
+		size, before int // of this node's requests, and how many it sent before the message
+		want         int
 	}{
-		{"sizes", other.TokensInFlight(nil), 8},               // a fifth of the cache is left free
-		{"no sizes", replicas.PeerTokens{}, 8},                // the mean size is that of this node's requests
-		{"no requests of a size", replicas.PeerTokens{}, 160}, // 10 requests of unknown size are 10 of the mean of the small ones
+		{"sizes", other.TokensInFlight(nil), 9190, 0, 8}, // a fifth of the cache is left free
+		{"no sizes, large", replicas.PeerTokens{}, 9190, 1, 7},
+		{"no sizes, small", replicas.PeerTokens{}, 646, 1, 37},
 	} {
-		tab, req = cacheTable(9190, 0)
-		if tc.want > 48 {
-			req.Tokens = 646
-			tc.want = 38
+		tab, req := cacheTable(tc.size, 0)
+		for range tc.before {
+			tab.BeginSized(now, "s1", req.Size())
 		}
-		tab.BeginSized(now, "s1", req.Size())
 		tab.SetPeerLoad(now, "peer", other.InFlight(), time.Second)
 		tab.SetPeerTokens("peer", tc.tokens)
 		n, _ := fill(tab, req)
-		assert.Equal(t, n+1, tc.want, tc.name)
-		own = n
+		assert.Equal(t, n, tc.want, tc.name)
+		_, result := tab.Choose(now.Add(time.Minute), req)
+		assert.Equal(t, result, replicas.Chosen, "a silent node's requests still count")
 	}
-	_, result := tab.Choose(now.Add(time.Minute), req)
-	assert.Equal(t, result, replicas.Chosen, "after %d of its own, a silent node's requests still count", own)
 }
 
 // TestSharedPartsOfOtherNodesAreStoredOnce guards against a long prompt that many nodes share and
