--- a/internal/front/attempt.go
+++ b/internal/front/attempt.go
@@ -233,6 +233,8 @@
 	reason := "server_full"
 	if resp.StatusCode == http.StatusMisdirectedRequest {
 		reason = "not_at_server"
+	} else {
+		x.node.rejected(server)
 	}
 	// A server that is full, or is carrying out an order for the model, is
 	// avoided like one that does not hold the model.
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -133,6 +133,7 @@
 	}
 	n.serverClients = newServerClients(n.dialed)
 	n.table.SpreadBy(s.Node)
+	n.table.ShareLimits(s.IP)
 	n.table.CountConnections(n.serverClients.connections)
 	n.peers = newPeers(now, s)
 	n.nextKey = uint64(n.peers.incarnation)
@@ -167,6 +168,9 @@
 	if err := n.metrics.ObserveDesiredState(n.observeDesired); err != nil {
 		return err
 	}
+	if err := n.metrics.ObserveServerLimits(n.observeLimits); err != nil {
+		return err
+	}
 	work, stopWork := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopWork()
 	group, work := errgroup.WithContext(work)
@@ -275,6 +279,7 @@
 		n.mu.Lock()
 		n.removeExpired(now)
 		n.reconcileDesired(ctx, now)
+		n.logLimits()
 		n.decidePoison(now)
 		n.reconcileRefusals(ctx, now)
 		n.dispatchWaiting(now)
--- a/internal/front/peers.go
+++ b/internal/front/peers.go
@@ -53,6 +53,7 @@
 	Innocent       []uint64                `json:"j,omitempty"`  // hashes of traits under which a response was completed
 	InnocentAgeMS  []int64                 `json:"ja,omitempty"` // milliseconds since then, for each of Innocent; missing from builds that do not tell
 	Refusals       []refusalState          `json:"p,omitempty"`  // traits that the sender refuses; in partial messages only while they are new
+	Limits         []limitState            `json:"o,omitempty"`  // concurrency limits of backend servers by what the sender has seen
 	KnownIPs       []string                `json:"k,omitempty"`  // IPs of other nodes that are alive; partial messages name some of them
 }
 
--- a/internal/front/received.go
+++ b/internal/front/received.go
@@ -113,6 +113,7 @@
 	if m.ServersDigest != nil && m.ServersAgeMS != nil && *m.ServersDigest == n.table.Digest() {
 		n.serversFollowed.Confirm(now.Add(-delay - time.Duration(*m.ServersAgeMS)*time.Millisecond))
 	}
+	n.applyLimits(now, m.Limits, delay)
 	n.applySuspects(now, m)
 	n.applyArrivals(now, p, m.Arrivals)
 	n.applyLeaders(now, m)
--- a/internal/front/tell.go
+++ b/internal/front/tell.go
@@ -198,6 +198,7 @@
 		digest := n.table.Digest()
 		m.ServersDigest = &digest
 	}
+	m.Limits = n.limitStates(now)
 	n.addSuspects(now, &m)
 	m.StoreAgeMS = now.Sub(n.lastStoreContact).Milliseconds()
 	for _, c := range n.cells {
--- a/replicas/choose.go
+++ b/replicas/choose.go
@@ -83,6 +83,7 @@
 	preferred     *Server // the one that prompt affinity prefers
 	preferredHash uint64
 	preferredCost float64 // its cost without affinityBonus; infinite if it can't take a request now
+	held          heldServers
 }
 
 // Choose returns the server with the lowest cost for a request. Full servers and those that
@@ -119,7 +120,7 @@
 		return c.preferred.Entry, Chosen
 	}
 	if c.best == nil {
-		return Entry{}, Full
+		return c.held.choose()
 	}
 	return c.best.Entry, Chosen
 }
@@ -142,7 +143,7 @@
 		return
 	}
 	c.open = true
-	cost := s.cost(now, req.Zone)
+	cost := c.held.limitedCost(now, t, s, s.cost(now, req.Zone))
 	if cost < math.Inf(1) && (c.best == nil || cost < c.bestCost) {
 		c.best, c.bestCost = s, cost
 	}
--- a/replicas/health.go
+++ b/replicas/health.go
@@ -71,6 +71,7 @@
 	if row == nil {
 		return
 	}
+	t.observeLimit(now, row, o, latency)
 	h := &row.health
 	h.decay(now)
 	h.samples++
--- a/replicas/service.go
+++ b/replicas/service.go
@@ -69,6 +69,7 @@
 	if slices.Equal(models, s.models) {
 		return
 	}
+	s.pace.modelsListed(s.models, models)
 	svc.unlistModels(s)
 	for _, m := range models {
 		svc.byModel[m] = insertByID(svc.byModel[m], s)
--- a/replicas/table.go
+++ b/replicas/table.go
@@ -40,6 +40,7 @@
 	preferenceCost float64       // see Table.SpreadBy
 	connections    *atomic.Int64 // open connections of this node; nil if they are not counted
 	models         []string      // models under which the service lists it
+	pace           serverPace    // its concurrency limit
 }
 
 // ReportedLoad is the load that a server reports with a response.
@@ -80,6 +81,7 @@
 	connections func(Entry) *atomic.Int64 // see CountConnections; may be nil
 
 	departed map[departedSoftware]time.Time // when the last server with that software left
+	limits   limits                         // see limits.go
 }
 
 // NewTable returns an empty table.
@@ -103,9 +105,11 @@
 	delete(t.removed, e.ID)
 	if !t.SameStart(e) {
 		t.unlist(now, row)
+		known := row != nil
 		row = t.newServer(e)
 		t.rows[e.ID] = row
 		t.list(row)
+		t.limitStart(now, row, known)
 		return true
 	}
 	if row.Service != e.Service {
@@ -409,6 +413,7 @@
 func (t *Table) Begin(now time.Time, id string) {
 	if row := t.rows[id]; row != nil {
 		row.inFlight++
+		row.pace.sentAt = now
 		row.beginTrial(now)
 	}
 }
--- a/replicas/types.go
+++ b/replicas/types.go
@@ -28,6 +28,8 @@
 	Holds    []Holding // loaded models with their adapters
 	InMemory []string  // models whose weights are cached in host memory
 	OnDisk   []string  // models whose weights are cached on disk
+
+	ColdRemaining time.Duration `json:",omitempty"` // how much longer the server is slow after its start, as it says; zero if it is not
 }
 
 // Report is a backend server's response to a status query. Its state may be some
