pace, replicas: bounds on the patterns; limits yield where all other servers are full

Cause: with half of a service replaced, requests waited for the healthy half until their time had passed, while the replaced servers were idle under their limits. Change: a limit yields up to half of the slots if all other servers are full, and entirely if no server without a limit is left. Answers between good and slow say nothing. A server's report that it is slow counts with a slow answer only, and not after good answers ended its limit.

--- a/pace/pace.go
+++ b/pace/pace.go
@@ -125,7 +125,7 @@
 func (l *Limiter) Observe(now time.Time, o Outcome) {
 	sent := now.Add(-o.Latency)
 	switch {
-	case l.state.Limit == 0:
+	case l.state.Limit == 0, o.Cause == None:
 		return
 	case o.Cause == GoodAnswer && sent.Before(l.state.At), o.Cause != GoodAnswer && sent.Before(l.reduced):
 		return
@@ -181,7 +181,7 @@
 		return 0, false
 	}
 	if now.Sub(l.heldAt) >= idleDrop && !now.Before(l.coldUntil) {
-		l.state, l.own = State{At: now, Cause: Unused}, false
+		l.state, l.own = State{At: l.state.At, Cause: Unused}, false // newer evidence of other nodes is taken
 		return 0, false
 	}
 	return int(l.state.Limit), true
--- a/pace/usual.go
+++ b/pace/usual.go
@@ -12,11 +12,12 @@
 	minUsual       = 32          // answers without which a service's latency is not known
 	offsetWeight   = 1.0 / 64    // weight of one answer in a server's own offset
 	minSlowLog     = 0.693       // an answer that takes less than twice the usual time is not slow
+	goodShare      = 0.5         // an answer is good up to this part of the logarithm from which on one is slow; between them it says nothing
 	maxSampleLog   = 2.0         // contribution of one answer, so that no single one shows that a server is slow
 	minSpread      = 0.3         // least assumed standard deviation of the logarithms
 	slowEvidence   = 10.0        // evidence, in standard deviations, at which a server has turned slow
-	reportedFactor = 1.25        // a server that reports a higher factor for its work says that it is slow
-	reportedTrust  = 0.5         // part of slowEvidence that is enough then
+	reportedFactor = 1.5         // a server that reports a higher factor for its work says that it is slow
+	reportedTrust  = 0.1         // part of slowEvidence that is enough then: a node may see one answer of the server in 25 s
 	maxCaution     = 8.0         // limit of the factor below
 	cautionTime    = time.Minute // time in which the factor halves
 	maxLatency     = 10 * time.Minute
@@ -72,8 +73,11 @@
 	}
 	excess := logOf(latency) - u.mean - max(0, s.offset)
 	o.Ratio = math.Exp(excess)
-	if excess > slowLog(u) {
+	switch {
+	case excess > slowLog(u):
 		o.Cause = SlowAnswer
+	case excess > goodShare*slowLog(u):
+		o.Cause = None
 	}
 	return o
 }
@@ -99,7 +103,7 @@
 	over := min(maxSampleLog, logOf(latency)-u.mean-max(0, s.offset)) - slowLog(u)
 	s.evidence = max(0, s.evidence+over)
 	need := slowEvidence * u.spread() * s.cautionAt(now)
-	if reported > reportedFactor {
+	if ReportsSlow(reported) {
 		need *= reportedTrust
 	}
 	if s.evidence < need {
@@ -109,6 +113,9 @@
 	return true
 }
 
+// ReportsSlow reports whether a server that reports the factor for its work says that it is slow.
+func ReportsSlow(factor float64) bool { return factor > reportedFactor }
+
 // cautionAt returns the factor of the evidence that is needed.
 func (s *Server) cautionAt(now time.Time) float64 {
 	if s.caution == 0 {
--- a/replicas/limits.go
+++ b/replicas/limits.go
@@ -13,12 +13,13 @@
 
 // Parameters of the use of concurrency limits, see docs/design/concurrency-limit.md.
 const (
-	limitGap        = 250 * time.Millisecond // least time between two requests of a node to a server of limit 1, per node of the fleet
-	maxLimitGap     = 5 * time.Second        // upper limit of that time
-	borrowDelay     = 300 * time.Millisecond // a node disregards the gap after the server has used less than half its limit for so long
+	limitGap        = 500 * time.Millisecond // least time between two requests of a node to a server of limit 1, per node of the fleet
+	maxLimitGap     = 15 * time.Second       // upper limit of that time
+	borrowDelay     = 300 * time.Millisecond // a node disregards the gap after the other nodes have used less than half the limit for so long
 	borrowStep      = 50 * time.Millisecond  // what each node in the order of rank waits longer
 	rankInterval    = time.Second            // interval at which the rank is determined again
 	droppedToldFor  = 5 * time.Second        // time for which other nodes are told that a limit was dropped
+	yieldShare      = 0.5                    // part of its slots up to which a server with a limit is used if all other servers are full
 	maxLimitChanges = 256                    // changes kept for TakeLimitChanges
 	maxServicePaces = 64                     // services whose usual latency is remembered while they have no server
 )
@@ -39,18 +40,20 @@
 
 // serverPace is the concurrency limit of a start of a server and what it depends on.
 type serverPace struct {
-	limiter   pace.Limiter
-	answers   pace.Server
-	seen      pace.State // as of the last LimitChange
-	since     time.Time  // since when there is a limit
-	listed    bool       // its models were listed before
-	loaded    bool       // it holds a model that it did not hold before
-	ejected   bool       // it was ejected when last looked at
-	sentAt    time.Time  // when this node last sent it a request
-	underused time.Time  // since when it is known to use less than half its limit; zero if it does not
-	rank      int        // position of this node among all in the order in which they use the limit
-	rankedAt  time.Time
-	toldUntil time.Time // until when other nodes are told that there is no limit
+	limiter     pace.Limiter
+	answers     pace.Server
+	seen        pace.State // as of the last LimitChange
+	since       time.Time  // since when there is a limit
+	doubted     bool       // good answers ended its limit: its reports of being slow do not count until it has reported otherwise
+	listed      bool       // its models were listed before
+	loaded      bool       // it holds a model that it did not hold before
+	ejected     bool       // it was ejected when last looked at
+	sentAt      time.Time  // when this node last sent it a request
+	underused   time.Time  // since when the other nodes are known to use less than half the limit; zero if they use more
+	rank        int        // position of this node among all in the order in which they use the limit
+	unreachable time.Time  // since when this node can not connect to it; what other nodes report does not count
+	rankedAt    time.Time
+	toldUntil   time.Time // until when other nodes are told that there is no limit
 }
 
 // LimitChange is a change of a server's concurrency limit.
@@ -113,12 +116,17 @@
 // observeLimit adds the outcome of a request to the evidence about the server's limit.
 func (t *Table) observeLimit(now time.Time, s *Server, o Observation, latency time.Duration) {
 	svc := t.paceOf(s.Service)
-	h := &s.health
+	p := &s.pace
 	switch {
 	case o == Failed:
-		s.pace.limiter.Observe(now, pace.Outcome{Cause: pace.Failed, Latency: svc.usual.Latency(), Ratio: 1})
-	case o == Answered && svc.uneven && !h.firstConnectFailure.IsZero() && now.Sub(h.firstConnectFailure) >= disconnectedAfter:
-		s.pace.limiter.Recovered(now, s.Slots, s.load(now))
+		p.limiter.Observe(now, pace.Outcome{Cause: pace.Failed, Latency: svc.usual.Latency(), Ratio: 1})
+	case o == Unreachable && p.unreachable.IsZero():
+		p.unreachable = now
+	case o == Answered && !p.unreachable.IsZero():
+		if svc.uneven && now.Sub(p.unreachable) >= disconnectedAfter {
+			p.limiter.Recovered(now, s.Slots, s.load(now))
+		}
+		p.unreachable = time.Time{}
 	}
 	if o == Answered && latency > 0 {
 		t.answered(now, s, svc, latency)
@@ -136,6 +144,9 @@
 		if now.Sub(s.reportedLoadAt) < reportedLoadMaxAge {
 			reported = s.reported.Pace
 		}
+		if p.doubted = p.doubted && pace.ReportsSlow(reported); p.doubted {
+			reported = 1
+		}
 		if p.answers.TurnedSlow(now, &svc.usual, latency, reported) {
 			svc.uneven = true
 			p.limiter.Slowed(now, s.Slots, s.load(now))
@@ -155,37 +166,46 @@
 
 // heldServers are the servers of a selection that only their limits hold back.
 type heldServers struct {
-	best     *Server
-	bestCost float64
-	others   bool // some server that is not ejected has no limit, though it may be full
+	best   *Server // the one of lowest cost
+	cost   float64
+	yields *Server // the one of lowest cost whose limit yields if all other servers are full
+	yCost  float64
+	others bool // some server that is not ejected has no limit, though it may be full
 }
 
 // limitedCost returns the cost of the server, infinite if its limit holds the request back.
-func (c *heldServers) limitedCost(now time.Time, t *Table, s *Server, cost float64) float64 {
+func (h *heldServers) limitedCost(now time.Time, t *Table, s *Server, cost float64) float64 {
 	t.limitEvents(now, s)
 	limit, limited := s.pace.limiter.Limit(now)
 	if !limited {
-		c.others = c.others || !s.ejected
+		h.others = h.others || !s.ejected
 		return cost
 	}
 	if math.IsInf(cost, 1) || !t.holdsBack(now, s, limit) {
 		return cost
 	}
 	s.pace.limiter.Held(now)
-	if c.best == nil || cost < c.bestCost {
-		c.best, c.bestCost = s, cost
+	if h.best == nil || cost < h.cost {
+		h.best, h.cost = s, cost
+	}
+	if float64(s.load(now)) < yieldShare*float64(s.Slots) && (h.yields == nil || cost < h.yCost) {
+		h.yields, h.yCost = s, cost
 	}
 	return math.Inf(1)
 }
 
 // choose returns the result of a selection that has found no server with a free place. Limits
-// direct requests to servers that answer as usual; where there is none for the request, even a full
-// one, they hold nothing back.
-func (c *heldServers) choose() (Entry, Result) {
-	if c.best == nil || c.others {
-		return Entry{}, Full
+// direct requests to servers that answer as usual. Where there is none for the request they hold
+// nothing back, and where all are full they yield up to yieldShare: callers are not rejected for
+// the sake of an idle server.
+func (h *heldServers) choose() (Entry, Result) {
+	switch {
+	case h.best != nil && !h.others:
+		return h.best.Entry, Chosen
+	case h.yields != nil:
+		return h.yields.Entry, Chosen
 	}
-	return c.best.Entry, Chosen
+	return Entry{}, Full
 }
 
 // limitEvents sets the limit of a server that is no longer ejected or has loaded a model.
@@ -206,12 +226,11 @@
 // holdsBack reports whether this node may not send the server a request under its limit. The
 // counts of other nodes are as old as their messages, in which time each of them could take the
 // same free place. A node therefore sends such a server one request in a time that grows with the
-// number of nodes, unless the server is known to use too little of its limit.
+// number of nodes, unless the other nodes are known to use little of the limit.
 func (t *Table) holdsBack(now time.Time, s *Server, limit int) bool {
 	p := &s.pace
 	load := s.load(now)
 	if load >= limit {
-		p.underused = time.Time{}
 		return true
 	}
 	nodes := len(t.peerLoads) + 1
@@ -221,7 +240,7 @@
 	gap := min(maxLimitGap, limitGap*time.Duration(nodes)/time.Duration(limit))
 	rank := t.limitRank(now, s)
 	switch {
-	case 2*load >= limit:
+	case 2*(load-s.inFlight) >= limit:
 		p.underused = time.Time{}
 	case p.underused.IsZero():
 		p.underused = now
@@ -257,6 +276,7 @@
 	if p.seen.Limit == 0 {
 		p.since = now
 	}
+	p.doubted = p.doubted || state.Limit == 0 && state.Cause == pace.GoodAnswer
 	if state.Limit == 0 && own {
 		p.toldUntil = now.Add(droppedToldFor)
 	}
--- a/replicas/limits_sim_test.go
+++ b/replicas/limits_sim_test.go
@@ -1,10 +1,11 @@
 package replicas
 
 import (
-	"container/heap"
+	"cmp"
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/redwingnotch/redwingnotch/pace"
@@ -28,42 +29,25 @@
 	reports             bool          // their responses report it
 	down                func(since time.Duration) bool
 	far                 func(node int) float64 // additional factor for requests of a node to affected servers
-	alone               bool                   // one in ten requests is for a model that only the first server holds
+	alone               bool                   // one in as many requests as there are servers is for a model that only the first one holds
+	oneNode             bool                   // all requests come to one node
 	limit, warm, window time.Duration          // time to the first event that is in time; time before the event, and after it
 }
 
 // simEvent is something that happens in the simulation.
 type simEvent struct {
-	at  time.Duration
-	seq int
-	do  func()
-}
-
-// simQueue orders events by time, as a heap.
-type simQueue []simEvent
-
-func (q simQueue) Len() int { return len(q) }
-func (q simQueue) Less(i, j int) bool {
-	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].seq < q[j].seq
-}
-func (q simQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *simQueue) Push(x any)   { *q = append(*q, x.(simEvent)) }
-func (q *simQueue) Pop() any {
-	old := *q
-	e := old[len(old)-1]
-	*q = old[:len(old)-1]
-	return e
+	at time.Duration
+	do func()
 }
 
 // simServer is a backend server: it runs slots requests, queues a quarter more and rejects others.
 type simServer struct {
-	id       string
-	start    int64
-	running  int
-	queue    []func()
-	busy     time.Duration // slot time used since the event
-	seconds  []int         // first events by second since the event
-	rejected int
+	id      string
+	start   int64
+	running int
+	queue   []func()
+	busy    time.Duration // slot time used since the event
+	seconds []int         // first events by second since the event
 }
 
 // sim plays a pattern with real tables under a strategy.
@@ -72,20 +56,18 @@
 	strategy string
 	rng      *rand.Rand
 	now      time.Duration
-	events   simQueue
-	seq      int
+	events   []simEvent // ordered by time
 	tables   []*Table
 	servers  []*simServer
 
 	offered, inTime, late, unserved int // requests that arrived since the event
-	toAffected, affectedInTime      int
 	maxRunning                      int // most requests at an affected server within a second after the event
 	limited                         int // choices of a node that knew a limit, before the event
 }
 
 func (s *sim) after(d time.Duration, do func()) {
-	s.seq++
-	heap.Push(&s.events, simEvent{s.now + d, s.seq, do})
+	at, _ := slices.BinarySearchFunc(s.events, s.now+d+1, func(e simEvent, t time.Duration) int { return cmp.Compare(e.at, t) })
+	s.events = slices.Insert(s.events, at, simEvent{s.now + d, do})
 }
 
 func (s *sim) time() time.Time { return simEpoch.Add(s.now) }
@@ -125,12 +107,9 @@
 	}
 	s.after(0, s.arrive)
 	s.after(p.warm, s.event)
-	for len(s.events) > 0 {
-		e := heap.Pop(&s.events).(simEvent)
-		if e.at > p.warm+p.window {
-			break
-		}
-		s.now = e.at
+	for s.events[0].at <= p.warm+p.window {
+		e := s.events[0]
+		s.events, s.now = s.events[1:], e.at
 		e.do()
 	}
 	return s
@@ -178,8 +157,12 @@
 	if s.since() >= 0 {
 		s.offered++
 	}
+	n := s.rng.IntN(s.nodes)
+	if s.oneNode {
+		n = 0
+	}
 	noise := math.Exp(0.6 * s.rng.NormFloat64())
-	s.try(&simRequest{Requirement: Requirement{Service: "llm", Model: model, Zone: "z"}, node: s.rng.IntN(s.nodes), arrived: s.now, noise: noise})
+	s.try(&simRequest{Requirement: Requirement{Service: "llm", Model: model, Zone: "z"}, node: n, arrived: s.now, noise: noise})
 }
 
 // simRequest is a request. Its noise is drawn at its arrival, so that all strategies get the same load.
@@ -230,7 +213,6 @@
 		return
 	}
 	if server.running >= s.slots && len(server.queue) >= s.slots/4 {
-		server.rejected++
 		t.End(server.id)
 		t.Rejected(s.time(), server.id)
 		r.Excluded = append(r.Excluded, Exclusion{ID: server.id, Start: start, Until: s.time().Add(700 * time.Millisecond)})
@@ -314,9 +296,6 @@
 	} else {
 		s.late++
 	}
-	if i < s.affected {
-		s.toAffected++
-	}
 }
 
 // fullShare returns how many seconds after the end of their slowness the affected servers answer at
@@ -380,6 +359,7 @@
 func (s *sim) impose(t *Table) {
 	switch s.strategy {
 	case "none":
+		t.paceOf("llm").uneven = false
 		for _, row := range t.rows {
 			row.pace.limiter = pace.Limiter{}
 		}
