--- a/pace/pace.go
+++ b/pace/pace.go
@@ -158,8 +158,8 @@
 	} else if s.Limit > 0 {
 		s.Limit = max(minLimit, s.Limit)
 	}
-	if s.Limit == 0 && l.state.Limit == 0 {
-		return false
+	if l.state.Limit == 0 && (s.Limit == 0 || s.Cause == GoodAnswer || s.Cause == Started) {
+		return false // neither is a cause for a limit at a node that has dropped it or learns of the start itself
 	}
 	if l.state.Limit == 0 {
 		l.heldAt = now
@@ -174,6 +174,9 @@
 // Held records that the limit has held a request back.
 func (l *Limiter) Held(now time.Time) { l.heldAt = now }
 
+// Limited reports whether there is a limit, which Limit may drop.
+func (l *Limiter) Limited() bool { return l.state.Limit != 0 }
+
 // Limit returns how many requests the server may have at once, and false if there is no limit. A
 // limit that has held nothing back for idleDrop is dropped, unless the server says that it is slow.
 func (l *Limiter) Limit(now time.Time) (int, bool) {
--- a/pace/pace_test.go
+++ b/pace/pace_test.go
@@ -87,7 +87,9 @@
 	assert.Equal(t, limitOf(&l, now), 1, "a server gets at least one request")
 	assert.Assert(t, adopt(16, -time.Hour), "a time in the future counts as now")
 	assert.Equal(t, limitOf(&l, now), 0)
+	now = now.Add(time.Second)
 	assert.Assert(t, !adopt(0, 0))
+	assert.Assert(t, !adopt(4, 0), "a good answer that another node has seen is no cause for a limit")
 }
 
 // TestUnusedLimitIsDropped guards against limits that stay although they hold nothing back, and
--- a/replicas/limits.go
+++ b/replicas/limits.go
@@ -175,7 +175,13 @@
 
 // limitedCost returns the cost of the server, infinite if its limit holds the request back.
 func (h *heldServers) limitedCost(now time.Time, t *Table, s *Server, cost float64) float64 {
-	t.limitEvents(now, s)
+	if s.pace.ejected != s.ejected || s.pace.loaded {
+		t.limitEvents(now, s)
+	}
+	if !s.pace.limiter.Limited() {
+		h.others = h.others || !s.ejected
+		return cost
+	}
 	limit, limited := s.pace.limiter.Limit(now)
 	if !limited {
 		h.others = h.others || !s.ejected
@@ -208,12 +214,9 @@
 	return Entry{}, Full
 }
 
-// limitEvents sets the limit of a server that is no longer ejected or has loaded a model.
+// limitEvents sets the limit of a server that may no longer be ejected or has loaded a model.
 func (t *Table) limitEvents(now time.Time, s *Server) {
 	p := &s.pace
-	if p.ejected == s.ejected && !p.loaded {
-		return
-	}
 	if uneven := t.paceOf(s.Service).uneven; uneven && p.ejected && !s.ejected {
 		p.limiter.Recovered(now, s.Slots, s.load(now))
 	} else if uneven && p.loaded {
