--- a/replicas/limits_test.go
+++ b/replicas/limits_test.go
@@ -14,7 +14,7 @@
 // patterns are the loads of docs/design/competing-callers.md.
 func patterns(nodes int) []pattern {
 	usual := pattern{nodes: nodes, servers: 12, slots: 16, base: 150 * time.Millisecond, hold: 600 * time.Millisecond, load: 0.5, affected: 3, restart: true,
-		limit: time.Second, warm: 20 * time.Second}
+		inTime: time.Second, before: 20 * time.Second}
 	cold := func(name string, factor float64, slowFor, says time.Duration) pattern {
 		p := usual
 		p.name, p.factor, p.slowFor, p.says, p.window = name, factor, slowFor, says, slowFor+12*time.Second
@@ -25,7 +25,7 @@
 	flap := cold("a flap each second for 20 s, 3 times slower", 3, 20*time.Second, 5*time.Second)
 	flap.down = func(since time.Duration) bool { return since < 20*time.Second && since/time.Second%2 == 0 }
 	alone := cold("the only server of a model, 4 times slower for 8 s", 4, 8*time.Second, 8*time.Second)
-	alone.alone, alone.affected, alone.limit = true, 1, 8*time.Second
+	alone.alone, alone.affected, alone.inTime = true, 1, 8*time.Second
 	turned := cold("turns slow without a start, 6 times for 20 s", 6, 20*time.Second, 0)
 	turned.restart, turned.reports = false, true
 	far := cold("slow for one node in ten only", 1, 0, 0)
@@ -58,8 +58,9 @@
 	for seed := range uint64(seeds) {
 		s := play(p, strategy, seed)
 		n := float64(s.offered * seeds)
-		o.inTime, o.late, o.unserved = o.inTime+float64(s.inTime)/n, o.late+float64(s.late)/n, o.unserved+float64(s.unserved)/n
-		o.used, o.fullShare, o.before = o.used+s.used()/float64(seeds), o.fullShare+float64(s.fullShare())/float64(seeds), o.before+s.limited
+		o.inTime, o.late, o.unserved = o.inTime+float64(s.served)/n, o.late+float64(s.late)/n, o.unserved+float64(s.unserved)/n
+		after, used := s.fullShare()
+		o.used, o.fullShare, o.before = o.used+used/float64(seeds), o.fullShare+float64(after)/float64(seeds), o.before+s.limited
 	}
 	return o
 }
