--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -36,6 +36,7 @@
 	resumptions  metric.Int64Counter
 	keyRejects   metric.Int64Counter
 	waits        waitMetrics
+	limitChanges metric.Int64Counter
 	labelOptions sync.Map // labels -> metric.MeasurementOption
 }
 
@@ -105,7 +106,7 @@
 // addInstruments registers all instruments and returns the first error.
 func (m *Metrics) addInstruments() error {
 	meter := m.provider.Meter("redwingnotch")
-	var errs [14]error
+	var errs [15]error
 	m.requests, errs[0] = meter.Int64Counter("redwingnotch_requests", metric.WithDescription("Requests by kind, rank, outcome and code."))
 	m.duration, errs[1] = meter.Float64Histogram("redwingnotch_request_duration", metric.WithUnit("s"),
 		metric.WithDescription("Time from arrival to the end of the answer."), metric.WithExplicitBucketBoundaries(latencyBounds...))
@@ -128,6 +129,8 @@
 		metric.WithDescription("Streams that callers took up again, by how their origin was known and why they were refused."))
 	m.keyRejects, errs[13] = meter.Int64Counter("redwingnotch_key_rejections",
 		metric.WithDescription("Requests rejected because of their API keys, by status and reason."))
+	m.limitChanges, errs[14] = meter.Int64Counter("redwingnotch_server_limit_changes",
+		metric.WithDescription("Changes of backend servers' concurrency limits, by cause and by whose evidence it was."))
 	for _, err := range errs {
 		if err != nil {
 			return err
--- a/replicas/choose.go
+++ b/replicas/choose.go
@@ -87,6 +87,7 @@
 	preferred     *Server // the one that prompt affinity prefers
 	preferredHash uint64
 	preferredCost float64 // its cost without affinityBonus; infinite if it can't take a request now
+	held          heldServers
 }
 
 // Choose returns the server with the lowest cost for a request. Full servers and those that
@@ -122,13 +123,14 @@
 	if c.preferred != nil && (c.best == nil || c.preferredCost-affinityBonus < c.bestCost) && c.preferredCost < math.Inf(1) {
 		return c.preferred.Entry, Chosen
 	}
-	if c.best == nil && c.cacheFull {
-		return Entry{}, CacheFull
+	if c.best != nil {
+		return c.best.Entry, Chosen
 	}
-	if c.best == nil {
-		return Entry{}, Full
+	server, result := c.held.choose()
+	if result == Full && c.cacheFull {
+		result = CacheFull
 	}
-	return c.best.Entry, Chosen
+	return server, result
 }
 
 // add considers a server for the request. affinity is the request's affinityHash.
@@ -152,6 +154,7 @@
 	slotCost := s.cost(now, req.Zone)
 	cost := t.addCacheCost(now, req, s, slotCost)
 	c.cacheFull = c.cacheFull || cost > slotCost && math.IsInf(cost, 1)
+	cost = c.held.limitedCost(now, t, s, cost)
 	if cost < math.Inf(1) && (c.best == nil || cost < c.bestCost) {
 		c.best, c.bestCost = s, cost
 	}
