pace: nodes do not tell each other of starts, loads and recoveries

Cause: each node sees a load at another moment and took its own sight of it for the newest evidence, which undid the growth that others had seen; a node with a bad connection put limits on servers at all. Change: a start or a load counts as older than any answer, and only answers and servers that have turned slow are told. Result: tests of packages pace, replicas and the limits in front pass.

--- a/internal/front/limits_test.go
+++ b/internal/front/limits_test.go
@@ -18,7 +18,7 @@
 func (n *testNode) addSlowServers(now time.Time, count int) {
 	for i := range count {
 		id := fmt.Sprintf("i-%010x", i)
-		n.table.SetEntry(now, replicas.Entry{ID: id, Address: "127.0.0.1:1", Service: "s", Slots: 16, Start: 1_700_000_000_000, Revision: 1, ColdRemaining: time.Second})
+		n.table.SetEntry(now.Add(-time.Second), replicas.Entry{ID: id, Address: "127.0.0.1:1", Service: "s", Slots: 16, Start: 1_700_000_000_000, Revision: 1, ColdRemaining: time.Second})
 		n.table.Observe(now.Add(time.Duration(i)*time.Millisecond), id, replicas.Answered, time.Millisecond)
 	}
 }
--- a/pace/pace.go
+++ b/pace/pace.go
@@ -79,6 +79,7 @@
 	Rule      Rule // Multiplicative if nil
 	slots     int
 	state     State
+	begun     time.Time // when this node last set a limit without an answer
 	reduced   time.Time // time of the last decrease
 	heldAt    time.Time // when the limit last held a request back, or was set while there was none
 	coldUntil time.Time // until when the server says that it is slow after its start
@@ -89,8 +90,6 @@
 func (l *Limiter) Started(now time.Time, slots int, cold time.Duration) {
 	l.coldUntil = now.Add(min(cold, maxColdHold))
 	l.begin(now, slots, 0, Started)
-	// All nodes know of the start. Evidence of any node is newer than that this one has read it now.
-	l.state.At, l.reduced, l.own = now.Add(-maxRemoteAge), time.Time{}, false
 }
 
 // Recovered sets a limit after the server was ejected or unreachable. load is the number of
@@ -106,7 +105,8 @@
 }
 
 // begin sets a limit that is no lower than the load, which the server evidently carries. A lower
-// limit stays.
+// limit stays. Other nodes are told only that the server has turned slow: the rest they see by
+// themselves, or it is a matter of this node's connections.
 func (l *Limiter) begin(now time.Time, slots, load int, cause Cause) {
 	l.slots = slots
 	limit := max(minInitial, initialShare*float64(slots), float64(load))
@@ -116,7 +116,12 @@
 	if l.state.Limit == 0 {
 		l.heldAt = now
 	}
-	l.state, l.own, l.reduced = State{Limit: limit, At: now, Cause: cause}, true, now
+	l.begun, l.reduced = now, now
+	l.state, l.own = State{Limit: limit, At: now, Cause: cause}, cause == Slowed
+	if cause == Started || cause == Loaded {
+		// All nodes learn of it by themselves, at different times. Evidence of any of them is newer.
+		l.state.At = now.Add(-maxRemoteAge)
+	}
 }
 
 // Observe changes the limit after a request has ended. An answer counts as good only if its request
@@ -127,7 +132,7 @@
 	switch {
 	case l.state.Limit == 0, o.Cause == None:
 		return
-	case o.Cause == GoodAnswer && sent.Before(l.state.At), o.Cause != GoodAnswer && sent.Before(l.reduced):
+	case o.Cause == GoodAnswer && (sent.Before(l.state.At) || sent.Before(l.begun)), o.Cause != GoodAnswer && sent.Before(l.reduced):
 		return
 	}
 	rule := l.Rule
--- a/pace/pace_test.go
+++ b/pace/pace_test.go
@@ -27,6 +27,8 @@
 	var l pace.Limiter
 	l.Started(epoch, 16, 10*time.Second)
 	now := epoch
+	l.Observe(now, pace.Outcome{Cause: pace.GoodAnswer, Latency: ms})
+	assert.Equal(t, limitOf(&l, now), 2)
 	for _, want := range []int{4, 8, 0} {
 		now = now.Add(200 * ms)
 		l.Observe(now, pace.Outcome{Cause: pace.GoodAnswer, Latency: 150 * ms, Ratio: 1})
