--- a/waiting/load_test.go
+++ b/waiting/load_test.go
@@ -38,6 +38,8 @@
 	t.Logf("other teams: %v", others)
 	assert.Assert(t, others.inTimeShare() >= 0.99, "%v", others)
 	assert.Assert(t, others.p99 <= 500*ms, "first events of the other teams are due within 500 ms: %v", others)
+	flood := after.outcomeOf(func(c *call) bool { return c.team == "team0" })
+	assert.Assert(t, flood.rejectedLate <= flood.rejected/20, "the others' requests that come later are not foreseen: %v", flood)
 }
 
 // TestBurstOfStreamsOnRareModels guards against latency-tolerant streams to models with one
--- a/waiting/order_test.go
+++ b/waiting/order_test.go
@@ -65,6 +65,29 @@
 	}
 }
 
+// TestCancelledRequestsTakeNoShare guards against a team whose requests wait for those of its own
+// that were cancelled.
+func TestCancelledRequestsTakeNoShare(t *testing.T) {
+	s, q := state(server("s1", "plain", 1)), waiting.NewQueue()
+	s.Table.Begin(now, "s1")
+	for key := uint64(1); key <= 9; key++ {
+		r := request(key, "plain", "", 0, time.Minute)
+		r.Team, r.Cost = "leaves", 726
+		if key > 5 && key < 9 {
+			r.Team = "stays"
+		}
+		_, done := q.Offer(now, r, s)
+		assert.Assert(t, !done)
+	}
+	for key := range uint64(6) {
+		q.Cancel(now, key)
+	}
+	for _, want := range []uint64{6, 9, 7, 8} {
+		s.Table.End("s1")
+		assert.Equal(t, q.Dispatch(now, s)[0].Key, want)
+	}
+}
+
 // TestRequestLargerThanKVCacheIsRejectedAtOnce guards against a request that waits, or is told to
 // come again, although no server can ever hold it.
 func TestRequestLargerThanKVCacheIsRejectedAtOnce(t *testing.T) {
