--- a/waiting/rate.go
+++ b/waiting/rate.go
@@ -21,8 +21,9 @@
 // before. The rate varies, and an accepted request is to be served.
 type margins struct{ accept, keep float64 }
 
-// The rate of one of several nodes, or of one of several teams, varies more: with the first margins, 149 of 2,380 rejections in
-// a simulated burst at 9 nodes came more than a second after the request, with the second 14.
+// The rate of one of several nodes, or of one of several teams, varies more: with the first
+// margins, 149 of 2,380 rejections in a simulated burst at 9 nodes came more than a second after
+// the request, with the second 14 of 2,503.
 var (
 	marginsAlone  = margins{1.2, 0.8} // of a node and team that has its servers to itself
 	marginsShared = margins{1.5, 0.6}
