front: the line of a request names its level once

Cause: requestLogger sets the level, and so did its caller. Change: only requestLogger does. Result: seen in the log of a test as level=info level=info; built and vetted.

--- a/internal/front/serve.go
+++ b/internal/front/serve.go
@@ -410,7 +410,7 @@
 	if x.route != nil {
 		route = x.route.Name
 	}
-	level.Info(x.requestLogger()).Log("event", "request", "id", x.params.ID, "route", route, "service", x.service,
+	x.requestLogger().Log("event", "request", "id", x.params.ID, "route", route, "service", x.service,
 		"model", x.params.Model, "adapter", x.params.Adapter, "outcome", x.outcome, "status", x.status, "reason", x.reason,
 		"server", x.server.ID, "start", x.server.Start, "software", x.server.Software, "sends", x.sends, "runs", x.runs, "framing", x.received.framing, "end", x.received.end,
 		"inside_event", x.received.insideEvent, "after_event", loggedEventID(x.params.LastEventID), "first_event", loggedEventID(x.firstEventID), "last_event", loggedEventID(x.lastEventID),
