replicas: servers and nodes of the simulation have zones

Cause: without zones all nodes preferred the same server. Change: three zones; the number of servers is a flag.

--- a/replicas/limits_sim_test.go
+++ b/replicas/limits_sim_test.go
@@ -83,7 +83,7 @@
 func play(p pattern, strategy string, seed uint64) *sim {
 	s := &sim{pattern: p, strategy: strategy, rng: rand.New(rand.NewPCG(seed, 1))}
 	for i := range p.servers {
-		e := Entry{ID: fmt.Sprint(i), Start: 1, Revision: 1, Service: "llm", Address: fmt.Sprintf("10.0.0.%d:80", i+1), Zone: "z", Slots: s.slots, Holds: []Holding{{Model: "m"}}}
+		e := Entry{ID: fmt.Sprint(i), Start: 1, Revision: 1, Service: "llm", Address: fmt.Sprintf("10.0.0.%d:80", i+1), Zone: fmt.Sprint("z", i%3), Slots: s.slots, Holds: []Holding{{Model: "m"}}}
 		if i == 0 && s.alone {
 			e.Holds = append(e.Holds, Holding{Model: "rare"})
 		}
@@ -147,13 +147,14 @@
 func (s *sim) arrive() {
 	perSecond := s.load * float64(len(s.servers)*s.slots) / (s.base + s.hold).Seconds()
 	s.after(time.Duration(s.rng.ExpFloat64()/perSecond*float64(time.Second)), s.arrive)
-	r := &simRequest{Requirement: Requirement{Service: "llm", Model: "m", Zone: "z"}, node: s.rng.IntN(s.nodes), arrived: s.now, noise: math.Exp(0.6 * s.rng.NormFloat64())}
+	r := &simRequest{Requirement: Requirement{Service: "llm", Model: "m"}, node: s.rng.IntN(s.nodes), arrived: s.now, noise: math.Exp(0.6 * s.rng.NormFloat64())}
 	if s.rng.IntN(len(s.servers)) == 0 && s.alone {
 		r.Model = "rare"
 	}
 	if s.oneNode {
 		r.node = 0
 	}
+	r.Zone = fmt.Sprint("z", r.node%3)
 	if s.since() >= 0 {
 		s.offered++
 	}
--- a/replicas/limits_test.go
+++ b/replicas/limits_test.go
@@ -13,7 +13,7 @@
 
 // patterns are the loads of docs/design/competing-callers.md.
 func patterns(nodes int) []pattern {
-	usual := pattern{nodes: nodes, servers: 12, slots: 16, base: 150 * time.Millisecond, hold: 600 * time.Millisecond, load: 0.5, affected: 3, restart: true,
+	usual := pattern{nodes: nodes, servers: *limitServers, slots: 16, base: 150 * time.Millisecond, hold: 600 * time.Millisecond, load: 0.5, affected: *limitServers / 4, restart: true,
 		inTime: time.Second, before: 20 * time.Second}
 	cold := func(name string, factor float64, slowFor, says time.Duration) pattern {
 		p := usual
@@ -21,7 +21,7 @@
 		return p
 	}
 	half := cold("half of a service replaced, 4 times slower for 8 s", 4, 8*time.Second, 8*time.Second)
-	half.affected = 6
+	half.affected = *limitServers / 2
 	flap := cold("a flap each second for 20 s, 3 times slower", 3, 20*time.Second, 5*time.Second)
 	flap.down = func(since time.Duration) bool { return since < 20*time.Second && since/time.Second%2 == 0 }
 	alone := cold("the only server of a model, 4 times slower for 8 s", 4, 8*time.Second, 8*time.Second)
@@ -66,9 +66,10 @@
 }
 
 var (
-	limitNodes = flag.Int("limit-nodes", 9, "entry nodes in TestLimitPatterns")
-	limitSeeds = flag.Int("limit-seeds", 2, "plays of each pattern in TestLimitPatterns")
-	limitAll   = flag.Bool("limit-all", false, "play the strategies that are not in use as well")
+	limitNodes   = flag.Int("limit-nodes", 9, "entry nodes in TestLimitPatterns")
+	limitSeeds   = flag.Int("limit-seeds", 2, "plays of each pattern in TestLimitPatterns")
+	limitServers = flag.Int("limit-servers", 12, "backend servers in TestLimitPatterns")
+	limitAll     = flag.Bool("limit-all", false, "play the strategies that are not in use as well")
 )
 
 // TestLimitPatterns plays the patterns with each way to limit, and guards against limits that let
