--- a/capacity/capacity.go
+++ b/capacity/capacity.go
@@ -63,13 +63,14 @@
 	services    map[string]*service
 	servers     map[Server]*evidence
 	factors     map[Server]float64 // as of the latest Refresh; missing ones are 1
+	lasting     map[Server]float64 // means of the servers' evidence over lastingPeriod
 	peers       map[string]*peer
 	refreshedAt time.Time
 }
 
 // New returns an Estimator that knows nothing.
 func New() *Estimator {
-	return &Estimator{services: map[string]*service{}, servers: map[Server]*evidence{}, factors: map[Server]float64{}, peers: map[string]*peer{}}
+	return &Estimator{services: map[string]*service{}, servers: map[Server]*evidence{}, factors: map[Server]float64{}, lasting: map[Server]float64{}, peers: map[string]*peer{}}
 }
 
 // service returns the service's state, which is created if there is none.
@@ -111,7 +112,7 @@
 		}
 		e.observeServer(now, server, ratio)
 	}
-	s.pace.add(now, load, pace)
+	s.pace.add(now, load, pace/e.Factor(server))
 }
 
 // ObserveComplete records how many events a complete response had.
@@ -146,12 +147,13 @@
 	if age := now.Sub(e.refreshedAt); age >= 0 && age < refreshAfter {
 		return false
 	}
+	last := e.refreshedAt
 	e.refreshedAt = now
 	for _, s := range e.services {
 		s.estimate(now)
 	}
 	e.combine(now)
-	e.refreshFactors(now)
+	e.refreshFactors(now, max(0, now.Sub(last)))
 	return true
 }
 
--- a/capacity/servers.go
+++ b/capacity/servers.go
@@ -16,6 +16,7 @@
 	maxFactor        = 5.0             // limit of a factor and, inverted, of one below 1
 	differsFrom      = 1.4             // factors nearer to 1 than this count as 1: responses differ that much by themselves
 	differsFully     = 1.8             // factors that differ at least this much count as they are; between the two they are lowered
+	lastingPeriod    = 4 * time.Second // time constant over which evidence has to last: many responses are slow at once where a long prompt holds up a batch
 	failureHold      = 5 * time.Second // time after a failure in which responses do not count as faster than usual
 )
 
@@ -81,8 +82,9 @@
 // Differing returns the servers whose factor is not 1, with their factors.
 func (e *Estimator) Differing() map[Server]float64 { return e.factors }
 
-// refreshFactors derives the factors from the evidence of all nodes, and drops what has decayed.
-func (e *Estimator) refreshFactors(now time.Time) {
+// refreshFactors derives the factors from the evidence of all nodes, and drops what has decayed. age
+// is the time since the factors were last derived.
+func (e *Estimator) refreshFactors(now time.Time, age time.Duration) {
 	all := map[Server]evidence{}
 	for id, v := range e.servers {
 		if v.decay(now); v.weight < negligible && now.Sub(v.failedAt) >= failureHold {
@@ -92,9 +94,16 @@
 		all[id] = *v
 	}
 	e.addPeerEvidence(now, all)
+	for id := range e.lasting {
+		if _, observed := all[id]; !observed {
+			delete(e.lasting, id)
+		}
+	}
 	clear(e.factors)
 	for id, v := range all {
-		if f := v.factor(); f != 1 && (f > 1 || v.failedAt.IsZero() || now.Sub(v.failedAt) >= failureHold) {
+		log := v.mean()
+		e.lasting[id] += (log - e.lasting[id]) * (1 - math.Exp(-float64(age)/float64(lastingPeriod)))
+		if f := factorOf(log, e.lasting[id]); f > 1 || f < 1 && (v.failedAt.IsZero() || now.Sub(v.failedAt) >= failureHold) {
 			e.factors[id] = f
 		}
 	}
@@ -103,13 +112,24 @@
 // negligible is a weight at which evidence is dropped.
 const negligible = 0.05
 
-// factor returns the server's factor by the evidence.
-func (v *evidence) factor() float64 {
+// mean returns the mean logarithm of the evidence and the assumption that the server is usual.
+func (v *evidence) mean() float64 {
 	if v.weight <= 0 {
-		return 1
+		return 0
 	}
 	weight := min(maxWeight, v.weight)
-	log := v.sum / v.weight * weight / (weight + usualWeight)
+	return v.sum / v.weight * weight / (weight + usualWeight)
+}
+
+// factorOf returns the factor of a server by the present evidence and by its mean over
+// lastingPeriod: the one nearer to 1, and 1 if they contradict each other.
+func factorOf(log, lasting float64) float64 {
+	if log*lasting <= 0 {
+		return 1
+	}
+	if math.Abs(lasting) < math.Abs(log) {
+		log = lasting
+	}
 	from, fully := math.Log(differsFrom), math.Log(differsFully)
 	return math.Exp(log * min(1, max(0, (math.Abs(log)-from)/(fully-from))))
 }
