--- a/internal/front/capacity.go
+++ b/internal/front/capacity.go
@@ -144,7 +144,7 @@
 		if table != nil {
 			service = table.Services[name]
 		}
-		if service == nil || service.Engine == nil {
+		if service == nil || service.Engine == nil || service.Engine.Slots < 1 {
 			continue
 		}
 		slots, nodes := n.capacity.Usual(name, service.Engine.Slots)
@@ -158,12 +158,12 @@
 			n.capacity.servers[server] = &loggedEstimate{value: 1}
 		}
 	}
-	for server := range n.capacity.servers {
+	for server, logged := range n.capacity.servers {
 		factor := n.capacity.Factor(server)
 		if before, changed := recordChange(n.capacity.servers, server, now, factor, 1, serverLoggedChange); changed {
 			level.Info(n.log).Log("event", "server_capacity_learned", "server", server.ID, "start", server.Start, "factor", round(factor), "before", round(before))
 		}
-		if factor == 1 {
+		if factor == 1 && now.Sub(logged.at) >= capacityLogInterval {
 			delete(n.capacity.servers, server)
 		}
 	}
