--- a/internal/front/received.go
+++ b/internal/front/received.go
@@ -97,11 +97,7 @@
 		n.table.MarkUnreachable(now, server)
 		n.serverDown(now, server)
 	}
-	p.demand = p.demand[:0]
-	for _, s := range m.Demand {
-		p.demand = append(p.demand, waiting.ModelDemand{Service: s.Service, Model: s.Model, Adapter: s.Adapter, Count: s.Count,
-			Software: s.Software, Priority: s.Priority, Deadline: now.Add(time.Duration(s.RemainingMS) * time.Millisecond)})
-	}
+	p.setDemand(now, m.Demand)
 	for _, e := range m.NewServers {
 		n.applyEntry(e, m.Node)
 	}
@@ -125,6 +121,15 @@
 	n.dispatchWaiting(now)
 }
 
+// setDemand replaces the demand by that of the latest message.
+func (p *peer) setDemand(now time.Time, demand []demandState) {
+	p.demand = p.demand[:0]
+	for _, s := range demand {
+		p.demand = append(p.demand, waiting.ModelDemand{Service: s.Service, Model: s.Model, Adapter: s.Adapter, Count: s.Count,
+			Software: s.Software, Priority: s.Priority, Deadline: now.Add(time.Duration(s.RemainingMS) * time.Millisecond)})
+	}
+}
+
 // removedElsewhere removes a server whose entry another node has seen removed, unless a newer
 // entry is known. The caller holds n.mu.
 func (n *Node) removedElsewhere(now time.Time, d departing, source string) {
