--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -57,6 +57,7 @@
 	ended          context.Context              // ends at that time
 	endRequests    context.CancelCauseFunc      // ends it
 	bodies         *bytebudget.Budget           // memory for the bodies of requests and responses
+	allowances     *allowances                  // of the teams
 
 	mu                 sync.Mutex // guards the fields below
 	table              *replicas.Table
@@ -136,6 +137,7 @@
 	n.table.CountConnections(n.serverClients.connections)
 	n.peers = newPeers(now, s)
 	n.nextKey = uint64(n.peers.incarnation)
+	n.allowances = newAllowances(now, s, n.nextKey, logger, metrics)
 	for _, zone := range s.Zones {
 		n.cells = append(n.cells, newCell(now, zone, s))
 	}
@@ -283,6 +285,7 @@
 		}
 		n.reconcileLoads(ctx, now)
 		n.publish(now, sendPeriodic)
+		n.tickAllowances(now)
 		n.mu.Unlock()
 	}
 }
--- a/internal/front/received.go
+++ b/internal/front/received.go
@@ -20,7 +20,7 @@
 func (n *Node) receive(ctx context.Context) error {
 	buffer := make([]byte, maxDatagram)
 	for {
-		size, _, err := n.peers.socket.ReadFromUDP(buffer)
+		size, from, err := n.peers.socket.ReadFromUDP(buffer)
 		if errors.Is(err, net.ErrClosed) || ctx.Err() != nil {
 			return nil
 		}
@@ -29,7 +29,7 @@
 			sleep(ctx, sendInterval)
 			continue
 		}
-		if n.receiveStreams(buffer[:size]) || n.receiveConfirm(buffer[:size]) || n.receiveAllowance(buffer[:size]) {
+		if n.receiveStreams(buffer[:size]) || n.receiveConfirm(buffer[:size]) || n.receiveAllowance(from.IP, buffer[:size]) {
 			continue
 		}
 		m, err := decodeMessage(buffer[:size])
--- a/internal/front/serve.go
+++ b/internal/front/serve.go
@@ -12,6 +12,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/go-kit/log/level"
 
+	"github.com/redwingnotch/redwingnotch/allowance"
 	"github.com/redwingnotch/redwingnotch/internal/bootclock"
 	"github.com/redwingnotch/redwingnotch/internal/bytebudget"
 	"github.com/redwingnotch/redwingnotch/platform"
@@ -47,9 +48,10 @@
 	content      uint64              // see contentHash; zero until it is needed
 	traitKeys    []poison.Key        // see traits; nil until they are needed
 	arrived      time.Time
-	deadline     time.Time // end of the caller's or the route's time limit, whichever is earlier
-	prefixKey    string    // hash of the parts of the prompt that other requests may share; may be empty
-	sharedTokens int       // number of tokens in those parts
+	deadline     time.Time        // end of the caller's or the route's time limit, whichever is earlier
+	prefixKey    string           // hash of the parts of the prompt that other requests may share; may be empty
+	sharedTokens int              // number of tokens in those parts
+	charge       allowance.Charge // tokens that it has taken out of its team's allowance
 
 	sends           int                  // attempts, including those that the server refused
 	runs            int                  // attempts that the server may have run
@@ -85,6 +87,7 @@
 	defer x.log()
 	x.held = n.bodies.Hold()
 	defer x.held.Release()
+	defer x.returnAllowance()
 	if x.limitWrite() && x.admit() {
 		x.run()
 		x.finishResponse()
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -34,6 +34,7 @@
 	connections  metric.Int64Counter
 	storeCalls   metric.Int64Counter
 	resumptions  metric.Int64Counter
+	allowance    allowanceMetrics
 	labelOptions sync.Map // labels -> metric.MeasurementOption
 }
 
@@ -103,7 +104,7 @@
 // addInstruments registers all instruments and returns the first error.
 func (m *Metrics) addInstruments() error {
 	meter := m.provider.Meter("redwingnotch")
-	var errs [13]error
+	var errs [14]error
 	m.requests, errs[0] = meter.Int64Counter("redwingnotch_requests", metric.WithDescription("Requests by kind, rank, outcome and code."))
 	m.duration, errs[1] = meter.Float64Histogram("redwingnotch_request_duration", metric.WithUnit("s"),
 		metric.WithDescription("Time from arrival to the end of the answer."), metric.WithExplicitBucketBoundaries(latencyBounds...))
@@ -124,6 +125,7 @@
 	m.storeCalls, errs[11] = meter.Int64Counter("redwingnotch_store_calls", metric.WithDescription("Calls to the platform's store by kind of object and call."))
 	m.resumptions, errs[12] = meter.Int64Counter("redwingnotch_stream_resumptions",
 		metric.WithDescription("Streams that callers took up again, by how their origin was known and why they were refused."))
+	errs[13] = m.allowance.add(meter)
 	for _, err := range errs {
 		if err != nil {
 			return err
