allowance: decisions of a node in the core, with a model of the fleet

Cause: which node holds a team, handovers, redirects and contacts were decided in the front, where no model test reached them. Change: allowance.Node decides all of it. A node that comes from another part of the fleet counts only once its absence is noticed there. Nodes that use a team's tokens ask its holder at least each 400 ms, so that both sides of a cut notice it earlier.

--- a/allowance/account.go
+++ b/allowance/account.go
@@ -7,11 +7,15 @@
 
 // Times of an Account.
 const (
-	RepeatAfter   = 30 * time.Millisecond  // time after which a query is sent again
-	AnswerTimeout = 90 * time.Millisecond  // time after which a query is given up
-	stockFor      = time.Second            // time for which tokens are kept that were not used
-	usageSlot     = 100 * time.Millisecond // time whose usage is asked for ahead
-	maxRedirects  = 2                      // nodes that may name another holder before a query is given up
+	RepeatAfter   = 30 * time.Millisecond   // time after which a query is sent again
+	AnswerTimeout = 90 * time.Millisecond   // time after which a query is given up
+	stockFor      = time.Second             // time for which tokens are kept that were not used
+	usageSlot     = 100 * time.Millisecond  // time whose usage is asked for ahead
+	askAgainAfter = 100 * time.Millisecond  // time after which a holder that did not answer is asked again
+	contactEvery  = 400 * time.Millisecond  // interval at which a node that uses a team's tokens asks at least, so that both sides notice a cut
+	contactFor    = 5 * time.Second         // time after its last request for which it does so
+	cutAfter      = 1300 * time.Millisecond // time without an answer after which a node relies on the holder to have noticed; longer than lostAfter
+	maxRedirects  = 2                       // nodes that may name another holder before a query is given up
 )
 
 // Charge is the tokens that a request has taken.
@@ -84,6 +88,11 @@
 	answer  time.Time // when a holder last answered
 	silent  bool      // the latest query was not answered
 	probe   int64     // tokens asked for since then
+	again   time.Time // until when no holder is asked again after a query that was not answered
+	latest  time.Time // latest request
+	contact time.Time // when a holder was last asked
+	active  bool      // the holder is asked at least once in contactEvery
+	counted bool      // the holder knows that
 	returns []Return
 }
 
@@ -106,6 +115,7 @@
 // Take takes the tokens of the request, or returns false if the request has to wait for a grant.
 func (a *Account) Take(now time.Time, key uint64, tokens int64) (Decision, bool) {
 	a.use(now, tokens)
+	a.latest, a.active = now, a.part.Silence > cutAfter
 	a.discard(now)
 	if len(a.waiters) == 0 && a.stock() >= tokens {
 		return a.takeStock(now, key, tokens), true
@@ -149,11 +159,14 @@
 		q.repeated = true
 		return q.query, q.holder, true
 	}
-	if holder == "" || len(a.waiters) == 0 && a.probe == 0 {
+	contactDue := a.active && now.Sub(a.contact) >= contactEvery
+	if holder == "" || len(a.waiters) == 0 && (a.probe == 0 && !contactDue || now.Before(a.again)) {
 		return Query{}, "", false
 	}
 	a.nextKey++
-	q := &asked{holder: holder, began: now, query: Query{Key: a.nextKey, Stock: a.stock()}}
+	a.active = a.active && now.Sub(a.latest) < contactFor
+	a.contact = now
+	q := &asked{holder: holder, began: now, query: Query{Key: a.nextKey, Stock: a.stock(), Unheard: a.silent, Last: !a.active}}
 	for _, w := range a.waiters[:min(MaxNeeds, len(a.waiters))] {
 		q.query.Needs, q.keys = append(q.query.Needs, w.tokens), append(q.keys, w.key)
 	}
@@ -170,7 +183,7 @@
 // GiveUp ends the query in progress, whose holder does not answer, and decides about all requests
 // that wait by the node's own budget. A grant that arrives later is not used.
 func (a *Account) GiveUp(now time.Time) []Decision {
-	a.asked, a.hops, a.silent = nil, 0, true
+	a.asked, a.hops, a.silent, a.again = nil, 0, true, now.Add(askAgainAfter)
 	var decisions []Decision
 	for _, w := range a.waiters {
 		a.probe = min(MaxTokens, a.probe+w.tokens)
@@ -199,7 +212,7 @@
 	if q == nil || q.query.Key != g.Key || q.holder != holder || a.Overdue(now) {
 		return nil
 	}
-	a.asked, a.hops, a.silent, a.answer = nil, 0, false, now
+	a.asked, a.hops, a.silent, a.answer, a.counted = nil, 0, false, now, a.active
 	from := lot{at: q.began, holder: holder, epoch: g.Epoch}
 	var decisions []Decision
 	for i, key := range q.keys {
@@ -244,7 +257,7 @@
 // Idle reports whether nothing is in progress, so that the account need not be looked at until the
 // next request.
 func (a *Account) Idle() bool {
-	return len(a.lots) == 0 && a.asked == nil && len(a.returns) == 0 && a.probe == 0
+	return len(a.lots) == 0 && a.asked == nil && len(a.returns) == 0 && a.probe == 0 && !a.active
 }
 
 // Silent reports whether the holder does not answer, and for how long.
@@ -284,15 +297,20 @@
 
 // fillOwn fills the node's own budget and returns its rate and depth. For as long as a holder may
 // still grant this node's part to others, the budgets of all nodes are within the margin. Later
-// this node has its part of the rate and the burst. After a longer gap than MaxGap the process
+// this node has its part of the rate and the burst: a holder that it has asked regularly notices
+// that earlier than others. After a longer gap than MaxGap the process
 // was frozen, and others may have used the tokens of that time.
 func (a *Account) fillOwn(now time.Time) (rate, depth float64) {
 	if now.Sub(a.own.at) > MaxGap {
-		a.own.at, a.answer = now, now
+		a.own.at, a.answer, a.counted = now, now, false
+	}
+	noticed := a.part.Silence
+	if a.counted {
+		noticed = min(noticed, cutAfter)
 	}
 	nodes, margin := float64(max(1, a.part.Nodes)), a.terms.margin()
 	rate, depth = a.terms.Rate/nodes, ownBudgetPart*margin/nodes
-	if now.Sub(a.answer) < a.part.Silence {
+	if now.Sub(a.answer) < noticed {
 		rate = min(rate, ownPerWindowPart*margin/nodes/max(1, a.terms.Window.Seconds()))
 	} else {
 		depth += a.terms.burst() / nodes
--- a/allowance/allowance.go
+++ b/allowance/allowance.go
@@ -38,10 +38,10 @@
 // Parts of the margin, which together stay below it: what several nodes may use beyond one
 // bucket at the rate because they can't know of each other in time.
 const (
-	newHolderPart    = 1. / 8 // bucket of a new holder
-	aheadPart        = 1. / 8 // tokens that nodes hold for requests to come
-	ownBudgetPart    = 3. / 8 // budgets of nodes whose holder does not answer
-	ownPerWindowPart = 1. / 8 // what these budgets gain in a window while holders answer
+	newHolderPart    = 1. / 8  // bucket of a new holder
+	aheadPart        = 1. / 8  // tokens that nodes hold for requests to come
+	ownBudgetPart    = 3. / 8  // budgets of nodes whose holder does not answer
+	ownPerWindowPart = 3. / 16 // what these budgets gain in a window while holders answer
 )
 
 // margin returns by how many tokens the rate and the burst may be exceeded in a window.
--- a/allowance/allowance_test.go
+++ b/allowance/allowance_test.go
@@ -17,9 +17,9 @@
 // run looks at the holder every 100 ms, as a node does, until the time.
 func (h *Holder) run(until time.Time) {
 	for now := h.bucket.at; now.Before(until); now = now.Add(100 * time.Millisecond) {
-		h.Set(now, h.terms, h.part)
+		h.Set(now, h.terms, h.part, nil)
 	}
-	h.Set(until, h.terms, h.part)
+	h.Set(until, h.terms, h.part, nil)
 }
 
 // TestNewHolderDoesNotGrantTheBurstAnew guards against a holder that takes its empty count for an
@@ -102,13 +102,13 @@
 	h.run(now)
 	lower, higher := terms, terms
 	lower.Rate, lower.Burst, higher.Burst = 100, 200, 20000
-	h.Set(now, lower, whole)
+	h.Set(now, lower, whole, nil)
 	assert.Equal(t, h.Level(now), int64(200))
-	h.Set(now, higher, whole)
+	h.Set(now, higher, whole, nil)
 	assert.Equal(t, h.Level(now), int64(20000))
 	h.Grant(now, "a", Query{Key: 1, Needs: []int64{20000}})
-	h.Set(now, lower, whole)
-	h.Set(now, higher, whole)
+	h.Set(now, lower, whole, nil)
+	h.Set(now, higher, whole, nil)
 	assert.Equal(t, h.Level(now), int64(0)) // a change back and forth gains nothing
 
 	a := NewAccount(start, 0, terms, whole)
@@ -167,6 +167,7 @@
 	assert.Equal(t, a.stock(), int64(0))
 	d, done := a.Take(late, 2, 1) // decided at once while the holder is silent
 	assert.Assert(t, done && d.Source == FromBudget)
+	late = late.Add(askAgainAfter)
 	q, _, due = a.Ask(late, "h") // and the holder is asked again
 	assert.Assert(t, due && len(q.Needs) == 0)
 	a.Receive(late, "h", Grant{Key: q.Key, Epoch: 1, Ahead: 101})
@@ -176,7 +177,7 @@
 // TestUnusedTokensAreReturned guards against stock that is hoarded, and against tokens of
 // requests that did not run and are lost.
 func TestUnusedTokensAreReturned(t *testing.T) {
-	a := NewAccount(start, 0, terms, whole)
+	a := NewAccount(start, 0, terms, Part{Live: 90, Nodes: 90, Silence: 3 * time.Second})
 	a.Take(start, 1, 100)
 	q, _, _ := a.Ask(start, "h")
 	assert.Equal(t, q.Ahead, int64(100))
@@ -187,6 +188,9 @@
 	assert.Assert(t, done && stock.Admitted && stock.Source == FromStock)
 	a.GiveBack(start.Add(time.Second), stock.Charge)
 	assert.DeepEqual(t, a.Returns(start.Add(time.Second)), []Return{{"h", 7, 160}})
+	q, _, due := a.Ask(start.Add(contactFor), "h")
+	assert.Assert(t, due && q.Last) // of the regular queries
+	a.Receive(start.Add(contactFor), "h", Grant{Key: q.Key})
 	assert.Assert(t, a.Idle())
 }
 
--- a/allowance/holder.go
+++ b/allowance/holder.go
@@ -10,6 +10,7 @@
 	MaxNeeds     = 32                      // requests in one query
 	aheadFor     = 1200 * time.Millisecond // time after which a node has used or returned tokens for requests to come
 	forgetAfter  = 30 * time.Second        // time without a query after which a node's record is removed
+	lostAfter    = 1100 * time.Millisecond // time without a query of a node that asks regularly after which it is taken to be cut off: two queries and their repetitions
 	aheadOfLevel = 4                       // part of the bucket that is granted for requests to come: one in so many tokens
 )
 
@@ -21,6 +22,9 @@
 	Stock  int64   // tokens that the node still has
 	Return int64   // tokens of earlier grants of Epoch that were not used
 	Epoch  uint64  // of the holder that granted the returned tokens
+
+	Unheard bool // the node had no answer to its query before
+	Last    bool // the node does not go on to ask regularly
 }
 
 // valid reports whether the query is one that an Account makes.
@@ -65,6 +69,16 @@
 	at      time.Time
 	ahead   int64 // tokens that it may have for requests to come
 	granted int64 // tokens granted and not returned
+	regular bool  // it asks at least once in contactEvery
+	unheard bool  // it does not receive the answers
+}
+
+// lost reports whether the node is taken to be cut off, so that it uses its part of the allowance
+// on its own. If it is reached for longer than its silence can go unnoticed, it was the message
+// that ends its regular queries that got lost.
+func (b *borrower) lost(now time.Time, part Part) bool {
+	silent := now.Sub(b.at)
+	return b.unheard || b.regular && silent >= lostAfter && silent < part.Silence+lostAfter
 }
 
 // NewHolder returns the bucket of a team that nobody is known to hold. What was spent before is not
@@ -102,19 +116,23 @@
 		return
 	}
 	h.opens = now
-	h.bucket = bucket{level: min(float64(level), h.burst()), at: now}
+	// A debt beyond what a window allows has no effect on the window.
+	debt := h.terms.Rate*h.terms.Window.Seconds() + h.terms.burst()
+	h.bucket = bucket{level: max(-debt, min(float64(level), h.burst())), at: now}
 }
 
-// Set replaces the team's limits and the part of the fleet. If the limits change, the bucket
-// keeps the part to which it is filled.
-func (h *Holder) Set(now time.Time, terms Terms, part Part) {
+// Set replaces the team's limits and the part of the fleet, in which the nodes are reached. If the
+// limits change, the bucket keeps the part to which it is filled. Call it at least once in MaxGap.
+func (h *Holder) Set(now time.Time, terms Terms, part Part, reached map[string]bool) {
 	h.fill(now)
 	if before := h.terms.burst(); h.bucket.level > 0 && before > 0 && terms != h.terms {
 		h.bucket.level *= terms.burst() / before
 	}
 	h.terms, h.part = terms, part
-	h.bucket.level = min(h.bucket.level, h.burst())
 	for node, b := range h.borrowers {
+		if _, is := reached[node]; is && b.lost(now, part) {
+			h.part.Live = max(1, h.part.Live-1)
+		}
 		if now.Sub(b.at) > aheadFor {
 			h.ahead -= b.ahead
 			b.ahead = 0
@@ -123,6 +141,7 @@
 			delete(h.borrowers, node)
 		}
 	}
+	h.bucket.level = min(h.bucket.level, h.burst())
 }
 
 // fill adds the tokens of the time since the last call. After a longer gap than MaxGap the
@@ -174,7 +193,7 @@
 		b.ahead, b.granted = b.ahead+g.Ahead, b.granted+g.Ahead
 	}
 	h.ahead += b.ahead
-	b.last, b.at = g, now
+	b.last, b.at, b.regular, b.unheard = g, now, !q.Last, q.Unheard
 	return g, true
 }
 
--- a/internal/front/allowance.go
+++ b/internal/front/allowance.go
@@ -13,69 +13,47 @@
 	"github.com/redwingnotch/redwingnotch/internal/bootclock"
 	"github.com/redwingnotch/redwingnotch/internal/telemetry"
 	"github.com/redwingnotch/redwingnotch/platform"
-	"github.com/redwingnotch/redwingnotch/resumption"
 	"github.com/redwingnotch/redwingnotch/routes"
 )
 
 // reasonOverAllowance is the reason for rejecting a request whose team has used its allowance.
 const reasonOverAllowance = "over_allowance"
 
-// redirectFor is the time for which a team's holder is taken from another node's answer. By then
-// this node knows the nodes as the other one did.
-const redirectFor = time.Second
-
-// allowances are the teams' allowances at this node: the buckets of the teams that it holds, and its
-// accounts with the holders. It has its own lock, as grants are not to wait for n.mu.
+// allowances carries out what an allowance.Node decides. It has its own lock, as grants are not to
+// wait for n.mu.
 type allowances struct {
-	self     string // IP of this node
-	log      log.Logger
-	metrics  *telemetry.Metrics
-	bounds   platform.Bounds
-	firstKey uint64
+	log     log.Logger
+	metrics *telemetry.Metrics
+	bounds  platform.Bounds
 
 	mu        sync.Mutex // guards the fields below
-	fleet     *allowance.Fleet
-	table     *routes.Table // the desired state of which terms are
-	viewed    time.Time     // when view was derived
-	view      fleetView
-	part      allowance.Part
-	terms     map[string]allowance.Terms // by team; only of teams with an allowance
-	holderOf  map[string]string          // IP of the node that holds the team, by team
-	held      map[string]*allowance.Holder
-	accounts  map[string]*account
-	waiting   map[uint64]chan allowance.Decision // requests that wait for a grant, by key
-	nextKey   uint64                             // key of the latest such request
-	nextEpoch uint64
+	node      *allowance.Node
+	table     *routes.Table   // the desired state of which the node has the teams
+	viewed    time.Time       // when the view of the fleet was derived
+	known     map[string]bool // IPs of other nodes that are alive
+	waiting   map[uint64]chan allowance.Decision
+	nextKey   uint64 // key of the latest request in waiting
+	summaries map[string]*allowanceSummary
 }
 
-// account is an allowance.Account with what the log and the choice of the holder need.
-type account struct {
-	*allowance.Account
-	redirect   string // node that another one named as the holder; empty if none has
-	redirected time.Time
-	summary    allowanceSummary
-}
+// heardAfterRevocation is the time in addition to the revocation timeout for which a node that was
+// heard of counts when an allowance is divided. A node that is cut off from all others and the
+// store rejects requests after the revocation timeout.
+const heardAfterRevocation = 2 * time.Second
 
-// newAllowances returns the allowances of a node without teams. firstKey and epochs are higher than
-// those of an earlier process.
+// newAllowances returns the allowances of a node without teams. firstKey is higher than all keys
+// of an earlier process.
 func newAllowances(now time.Time, s platform.Settings, firstKey uint64, logger log.Logger, metrics *telemetry.Metrics) *allowances {
 	return &allowances{
-		self: s.IP, log: logger, metrics: metrics, bounds: s.Bounds, firstKey: firstKey, nextEpoch: firstKey,
-		fleet:    allowance.NewFleet(now, s.Bounds.RevocationTimeout+heardAfterRevocation, hasOtherSeeds(s)),
-		part:     allowance.Part{Live: 1, Nodes: allowance.UnknownSize, Silence: minReachedTimeout},
-		terms:    map[string]allowance.Terms{},
-		holderOf: map[string]string{},
-		held:     map[string]*allowance.Holder{},
-		accounts: map[string]*account{},
-		waiting:  map[uint64]chan allowance.Decision{},
+		log: logger, metrics: metrics, bounds: s.Bounds,
+		node: allowance.NewNode(now, allowance.Config{
+			Self: s.IP, FirstKey: firstKey, Span: s.Bounds.RevocationTimeout + heardAfterRevocation, OthersExpected: hasOtherSeeds(s),
+		}),
+		waiting:   map[uint64]chan allowance.Decision{},
+		summaries: map[string]*allowanceSummary{},
 	}
 }
 
-// heardAfterRevocation is the time in addition to the revocation timeout for which a node that was
-// heard of counts when an allowance is divided. A node that is cut off from all others rejects
-// requests after the revocation timeout.
-const heardAfterRevocation = 2 * time.Second
-
 // termsOf returns the team's limits.
 func (a *allowances) termsOf(t *routes.Team) allowance.Terms {
 	return allowance.Terms{Rate: t.Rate, Burst: t.Burst, Window: a.bounds.QuotaWindow, Overage: a.bounds.QuotaOverage, Slack: a.bounds.QuotaSlack}
@@ -119,9 +97,7 @@
 	a := x.node.allowances
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if acc := a.accounts[x.team.Name]; acc != nil {
-		acc.GiveBack(bootclock.Now(), x.charge)
-	}
+	a.node.GiveBack(bootclock.Now(), x.team.Name, x.charge)
 	a.metrics.AllowanceTokens(x.team.Name, "returned", "", x.charge.Tokens)
 }
 
@@ -130,19 +106,19 @@
 func (n *Node) takeTokens(ctx context.Context, team *routes.Team, tokens int64) (allowance.Decision, error) {
 	a, now := n.allowances, bootclock.Now()
 	a.mu.Lock()
-	acc := a.account(now, team)
 	a.nextKey++
 	key := a.nextKey
-	d, done := acc.Take(now, key, tokens)
 	decided := make(chan allowance.Decision, 1)
-	if !done {
-		a.waiting[key] = decided
+	a.waiting[key] = decided
+	d, done, out := a.node.Take(now, team.Name, a.termsOf(team), key, tokens)
+	if done {
+		delete(a.waiting, key)
+		a.record(team.Name, tokens, d, 0)
 	}
-	out := a.step(now, team.Name, acc)
+	a.apply(out)
 	a.mu.Unlock()
-	n.sendAllowances(out)
+	n.sendAllowances(out.Send)
 	if done {
-		a.record(now, team.Name, tokens, d)
 		return d, nil
 	}
 	timer := time.NewTicker(allowance.RepeatAfter)
@@ -150,121 +126,87 @@
 	for {
 		select {
 		case d := <-decided:
-			a.record(now, team.Name, tokens, d)
+			a.mu.Lock()
+			a.record(team.Name, tokens, d, bootclock.Now().Sub(now))
+			a.mu.Unlock()
 			return d, nil
 		case <-timer.C:
 			a.mu.Lock()
-			out := a.step(bootclock.Now(), team.Name, acc)
+			out := a.node.Step(bootclock.Now(), team.Name)
+			a.apply(out)
 			a.mu.Unlock()
-			n.sendAllowances(out)
+			n.sendAllowances(out.Send)
 		case <-ctx.Done():
-			a.cancel(acc, key, decided)
+			a.cancel(team.Name, key, decided)
 			return allowance.Decision{}, context.Cause(ctx)
 		}
 	}
 }
 
 // cancel ends a request that waits, and gives back what it was granted just before.
-func (a *allowances) cancel(acc *account, key uint64, decided <-chan allowance.Decision) {
+func (a *allowances) cancel(team string, key uint64, decided <-chan allowance.Decision) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	acc.Cancel(key)
+	a.node.Cancel(team, key)
 	delete(a.waiting, key)
 	select {
 	case d := <-decided:
-		acc.GiveBack(bootclock.Now(), d.Charge)
+		a.node.GiveBack(bootclock.Now(), team, d.Charge)
 	default:
 	}
 }
 
-// account returns the node's account of the team. The caller holds a.mu.
-func (a *allowances) account(now time.Time, team *routes.Team) *account {
-	acc := a.accounts[team.Name]
-	if acc == nil {
-		terms, listed := a.terms[team.Name]
-		if !listed {
-			terms = a.termsOf(team)
-		}
-		acc = &account{Account: allowance.NewAccount(now, a.firstKey, terms, a.part)}
-		a.accounts[team.Name] = acc
-	}
-	return acc
-}
-
-// step carries the team's queries on: it gives up those that are not answered, answers those to
-// this node itself, and returns those to send. The caller holds a.mu.
-func (a *allowances) step(now time.Time, team string, acc *account) []outgoing {
-	for {
-		holder := a.holder(now, team, acc)
-		if holder == "" && !acc.Idle() || acc.Overdue(now) {
-			a.decide(acc.GiveUp(now))
-		}
-		q, to, due := acc.Ask(now, holder)
-		if !due {
-			return nil
-		}
-		if to != a.self {
-			return []outgoing{{to, allowanceMessage{Query: encodeQuery(team, q)}}}
-		}
-		g, redirect := a.answer(now, team, a.self, q)
-		if redirect == nil {
-			a.decide(acc.Receive(now, a.self, g))
-			continue
-		}
-		a.redirect(now, acc, a.self, redirect.Key, redirect.Holder)
-	}
-}
-
-// holder returns the IP of the node to ask for the team's tokens. The caller holds a.mu.
-func (a *allowances) holder(now time.Time, team string, acc *account) string {
-	if acc.redirect != "" && now.Sub(acc.redirected) < redirectFor {
-		return acc.redirect
-	}
-	return a.holderOf[team]
-}
-
-// redirect records that the node named another holder. The caller holds a.mu.
-func (a *allowances) redirect(now time.Time, acc *account, from string, key uint64, holder string) {
-	if acc.Redirect(from, key) && holder != "" {
-		acc.redirect, acc.redirected = holder, now
-	}
-}
-
-// decide hands requests that wait their decisions. The caller holds a.mu.
-func (a *allowances) decide(decisions []allowance.Decision) {
-	for _, d := range decisions {
+// apply hands requests their decisions and logs changes. The messages are the caller's to send,
+// without the lock. The caller holds a.mu.
+func (a *allowances) apply(out allowance.Output) {
+	for _, d := range out.Decided {
 		if decided := a.waiting[d.Key]; decided != nil {
 			decided <- d // buffered
 			delete(a.waiting, d.Key)
 		}
 	}
+	for _, c := range out.Changes {
+		part := a.node.Part()
+		level.Info(a.log).Log("event", "allowance_holder", "team", c.Team, "holding", c.Holding, "reason", c.Reason, "other", c.Other,
+			"opens_ms", c.Opens.Milliseconds(), "live", part.Live, "nodes", part.Nodes)
+	}
 }
 
-// answer answers a query for the team's tokens: with a grant, or with the node that holds the team
-// if this one does not. The caller holds a.mu.
-func (a *allowances) answer(now time.Time, team, from string, q allowance.Query) (allowance.Grant, *redirectState) {
-	if h := a.held[team]; h != nil && h.Open(now) {
-		if g, valid := h.Grant(now, from, q); valid {
-			return g, nil
+// tickAllowances carries the allowances on with time. The caller holds n.mu.
+func (n *Node) tickAllowances(now time.Time) {
+	a, table := n.allowances, n.desired.Load()
+	a.mu.Lock()
+	if table != a.table {
+		a.setTable(table)
+	}
+	var out allowance.Output
+	if a.node.Active() {
+		if now.Sub(a.viewed) >= viewInterval {
+			a.viewed = now
+			view, known := n.fleetView(now)
+			a.known = known
+			out = a.node.SetView(now, view)
+			a.apply(out)
+			a.logSummaries(now)
 		}
-		return allowance.Grant{}, &redirectState{Key: q.Key, Team: team}
+		ticked := a.node.Tick(now)
+		a.apply(ticked)
+		out.Send = append(out.Send, ticked.Send...)
 	}
-	holder := a.holderOf[team]
-	if holder == a.self {
-		// This node takes over from the one that ranks next.
-		holder = ""
-		if next := resumption.HoldersOf(team, a.view.candidates, 2); len(next) > 1 {
-			holder = next[1]
+	a.mu.Unlock()
+	n.sendAllowances(out.Send)
+}
+
+// setTable applies a desired state's limits. The caller holds a.mu.
+func (a *allowances) setTable(table *routes.Table) {
+	a.table, a.viewed = table, time.Time{}
+	teams := map[string]allowance.Terms{}
+	if table != nil {
+		for i := range table.Teams {
+			if t := &table.Teams[i]; t.Rate > 0 {
+				teams[t.Name] = a.termsOf(t)
+			}
 		}
 	}
-	if holder == from {
-		holder = ""
-	}
-	return allowance.Grant{}, &redirectState{Key: q.Key, Team: team, Holder: holder}
-}
-
-// logHolder logs that this node begins or ends to hold a team.
-func (a *allowances) logHolder(team string, holding bool, reason, other string, wait time.Duration) {
-	level.Info(a.log).Log("event", "allowance_holder", "team", team, "holding", holding, "reason", reason, "other", other,
-		"opens_ms", wait.Milliseconds(), "live", a.part.Live, "nodes", a.part.Nodes)
+	a.node.SetTeams(teams)
 }
--- a/internal/front/allowance_messages.go
+++ b/internal/front/allowance_messages.go
@@ -12,8 +12,8 @@
 	"github.com/redwingnotch/redwingnotch/internal/bootclock"
 )
 
-// allowanceMessage is what one node tells another about a team's allowance, in a datagram of its
-// own. Builds before it drop such a datagram.
+// allowanceMessage is the encoded form of an allowance.Message, in a datagram of its own. Builds
+// before it drop such a datagram.
 type allowanceMessage struct {
 	IP       string         `json:"a"` // IP of the sender
 	Query    *queryState    `json:"q,omitempty"`
@@ -39,6 +39,9 @@
 	Stock  int64   `json:"s,omitempty"`
 	Return int64   `json:"b,omitempty"`
 	Epoch  uint64  `json:"e,omitempty"`
+
+	Unheard bool `json:"u,omitempty"`
+	Last    bool `json:"z,omitempty"`
 }
 
 // grantState is the encoded form of an allowance.Grant.
@@ -51,67 +54,82 @@
 	WaitMS   int64  `json:"l,omitempty"`
 }
 
-// redirectState answers a query for a team that the node does not hold.
+// redirectState is the encoded form of an allowance.Redirect.
 type redirectState struct {
-	Key    uint64 `json:"k"` // of the query
+	Key    uint64 `json:"k"`
 	Team   string `json:"t"`
-	Holder string `json:"h,omitempty"` // IP of the node that holds it; empty if unknown
+	Holder string `json:"h,omitempty"`
 }
 
-// handoverState passes a team's bucket on to the node that holds it from now on.
+// handoverState is the encoded form of a handover.
 type handoverState struct {
 	Team  string `json:"t"`
-	Level int64  `json:"v"` // tokens in the bucket; a debt is negative
-}
-
-// outgoing is a message to a node.
-type outgoing struct {
-	to string
-	m  allowanceMessage
+	Level int64  `json:"v"`
 }
 
-// encodeQuery returns the encoded form of a query.
-func encodeQuery(team string, q allowance.Query) *queryState {
-	return &queryState{Key: q.Key, Team: team, Needs: q.Needs, Ahead: q.Ahead, Stock: q.Stock, Return: q.Return, Epoch: q.Epoch}
-}
-
-// decode returns the query.
-func (s *queryState) decode() allowance.Query {
-	return allowance.Query{Key: s.Key, Needs: s.Needs, Ahead: s.Ahead, Stock: s.Stock, Return: s.Return, Epoch: s.Epoch}
+// encodeAllowance returns the encoded form of the message.
+func encodeAllowance(ip string, m allowance.Message) allowanceMessage {
+	out := allowanceMessage{IP: ip}
+	switch {
+	case m.Query != nil:
+		q := m.Query
+		out.Query = &queryState{Key: q.Key, Team: m.Team, Needs: q.Needs, Ahead: q.Ahead, Stock: q.Stock, Return: q.Return, Epoch: q.Epoch,
+			Unheard: q.Unheard, Last: q.Last}
+	case m.Grant != nil:
+		g := m.Grant
+		out.Grant = &grantState{Key: g.Key, Team: m.Team, Epoch: g.Epoch, Admitted: g.Admitted, Ahead: g.Ahead, WaitMS: g.Wait.Milliseconds()}
+	case m.Redirect != nil:
+		out.Redirect = &redirectState{Key: m.Redirect.Key, Team: m.Team, Holder: m.Redirect.Holder}
+	case m.Handover != nil:
+		out.Handover = &handoverState{Team: m.Team, Level: *m.Handover}
+	}
+	return out
 }
 
-// encodeGrant returns the encoded form of a grant.
-func encodeGrant(team string, g allowance.Grant) *grantState {
-	return &grantState{Key: g.Key, Team: team, Epoch: g.Epoch, Admitted: g.Admitted, Ahead: g.Ahead, WaitMS: g.Wait.Milliseconds()}
-}
+// maxWaitMS limits the wait in a grant, so that it does not overflow.
+const maxWaitMS = 60 * 60 * 1000
 
-// decode returns the grant.
-func (s *grantState) decode() allowance.Grant {
-	wait := time.Duration(max(0, min(s.WaitMS, time.Hour.Milliseconds()))) * time.Millisecond
-	return allowance.Grant{Key: s.Key, Epoch: s.Epoch, Admitted: s.Admitted, Ahead: s.Ahead, Wait: wait}
+// decode returns the message.
+func (s *allowanceMessage) decode() allowance.Message {
+	switch {
+	case s.Query != nil:
+		q := s.Query
+		return allowance.Message{Team: q.Team, Query: &allowance.Query{Key: q.Key, Needs: q.Needs, Ahead: q.Ahead, Stock: q.Stock, Return: q.Return, Epoch: q.Epoch,
+			Unheard: q.Unheard, Last: q.Last}}
+	case s.Grant != nil:
+		g := s.Grant
+		wait := time.Duration(max(0, min(g.WaitMS, maxWaitMS))) * time.Millisecond
+		return allowance.Message{Team: g.Team, Grant: &allowance.Grant{Key: g.Key, Epoch: g.Epoch, Admitted: g.Admitted, Ahead: g.Ahead, Wait: wait}}
+	case s.Redirect != nil:
+		return allowance.Message{Team: s.Redirect.Team, Redirect: &allowance.Redirect{Key: s.Redirect.Key, Holder: s.Redirect.Holder}}
+	case s.Handover != nil:
+		return allowance.Message{Team: s.Handover.Team, Handover: &s.Handover.Level}
+	}
+	return allowance.Message{}
 }
 
 // sendAllowances sends the messages.
-func (n *Node) sendAllowances(out []outgoing) {
+func (n *Node) sendAllowances(out []allowance.Outgoing) {
 	for _, o := range out {
-		to := net.ParseIP(o.to)
+		to := net.ParseIP(o.To)
 		if to == nil || n.peers.socket == nil {
 			continue
 		}
-		o.m.IP = n.settings.IP
-		data, err := json.Marshal(allowanceDatagram{&o.m})
+		m := encodeAllowance(n.settings.IP, o.Message)
+		data, err := json.Marshal(allowanceDatagram{&m})
 		if err != nil {
 			level.Error(n.log).Log("event", "peer_message_failed", "err", err)
 			continue
 		}
 		if _, err := n.peers.socket.WriteToUDP(data, &net.UDPAddr{IP: to, Port: n.settings.PeerPort}); err != nil {
-			level.Debug(n.log).Log("event", "peer_send_failed", "peer", o.to, "err", err)
+			level.Debug(n.log).Log("event", "peer_send_failed", "peer", o.To, "err", err)
 		}
 	}
 }
 
 // receiveAllowance handles a datagram about allowances. It returns false if the datagram is another
-// one. The sender must be the node that it names, and one that is alive.
+// one. The datagram must come from the node that it names. Queries and handovers are taken from
+// nodes that are alive only; grants and redirects must answer a query in progress.
 func (n *Node) receiveAllowance(from net.IP, data []byte) bool {
 	if !bytes.HasPrefix(data, allowanceDatagramPrefix) {
 		return false
@@ -121,48 +139,18 @@
 		level.Warn(n.log).Log("event", "peer_message_unreadable", "bytes", len(data), "err", err)
 		return true
 	}
-	m, a, now := d.Allowance, n.allowances, bootclock.Now()
-	if ip := net.ParseIP(m.IP); ip == nil || !ip.Equal(from) {
+	a, sender := n.allowances, net.ParseIP(d.Allowance.IP)
+	if sender == nil || !sender.Equal(from) {
 		return true
 	}
+	m := d.Allowance.decode()
 	a.mu.Lock()
-	var out []outgoing
-	if m.Grant != nil || m.Redirect != nil || a.view.known[m.IP] {
-		out = a.received(now, m)
+	var out allowance.Output
+	if m.Grant != nil || m.Redirect != nil || a.known[d.Allowance.IP] {
+		out = a.node.Receive(bootclock.Now(), d.Allowance.IP, m)
+		a.apply(out)
 	}
 	a.mu.Unlock()
-	n.sendAllowances(out)
+	n.sendAllowances(out.Send)
 	return true
 }
-
-// received handles a message and returns those that follow from it. The caller holds a.mu.
-func (a *allowances) received(now time.Time, m *allowanceMessage) []outgoing {
-	switch {
-	case m.Query != nil:
-		q := m.Query.decode()
-		g, redirect := a.answer(now, m.Query.Team, m.IP, q)
-		if redirect != nil {
-			return []outgoing{{m.IP, allowanceMessage{Redirect: redirect}}}
-		}
-		if q.Return > 0 {
-			return nil // not waited for
-		}
-		return []outgoing{{m.IP, allowanceMessage{Grant: encodeGrant(m.Query.Team, g)}}}
-	case m.Grant != nil:
-		if acc := a.accounts[m.Grant.Team]; acc != nil {
-			a.decide(acc.Receive(now, m.IP, m.Grant.decode()))
-			return a.step(now, m.Grant.Team, acc)
-		}
-	case m.Redirect != nil:
-		if acc := a.accounts[m.Redirect.Team]; acc != nil {
-			a.redirect(now, acc, m.IP, m.Redirect.Key, m.Redirect.Holder)
-			return a.step(now, m.Redirect.Team, acc)
-		}
-	case m.Handover != nil:
-		if h := a.held[m.Handover.Team]; h != nil && !h.Open(now) {
-			h.TakeOver(now, max(-allowance.MaxTokens, min(m.Handover.Level, allowance.MaxTokens)))
-			a.logHolder(m.Handover.Team, true, "handed_over", m.IP, 0)
-		}
-	}
-	return nil
-}
--- a/internal/front/allowance_summary.go
+++ b/internal/front/allowance_summary.go
@@ -1,6 +1,8 @@
 package front
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -22,8 +24,24 @@
 	logged         time.Time
 }
 
-// add counts a decision.
-func (s *allowanceSummary) add(tokens int64, d allowance.Decision, waited time.Duration) {
+// record counts a decision for the metrics and the log. The caller holds a.mu.
+func (a *allowances) record(team string, tokens int64, d allowance.Decision, waited time.Duration) {
+	result := "granted"
+	if !d.Admitted {
+		result = "rejected"
+	}
+	a.metrics.AllowanceTokens(team, result, string(d.Source), tokens)
+	if d.Source == allowance.FromBudget {
+		a.metrics.AllowanceFallback(team, result)
+	}
+	if d.Admitted && d.Source != allowance.FromBudget {
+		return
+	}
+	s := a.summaries[team]
+	if s == nil {
+		s = &allowanceSummary{}
+		a.summaries[team] = s
+	}
 	if !d.Admitted {
 		s.rejected++
 		s.rejectedTokens += tokens
@@ -37,19 +55,24 @@
 // logSummaries writes a line for each team of which requests were rejected or decided about without
 // the holder, one in summaryInterval at most. The caller holds a.mu.
 func (a *allowances) logSummaries(now time.Time) {
-	for _, team := range a.teamNames() {
-		s := &a.accounts[team].summary
-		if s.rejected+s.fallbacks == 0 || now.Sub(s.logged) < summaryInterval {
+	for _, team := range slices.Sorted(maps.Keys(a.summaries)) {
+		s := a.summaries[team]
+		if now.Sub(s.logged) < summaryInterval {
+			continue
+		}
+		if s.rejected+s.fallbacks == 0 {
+			delete(a.summaries, team)
 			continue
 		}
 		reason := reasonOverAllowance
 		if s.fallbacks > 0 {
 			reason = "holder_silent"
 		}
-		answered, _ := a.accounts[team].Silent(now)
+		answered, _ := a.node.Silent(now, team)
+		part := a.node.Part()
 		level.Info(a.log).Log("event", "allowance_limited", "team", team, "reason", reason, "rejected", s.rejected, "rejected_tokens", s.rejectedTokens,
 			"fallbacks", s.fallbacks, "source", s.source, "age_ms", s.age.Milliseconds(), "waited_ms", s.waited.Milliseconds(),
-			"holder", a.holderOf[team], "answered_ms", answered.Milliseconds(), "live", a.part.Live, "nodes", a.part.Nodes)
+			"holder", a.node.HolderOf(team), "answered_ms", answered.Milliseconds(), "live", part.Live, "nodes", part.Nodes)
 		*s = allowanceSummary{logged: now}
 	}
 }
