allowance: deputies, overdraft of parts, nodes that start are told of the others at once

Cause: after a cut, nodes of the smaller part had their own budgets only until their views of the fleet changed, 2.7 s at 90 nodes; a whole fleet of 300 that restarted had about ten holders. Change: the node that ranks second grants the parts of nodes that the holder has noticed to be lost. A bucket of a part may be in debt by an eighth of the margin. A node that another one hears of anew is sent a message with the next periodic ones, where there are teams.

--- a/allowance/account.go
+++ b/allowance/account.go
@@ -115,7 +115,7 @@
 // Take takes the tokens of the request, or returns false if the request has to wait for a grant.
 func (a *Account) Take(now time.Time, key uint64, tokens int64) (Decision, bool) {
 	a.use(now, tokens)
-	a.latest, a.active = now, a.part.Silence > cutAfter
+	a.keepContact(now)
 	a.discard(now)
 	if len(a.waiters) == 0 && a.stock() >= tokens {
 		return a.takeStock(now, key, tokens), true
@@ -128,6 +128,11 @@
 	return Decision{}, false
 }
 
+// keepContact lets the holder be asked regularly, as after a request.
+func (a *Account) keepContact(now time.Time) {
+	a.latest, a.active = now, a.part.Silence > cutAfter
+}
+
 // Cancel ends a request that waits. Tokens that are granted for it become stock.
 func (a *Account) Cancel(key uint64) {
 	a.waiters = slices.DeleteFunc(a.waiters, func(w waiter) bool { return w.key == key })
@@ -149,9 +154,10 @@
 	}
 }
 
-// Ask returns the query that is to be sent to the holder now, and false if none is. Call it after
+// Ask returns the query that is to be sent to the holder now, and false if none is. instead says that
+// it is the deputy of the node that holds the team. Call it after
 // Take, after each answer, and RepeatAfter and AnswerTimeout after that.
-func (a *Account) Ask(now time.Time, holder string) (Query, string, bool) {
+func (a *Account) Ask(now time.Time, holder string, instead bool) (Query, string, bool) {
 	if q := a.asked; q != nil {
 		if q.repeated || now.Sub(q.began) < RepeatAfter || a.Overdue(now) {
 			return Query{}, "", false
@@ -166,7 +172,7 @@
 	a.nextKey++
 	a.active = a.active && now.Sub(a.latest) < contactFor
 	a.contact = now
-	q := &asked{holder: holder, began: now, query: Query{Key: a.nextKey, Stock: a.stock(), Unheard: a.silent, Last: !a.active}}
+	q := &asked{holder: holder, began: now, query: Query{Key: a.nextKey, Stock: a.stock(), Unheard: a.silent, Last: !a.active, Instead: instead}}
 	for _, w := range a.waiters[:min(MaxNeeds, len(a.waiters))] {
 		q.query.Needs, q.keys = append(q.query.Needs, w.tokens), append(q.keys, w.key)
 	}
@@ -290,7 +296,7 @@
 	case float64(tokens) > depth:
 		d.RetryAfter = noRoomWait
 	default:
-		d.RetryAfter = a.own.wait(float64(tokens), rate)
+		d.RetryAfter = min(noRoomWait, a.own.wait(float64(tokens), rate)) // by then a holder may answer
 	}
 	return d
 }
--- a/allowance/allowance.go
+++ b/allowance/allowance.go
@@ -40,6 +40,7 @@
 const (
 	newHolderPart    = 1. / 8  // bucket of a new holder
 	aheadPart        = 1. / 8  // tokens that nodes hold for requests to come
+	overdraftPart    = 1. / 8  // debt that buckets of parts of the fleet may have
 	ownBudgetPart    = 3. / 8  // budgets of nodes whose holder does not answer
 	ownPerWindowPart = 3. / 16 // what these budgets gain in a window while holders answer
 )
@@ -58,7 +59,7 @@
 
 // share returns the part of the allowance that the nodes of the part may use together.
 func (p Part) share() float64 {
-	return min(1, float64(max(1, p.Live))/float64(max(1, p.Nodes)))
+	return min(1, float64(max(0, p.Live))/float64(max(1, p.Nodes)))
 }
 
 // bucket is a token bucket. A negative level is a debt.
@@ -80,7 +81,7 @@
 // wait returns the time until the bucket has the tokens.
 func (b *bucket) wait(tokens, rate float64) time.Duration {
 	if rate <= 0 {
-		return maxRetryAfter
+		return noRoomWait
 	}
 	return clampWait((tokens - b.level) / rate)
 }
--- a/allowance/holder.go
+++ b/allowance/holder.go
@@ -25,6 +25,7 @@
 
 	Unheard bool // the node had no answer to its query before
 	Last    bool // the node does not go on to ask regularly
+	Instead bool // the node that holds the team does not answer, so its deputy is asked
 }
 
 // valid reports whether the query is one that an Account makes.
@@ -110,6 +111,13 @@
 	return int64(math.Floor(max(-MaxTokens, min(MaxTokens, h.bucket.level))))
 }
 
+// open opens a holder: the node that held the team before no longer does.
+func (h *Holder) open(now time.Time) {
+	if !h.Open(now) {
+		h.opens = now
+	}
+}
+
 // TakeOver opens a holder with the level of the one before it.
 func (h *Holder) TakeOver(now time.Time, level int64) {
 	if h.Open(now) {
@@ -123,7 +131,7 @@
 
 // Set replaces the team's limits and the part of the fleet, in which the nodes are reached. If the
 // limits change, the bucket keeps the part to which it is filled. Call it at least once in MaxGap.
-func (h *Holder) Set(now time.Time, terms Terms, part Part, reached map[string]bool) {
+func (h *Holder) Set(now time.Time, terms Terms, part Part, reached map[string]Contact) {
 	h.fill(now)
 	if before := h.terms.burst(); h.bucket.level > 0 && before > 0 && terms != h.terms {
 		h.bucket.level *= terms.burst() / before
@@ -131,7 +139,7 @@
 	h.terms, h.part = terms, part
 	for node, b := range h.borrowers {
 		if _, is := reached[node]; is && b.lost(now, part) {
-			h.part.Live = max(1, h.part.Live-1)
+			h.part.Live = max(0, h.part.Live-1)
 		}
 		if now.Sub(b.at) > aheadFor {
 			h.ahead -= b.ahead
@@ -200,18 +208,26 @@
 // take takes the tokens out of the bucket. A request that is larger than the bucket is admitted if
 // the bucket is full, and puts the bucket into debt.
 func (h *Holder) take(tokens float64) bool {
-	if h.bucket.level < min(tokens, h.burst()) || !h.hasRoom(tokens) {
+	if h.bucket.level+h.overdraft() < min(tokens, h.burst()+h.overdraft()) || !h.hasRoom(tokens) {
 		return false
 	}
 	h.bucket.level -= tokens
 	return true
 }
 
+// overdraft returns by how many tokens a bucket may be in debt before it is full. Without one, the
+// large requests that a whole fleet admits would hardly fit into the burst of a part.
+func (h *Holder) overdraft() float64 {
+	if share := h.part.share(); share < 1 {
+		return overdraftPart * h.terms.margin() * share
+	}
+	return 0
+}
+
 // hasRoom reports whether a full bucket admits a request with the tokens. In half of the fleet or
 // less the debt is limited: the holders of the other parts may have such debts, too.
 func (h *Holder) hasRoom(tokens float64) bool {
-	share := h.part.share()
-	return share > 0.5 || tokens-h.burst() <= newHolderPart*h.terms.margin()*share
+	return h.part.share() > 0.5 || tokens <= h.burst()+h.overdraft()
 }
 
 // noRoomWait is what a caller is told whose request is too large for the part of the fleet that the
@@ -223,5 +239,5 @@
 	if !h.hasRoom(tokens) {
 		return noRoomWait
 	}
-	return h.bucket.wait(min(tokens, h.burst()), h.rate())
+	return h.bucket.wait(min(tokens-h.overdraft(), h.burst()), h.rate())
 }
--- a/allowance/node.go
+++ b/allowance/node.go
@@ -1,9 +1,9 @@
 package allowance
 
 import (
+	"maps"
+	"slices"
 	"time"
-
-	"github.com/redwingnotch/redwingnotch/resumption"
 )
 
 // redirectFor is the time for which a team's holder is taken from another node's answer. By then
@@ -41,6 +41,7 @@
 	RanksFirst Reason = "ranks_first" // the other node is there, and the one that holds it from now on ranks higher
 	HandedOver Reason = "handed_over" // the node that held it has passed its bucket on
 	Frozen     Reason = "frozen"      // this process was frozen
+	Deputy     Reason = "deputy"      // the other node holds it and does not answer some nodes
 )
 
 // Change is that this node begins or ends to hold a team.
@@ -61,9 +62,15 @@
 
 // View is what a node knows of the fleet.
 type View struct {
-	Candidates []string        // nodes that may hold teams, sorted
-	Reached    map[string]bool // the other nodes that are reached, and whether they have just started
-	Silence    time.Duration   // longest time for which a node that does not answer counts as reached
+	Candidates []string           // nodes that may hold teams, sorted
+	Reached    map[string]Contact // the other nodes that are reached
+	Silence    time.Duration      // longest time for which a node that does not answer counts as reached
+}
+
+// Contact is what a node knows of another one.
+type Contact struct {
+	Heard time.Time // when its latest message was received
+	Young bool      // it has just started
 }
 
 // Config identifies a Node.
@@ -80,21 +87,33 @@
 	config    Config
 	fleet     *Fleet
 	view      View
-	since     map[string]time.Time // by node that is reached: since when
+	since     map[string]time.Time // by node that is reached: its first message since it was not
 	part      Part
 	teams     map[string]Terms
+	names     []string          // of teams, sorted
 	holderOf  map[string]string // node that holds the team
+	nextOf    map[string]string // node that ranks second for the team
 	held      map[string]*Holder
+	deputies  map[string]*deputy // of teams that another node holds
+	pending   map[string]pending // of teams that this node holds and another one may hold as well
 	accounts  map[string]*member
+	order     []string // teams with accounts, sorted, so that calls have the same output each time
 	nextEpoch uint64
 	out       Output
 }
 
+// pending is the node that may hold a team that this node is to hold.
+type pending struct {
+	node  string
+	asked time.Time
+}
+
 // member is an account and the node that another one named as its team's holder.
 type member struct {
 	*Account
 	redirect   string // empty if none has
 	redirected time.Time
+	cut        cut // from the node that holds the team
 }
 
 // NewNode returns a node without teams.
@@ -106,13 +125,18 @@
 		part:     Part{Live: 1, Nodes: UnknownSize, Silence: MaxGap},
 		teams:    map[string]Terms{},
 		holderOf: map[string]string{},
+		nextOf:   map[string]string{},
 		held:     map[string]*Holder{},
+		deputies: map[string]*deputy{},
+		pending:  map[string]pending{},
 		accounts: map[string]*member{},
 	}
 }
 
 // SetTeams replaces the teams and their limits. The next SetView puts them in force.
-func (n *Node) SetTeams(teams map[string]Terms) { n.teams = teams }
+func (n *Node) SetTeams(teams map[string]Terms) {
+	n.teams, n.names = teams, slices.Sorted(maps.Keys(teams))
+}
 
 // Active reports whether a team has an allowance, or had one that is still in use.
 func (n *Node) Active() bool { return len(n.teams) > 0 || len(n.accounts) > 0 || len(n.held) > 0 }
@@ -154,6 +178,7 @@
 func (n *Node) addAccount(now time.Time, team string, terms Terms) *member {
 	m := &member{Account: NewAccount(now, n.config.FirstKey, terms, n.part)}
 	n.accounts[team] = m
+	n.order = slices.Sorted(maps.Keys(n.accounts))
 	return m
 }
 
@@ -181,7 +206,8 @@
 
 // Tick carries all teams' queries on and returns unused tokens. Call it often.
 func (n *Node) Tick(now time.Time) Output {
-	for team, m := range n.accounts {
+	for _, team := range n.order {
+		m := n.accounts[team]
 		if m.Idle() {
 			continue
 		}
@@ -211,9 +237,12 @@
 			n.send(from, Message{Team: m.Team, Grant: &g})
 		}
 	case m.Grant != nil && acc != nil:
+		n.heard(m.Team, from, acc)
 		n.out.Decided = append(n.out.Decided, acc.Receive(now, from, *m.Grant)...)
 		n.step(now, m.Team, acc)
 	case m.Redirect != nil && acc != nil:
+		n.stoppedHolding(now, m.Team, from, m.Redirect.Holder)
+		n.heard(m.Team, from, acc)
 		acc.follow(now, from, *m.Redirect)
 		n.step(now, m.Team, acc)
 	case m.Handover != nil:
@@ -232,14 +261,14 @@
 // that are due.
 func (n *Node) step(now time.Time, team string, m *member) {
 	for {
-		holder := n.holderOf[team]
-		if m.redirect != "" && now.Sub(m.redirected) < redirectFor {
-			holder = m.redirect
+		if m.Overdue(now) {
+			n.giveUp(now, team, m)
 		}
-		if holder == "" && !m.Idle() || m.Overdue(now) {
-			n.out.Decided = append(n.out.Decided, m.GiveUp(now)...)
+		target, instead := n.target(now, team, m)
+		if target == "" && !m.Idle() {
+			n.giveUp(now, team, m)
 		}
-		q, to, due := m.Ask(now, holder)
+		q, to, due := m.Ask(now, target, instead)
 		if !due {
 			return
 		}
@@ -271,12 +300,17 @@
 			return g, nil
 		}
 	}
+	if q.Instead {
+		if g, granted := n.deputize(now, team, from, q); granted {
+			return g, nil
+		}
+	}
 	holder := n.holderOf[team]
 	if holder == n.config.Self {
 		// It takes over from the node that ranks next.
 		holder = ""
-		if ranked := resumption.HoldersOf(team, n.view.Candidates, 2); len(ranked) > 1 && !h.Open(now) {
-			holder = ranked[1]
+		if h != nil && !h.Open(now) {
+			holder = n.nextOf[team]
 		}
 	}
 	if holder == from {
--- a/allowance/view.go
+++ b/allowance/view.go
@@ -1,6 +1,7 @@
 package allowance
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -18,6 +19,10 @@
 		clear(n.held)
 		clear(n.holderOf)
 		clear(n.since)
+		clear(n.deputies)
+		for _, m := range n.accounts {
+			m.cut = cut{}
+		}
 		first = true
 	}
 	same := slices.Equal(v.Candidates, n.view.Candidates)
@@ -26,24 +31,29 @@
 		if _, listed := n.teams[team]; !listed {
 			delete(n.held, team)
 			delete(n.holderOf, team)
+			delete(n.nextOf, team)
 		}
 	}
-	for team, terms := range n.teams {
+	for _, team := range n.names {
+		terms := n.teams[team]
 		if _, known := n.holderOf[team]; !same || !known {
 			n.setHolder(now, team, first)
 		}
 		if n.accounts[team] == nil {
 			n.addAccount(now, team, terms)
 		}
+		n.askPending(now, team)
 		if h := n.held[team]; h != nil {
 			h.Set(now, terms, n.part, v.Reached)
 		}
 	}
+	n.setDeputies(now)
 	for team, m := range n.accounts {
 		if terms, listed := n.teams[team]; listed {
 			m.Set(now, terms, n.part)
 		} else if m.Idle() {
 			delete(n.accounts, team)
+			n.order = slices.Sorted(maps.Keys(n.accounts))
 		}
 	}
 	return n.output()
@@ -54,15 +64,15 @@
 // counts only after that time. One that has just started was in no other part.
 func (n *Node) live(now time.Time, v View) int {
 	live := 1
-	for node, young := range v.Reached {
+	for node, contact := range v.Reached {
 		since, known := n.since[node]
 		switch {
-		case !known && young:
-			n.since[node] = now.Add(-v.Silence)
+		case !known && contact.Young:
+			n.since[node] = contact.Heard.Add(-v.Silence)
 			live++
 		case !known:
-			n.since[node] = now
-		case now.Sub(since) >= v.Silence:
+			n.since[node] = contact.Heard
+		case contact.Heard.Sub(since) >= v.Silence:
 			live++
 		}
 	}
@@ -71,13 +81,18 @@
 			delete(n.since, node)
 		}
 	}
+	if n.config.OthersExpected && !n.fleet.Known(now) {
+		// In a fleet that starts, each node knows of itself first. Were it to count itself, the
+		// nodes of a large fleet would have several times the rate.
+		live--
+	}
 	return live
 }
 
 // older reports whether a node is reached that did not just start.
 func (v View) older() bool {
-	for _, young := range v.Reached {
-		if !young {
+	for _, contact := range v.Reached {
+		if !contact.Young {
 			return true
 		}
 	}
@@ -93,8 +108,11 @@
 	before := n.holderOf[team]
 	ranked := append(resumption.HoldersOf(team, n.view.Candidates, 2), "", "")
 	holder := ranked[0]
-	n.holderOf[team] = holder
+	n.holderOf[team], n.nextOf[team] = holder, ranked[1]
 	h := n.held[team]
+	if m := n.accounts[team]; m != nil && holder != before {
+		m.cut = cut{}
+	}
 	switch {
 	case holder == n.config.Self && h == nil:
 		c := Change{Team: team, Holding: true, Reason: NoOther}
@@ -107,7 +125,14 @@
 		case before != "":
 			c.Reason, c.Other = NotReached, before
 		}
+		if d := n.deputies[team]; d != nil {
+			delete(n.deputies, team)
+			n.held[team] = d.Holder
+			n.change(c)
+			return
+		}
 		n.nextEpoch++
+		n.pending[team] = pending{node: c.Other}
 		n.held[team] = NewHolder(now, n.nextEpoch, n.teams[team], n.part, now.Add(c.Opens))
 		n.change(c)
 	case holder != n.config.Self && h != nil:
@@ -119,3 +144,33 @@
 		}
 	}
 }
+
+// askPending asks the node that may hold the team whether it still does. Its bucket comes in a message
+// of its own, which may be lost.
+func (n *Node) askPending(now time.Time, team string) {
+	h, p := n.held[team], n.pending[team]
+	if h == nil || h.Open(now) || p.node == "" {
+		delete(n.pending, team)
+		return
+	}
+	if now.Sub(p.asked) >= contactEvery {
+		n.pending[team] = pending{p.node, now}
+		q := n.accounts[team].ReturnQuery(Return{})
+		n.send(p.node, Message{Team: team, Query: &q})
+	}
+}
+
+// stoppedHolding records that the node does not hold the team, but the other one, as far as it knows.
+// If that is this node, or it knows none, this node grants tokens from now on.
+func (n *Node) stoppedHolding(now time.Time, team, from, other string) {
+	h, p := n.held[team], n.pending[team]
+	switch {
+	case h == nil || h.Open(now) || p.node != from:
+	case other == "" || other == n.config.Self:
+		h.open(now)
+		delete(n.pending, team)
+		n.change(Change{Team: team, Holding: true, Reason: HandedOver, Other: from})
+	default:
+		n.pending[team] = pending{node: other}
+	}
+}
--- a/internal/front/allowance_messages.go
+++ b/internal/front/allowance_messages.go
@@ -42,6 +42,7 @@
 
 	Unheard bool `json:"u,omitempty"`
 	Last    bool `json:"z,omitempty"`
+	Instead bool `json:"i,omitempty"`
 }
 
 // grantState is the encoded form of an allowance.Grant.
@@ -74,7 +75,7 @@
 	case m.Query != nil:
 		q := m.Query
 		out.Query = &queryState{Key: q.Key, Team: m.Team, Needs: q.Needs, Ahead: q.Ahead, Stock: q.Stock, Return: q.Return, Epoch: q.Epoch,
-			Unheard: q.Unheard, Last: q.Last}
+			Unheard: q.Unheard, Last: q.Last, Instead: q.Instead}
 	case m.Grant != nil:
 		g := m.Grant
 		out.Grant = &grantState{Key: g.Key, Team: m.Team, Epoch: g.Epoch, Admitted: g.Admitted, Ahead: g.Ahead, WaitMS: g.Wait.Milliseconds()}
@@ -95,7 +96,7 @@
 	case s.Query != nil:
 		q := s.Query
 		return allowance.Message{Team: q.Team, Query: &allowance.Query{Key: q.Key, Needs: q.Needs, Ahead: q.Ahead, Stock: q.Stock, Return: q.Return, Epoch: q.Epoch,
-			Unheard: q.Unheard, Last: q.Last}}
+			Unheard: q.Unheard, Last: q.Last, Instead: q.Instead}}
 	case s.Grant != nil:
 		g := s.Grant
 		wait := time.Duration(max(0, min(g.WaitMS, maxWaitMS))) * time.Millisecond
--- a/internal/front/allowance_view.go
+++ b/internal/front/allowance_view.go
@@ -31,7 +31,7 @@
 func (n *Node) fleetView(now time.Time) (allowance.View, map[string]bool) {
 	p := n.peers
 	known := map[string]bool{}
-	v := allowance.View{Reached: map[string]bool{}, Silence: reachedTimeout(max(p.farInterval(), p.sendInterval()))}
+	v := allowance.View{Reached: map[string]allowance.Contact{}, Silence: reachedTimeout(max(p.farInterval(), p.sendInterval()))}
 	var candidates []holderCandidate
 	if n.ready() {
 		candidates = append(candidates, holderCandidate{n.settings.IP, now.Sub(p.startedAt) < youngFor, vmClass(n.settings) == 0})
@@ -46,7 +46,7 @@
 			continue
 		}
 		young := time.Duration(other.SentMS)*time.Millisecond+silent < youngFor
-		v.Reached[ip] = young
+		v.Reached[ip] = allowance.Contact{Heard: other.received, Young: young}
 		if other.Ready && !other.Stopping {
 			candidates = append(candidates, holderCandidate{ip, young, other.VMClass == 0})
 		}
--- a/internal/front/received.go
+++ b/internal/front/received.go
@@ -78,6 +78,9 @@
 		return
 	}
 	if !p.alive(now) || p.Incarnation != m.Incarnation {
+		if t := n.desired.Load(); t != nil && len(t.Teams) > 0 {
+			p.lastSent = time.Time{} // allowances are divided by what a node knows of the others, so it is told soon
+		}
 		level.Info(n.log).Log("event", "peer", "peer", m.Node, "address", m.IP, "zone", m.Zone, "run", m.Incarnation)
 	}
 	delay := p.delays.observe(now, m.Incarnation, m.SentMS)
