--- a/allowance/account.go
+++ b/allowance/account.go
@@ -13,7 +13,7 @@
 	usageSlot     = 100 * time.Millisecond  // time whose usage is asked for ahead
 	askAgainAfter = 100 * time.Millisecond  // time after which a holder that did not answer is asked again
 	contactEvery  = 400 * time.Millisecond  // interval at which a node that uses a team's tokens asks at least, so that both sides notice a cut
-	contactFor    = 5 * time.Second         // time after its last request for which it does so
+	contactFor    = 8 * time.Second         // time after its last request for which it does so
 	cutAfter      = 1300 * time.Millisecond // time without an answer after which a node relies on the holder to have noticed; longer than lostAfter
 	maxRedirects  = 2                       // nodes that may name another holder before a query is given up
 )
@@ -87,6 +87,7 @@
 	own     bucket    // the node's own budget
 	answer  time.Time // when a holder last answered
 	silent  bool      // the latest query was not answered
+	unheard string    // the node that did not answer it
 	probe   int64     // tokens asked for since then
 	again   time.Time // until when no holder is asked again after a query that was not answered
 	latest  time.Time // latest request
@@ -172,7 +173,7 @@
 	a.nextKey++
 	a.active = a.active && now.Sub(a.latest) < contactFor
 	a.contact = now
-	q := &asked{holder: holder, began: now, query: Query{Key: a.nextKey, Stock: a.stock(), Unheard: a.silent, Last: !a.active, Instead: instead}}
+	q := &asked{holder: holder, began: now, query: Query{Key: a.nextKey, Stock: a.stock(), Unheard: a.silent && a.unheard == holder, Last: !a.active, Instead: instead}}
 	for _, w := range a.waiters[:min(MaxNeeds, len(a.waiters))] {
 		q.query.Needs, q.keys = append(q.query.Needs, w.tokens), append(q.keys, w.key)
 	}
@@ -189,6 +190,9 @@
 // GiveUp ends the query in progress, whose holder does not answer, and decides about all requests
 // that wait by the node's own budget. A grant that arrives later is not used.
 func (a *Account) GiveUp(now time.Time) []Decision {
+	if a.asked != nil {
+		a.unheard = a.asked.holder
+	}
 	a.asked, a.hops, a.silent, a.again = nil, 0, true, now.Add(askAgainAfter)
 	var decisions []Decision
 	for _, w := range a.waiters {
--- a/allowance/holder.go
+++ b/allowance/holder.go
@@ -79,7 +79,7 @@
 // that ends its regular queries that got lost.
 func (b *borrower) lost(now time.Time, part Part) bool {
 	silent := now.Sub(b.at)
-	return b.unheard || b.regular && silent >= lostAfter && silent < part.Silence+lostAfter
+	return (b.unheard || b.regular && silent >= lostAfter) && silent < part.Silence+lostAfter
 }
 
 // NewHolder returns the bucket of a team that nobody is known to hold. What was spent before is not
