--- a/internal/front/received.go
+++ b/internal/front/received.go
@@ -21,7 +21,7 @@
 func (n *Node) receive(ctx context.Context) error {
 	buffer := make([]byte, maxDatagram)
 	for {
-		size, _, err := n.peers.socket.ReadFromUDP(buffer)
+		size, from, err := n.peers.socket.ReadFromUDP(buffer)
 		if errors.Is(err, net.ErrClosed) || ctx.Err() != nil {
 			return nil
 		}
@@ -30,7 +30,7 @@
 			sleep(ctx, sendInterval)
 			continue
 		}
-		if n.receiveStreams(buffer[:size]) || n.receiveConfirm(buffer[:size]) || n.receiveAllowance(buffer[:size]) {
+		if n.receiveStreams(buffer[:size]) || n.receiveConfirm(buffer[:size]) || n.receiveAllowance(from.IP, buffer[:size]) {
 			continue
 		}
 		m, err := decodeMessage(buffer[:size])
@@ -79,6 +79,9 @@
 		return
 	}
 	if !p.alive(now) || p.Incarnation != m.Incarnation {
+		if t := n.desired.Load(); t != nil && len(t.Teams) > 0 {
+			p.lastSent = time.Time{} // allowances are divided by what a node knows of the others, so it is told soon
+		}
 		level.Info(n.log).Log("event", "peer", "peer", m.Node, "address", m.IP, "zone", m.Zone, "run", m.Incarnation)
 	}
 	delay := p.delays.observe(now, m.Incarnation, m.SentMS)
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -37,6 +37,7 @@
 	keyRejects   metric.Int64Counter
 	waits        waitMetrics
 	limitChanges metric.Int64Counter
+	allowance    allowanceMetrics
 	labelOptions sync.Map // labels -> metric.MeasurementOption
 }
 
@@ -106,7 +107,7 @@
 // addInstruments registers all instruments and returns the first error.
 func (m *Metrics) addInstruments() error {
 	meter := m.provider.Meter("redwingnotch")
-	var errs [15]error
+	var errs [16]error
 	m.requests, errs[0] = meter.Int64Counter("redwingnotch_requests", metric.WithDescription("Requests by kind, rank, outcome and code."))
 	m.duration, errs[1] = meter.Float64Histogram("redwingnotch_request_duration", metric.WithUnit("s"),
 		metric.WithDescription("Time from arrival to the end of the answer."), metric.WithExplicitBucketBoundaries(latencyBounds...))
@@ -131,6 +132,7 @@
 		metric.WithDescription("Requests rejected because of their API keys, by status and reason."))
 	m.limitChanges, errs[14] = meter.Int64Counter("redwingnotch_server_limit_changes",
 		metric.WithDescription("Changes of backend servers' concurrency limits, by cause and by whose evidence it was."))
+	errs[15] = m.allowance.add(meter)
 	for _, err := range errs {
 		if err != nil {
 			return err
