--- a/replicas/limits.go
+++ b/replicas/limits.go
@@ -17,6 +17,7 @@
 	maxLimitGap     = 15 * time.Second       // upper limit of that time
 	borrowDelay     = 300 * time.Millisecond // a node disregards the gap after the other nodes have used less than half the limit for so long
 	borrowStep      = 50 * time.Millisecond  // what each node in the order of rank waits longer
+	maxBorrowDelay  = 4 * time.Second        // upper limit of the whole
 	rankInterval    = time.Second            // interval at which the rank is determined again
 	droppedToldFor  = 5 * time.Second        // time for which other nodes are told that a limit was dropped
 	yieldShare      = 0.5                    // part of its slots up to which a server with a limit is used if all other servers are full
@@ -247,7 +248,7 @@
 		p.underused = time.Time{}
 	case p.underused.IsZero():
 		p.underused = now
-	case now.Sub(p.underused) >= borrowDelay+time.Duration(rank)*borrowStep:
+	case now.Sub(p.underused) >= min(maxBorrowDelay, borrowDelay+time.Duration(rank)*borrowStep):
 		return false
 	}
 	return now.Sub(p.sentAt) < gap || now.Sub(p.since) < gap*time.Duration(rank)/time.Duration(nodes)
