pace, replicas: tests of false reports, and of recoveries without cause

Cause: three changes of the code passed the tests: recoveries that set limits in any service, single answers without a bound, and reports believed after good answers. Change: TestFalseReportIsDoubted; the other two are in existing tests. Result: each of these changes now fails a test.

--- a/pace/pace_test.go
+++ b/pace/pace_test.go
@@ -150,6 +150,9 @@
 		assert.Check(t, found >= c.least && (c.least > 0 || found == 0), "%s: found %d times", c.name, found)
 	}
 	var s pace.Server
-	assert.Assert(t, !s.TurnedSlow(epoch, usual(rand.New(rand.NewPCG(1, 3))), time.Hour, 1), "one answer shows nothing")
+	u := usual(rand.New(rand.NewPCG(1, 3)))
+	for range 3 {
+		assert.Assert(t, !s.TurnedSlow(epoch, u, time.Hour, 1), "few answers show nothing, however late")
+	}
 	assert.Assert(t, !s.TurnedSlow(epoch, &pace.Usual{}, time.Hour, 9), "nothing is usual yet")
 }
--- a/replicas/limits_test.go
+++ b/replicas/limits_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -196,10 +197,33 @@
 		}
 		_, _ = tab.Choose(now, Requirement{Service: "plain", Zone: "z"})
 	}
+	assert.Equal(t, len(tab.Limits(now)), 0)
 	tab.SetEntry(now, Entry{ID: "s0", Start: 2, Revision: 2, Service: "plain", Address: "10.0.1.1:80", Zone: "z", Slots: 6})
-	for _, l := range tab.Limits(now) {
-		assert.Equal(t, l.ID, "slow")
+	assert.Equal(t, len(tab.Limits(now)), 0)
+	assert.Equal(t, len(tab.TakeLimitChanges()), 2, "of the server that says that it is slow")
+}
+
+// TestFalseReportIsDoubted guards against a sound server that always reports to be slow and gets a limit
+// with each of its slower answers.
+func TestFalseReportIsDoubted(t *testing.T) {
+	tab, now := limitTable("other", "false"), simEpoch
+	answer := func(id string, took time.Duration, reported float64) int {
+		now = now.Add(time.Second)
+		tab.SetReportedLoad(now, id, ReportedLoad{Requests: 4, Pace: reported})
+		tab.Observe(now, id, Answered, took)
+		return len(slices.DeleteFunc(tab.Limits(now), func(l ServerLimit) bool { return l.ID == "slow" }))
+	}
+	for range 40 {
+		answer("other", 100*time.Millisecond, 1)
+	}
+	assert.Equal(t, answer("false", 100*time.Millisecond, 6), 0, "a report alone")
+	assert.Equal(t, answer("false", 600*time.Millisecond, 6), 1)
+	for range 3 {
+		answer("false", 100*time.Millisecond, 6)
 	}
+	assert.Equal(t, answer("false", 600*time.Millisecond, 6), 0, "good answers have contradicted it")
+	answer("false", 100*time.Millisecond, 1)
+	assert.Equal(t, answer("false", 600*time.Millisecond, 6), 1)
 }
 
 // BenchmarkChooseLimited measures one choice of a server, half of which have limits.
