--- a/allowance/allowance_test.go
+++ b/allowance/allowance_test.go
@@ -226,3 +226,21 @@
 	single.Observe(at(2000), 1)
 	assert.Equal(t, single.Size(at(2000)), 1)
 }
+
+// TestNodeOfAnotherPartCountsLate guards against two parts of a fleet that both count a node which moves
+// between them, and so exceed the rate together.
+func TestNodeOfAnotherPartCountsLate(t *testing.T) {
+	n := NewNode(start, Config{Self: "a", Span: time.Minute})
+	n.SetTeams(map[string]Terms{"team": terms})
+	for ms := 0; ms <= 5000; ms += 100 {
+		now := start.Add(time.Duration(ms) * time.Millisecond)
+		v := View{Candidates: []string{"a"}, Silence: 2 * time.Second, Reached: map[string]Contact{"b": {Heard: now}, "c": {Heard: now, Young: true}}}
+		if ms == 3000 {
+			delete(v.Reached, "b") // and comes back
+		}
+		n.SetView(now, v)
+		counted := ms >= 2000 && ms < 3000 || ms >= 5100
+		want := map[bool]int{false: 2, true: 3}[counted] // c has just started, so it was in no other part
+		assert.Equal(t, n.Part().Live, want, "%d ms", ms)
+	}
+}
