allowance: a test that nothing is sent without requests

Cause: deployments without teams or requests are to be served as before, which no test showed. Change: TestNothingIsSentWithoutRequests.

--- a/allowance/allowance_test.go
+++ b/allowance/allowance_test.go
@@ -244,3 +244,18 @@
 		assert.Equal(t, n.Part().Live, want, "%d ms", ms)
 	}
 }
+
+// TestNothingIsSentWithoutRequests guards against messages in deployments that have no teams, or whose
+// teams send nothing.
+func TestNothingIsSentWithoutRequests(t *testing.T) {
+	n := NewNode(start, Config{Self: "a", Span: time.Minute})
+	assert.Assert(t, !n.Active())
+	n.SetTeams(map[string]Terms{"held": terms, "team": terms, "other": terms})
+	for ms := 0; ms <= 5000; ms += 20 {
+		now := start.Add(time.Duration(ms) * time.Millisecond)
+		view := View{Candidates: []string{"a", "b"}, Silence: 2 * time.Second, Reached: map[string]Contact{"b": {Heard: now}}}
+		// A node that starts asks the one that may have held its teams before.
+		assert.Assert(t, len(n.SetView(now, view).Send) == 0 || ms < 2000, "%d ms", ms)
+		assert.Equal(t, len(n.Tick(now).Send), 0)
+	}
+}
