--- a/allowance/allowance.go
+++ b/allowance/allowance.go
@@ -38,11 +38,11 @@
 // Parts of the margin, which together stay below it: what several nodes may use beyond one
 // bucket at the rate because they can't know of each other in time.
 const (
-	newHolderPart    = 1. / 16 // bucket of a new holder
-	aheadPart        = 1. / 32 // tokens that nodes hold for requests to come
+	newHolderPart    = 1. / 8  // bucket of a new holder
+	aheadPart        = 1. / 8  // tokens that nodes hold for requests to come
 	overdraftPart    = 1. / 8  // debt that buckets of parts of the fleet may have
-	ownBudgetPart    = 1. / 2  // budgets of nodes whose holder does not answer
-	ownPerWindowPart = 1. / 4  // what these budgets gain in a window while holders answer
+	ownBudgetPart    = 3. / 8  // budgets of nodes whose holder does not answer
+	ownPerWindowPart = 3. / 16 // what these budgets gain in a window while holders answer
 )
 
 // margin returns by how many tokens the rate and the burst may be exceeded in a window.
@@ -50,24 +50,6 @@
 	return t.Overage*(t.Rate*t.Window.Seconds()+t.burst()) + t.Slack
 }
 
-// RegularPart is the part of the margin that teams may use at any time. Callers lose what is
-// rejected within the limit that the operators enforce, so the margin is not kept for faults alone.
-const RegularPart = 1. / 4
-
-// UseMargin returns the terms under which a team may regularly use the part of its margin, and
-// only the rest is left for nodes that can't know of each other in time. A team without a limit
-// stays without one.
-func (t Terms) UseMargin(part float64) Terms {
-	if t.Rate <= 0 || t.Window <= 0 {
-		return t
-	}
-	left := (1 - part) * t.margin()
-	grown := 1 + part*t.Overage
-	burst := grown*t.burst() + part*t.Slack/2
-	rate := grown*t.Rate + part*t.Slack/2/t.Window.Seconds()
-	return Terms{Rate: rate, Burst: burst, Window: t.Window, Slack: left}
-}
-
 // Part is the part of the fleet that a node reaches.
 type Part struct {
 	Live    int           // nodes that are alive, as far as this node knows
--- a/allowance/model_test.go
+++ b/allowance/model_test.go
@@ -224,7 +224,7 @@
 		}
 		teams := map[string]allowance.Terms{}
 		for _, team := range m.teams {
-			teams[team.name] = team.terms.UseMargin(allowance.RegularPart)
+			teams[team.name] = team.terms
 		}
 		n.core.SetTeams(teams)
 		m.apply(n, n.core.SetView(m.time(), m.view(n)))
--- a/internal/front/allowance.go
+++ b/internal/front/allowance.go
@@ -56,8 +56,7 @@
 
 // termsOf returns the team's limits.
 func (a *allowances) termsOf(t *routes.Team) allowance.Terms {
-	terms := allowance.Terms{Rate: t.Rate, Burst: t.Burst, Window: a.bounds.QuotaWindow, Overage: a.bounds.QuotaOverage, Slack: a.bounds.QuotaSlack}
-	return terms.UseMargin(allowance.RegularPart)
+	return allowance.Terms{Rate: t.Rate, Burst: t.Burst, Window: a.bounds.QuotaWindow, Overage: a.bounds.QuotaOverage, Slack: a.bounds.QuotaSlack}
 }
 
 // takeAllowance takes the request's tokens out of its team's allowance. If there are not enough, it
