front: nodes that hold teams are told which nodes are alive

Change: each node sends the nodes that hold teams a short datagram each 400 ms, which counts as contact.

--- a/allowance/node.go
+++ b/allowance/node.go
@@ -147,6 +147,18 @@
 // HolderOf returns the node that holds the team; empty if unknown.
 func (n *Node) HolderOf(team string) string { return n.holderOf[team] }
 
+// Holders returns the other nodes that hold teams, as far as this node knows, sorted.
+func (n *Node) Holders() []string {
+	var holders []string
+	for _, holder := range n.holderOf {
+		if holder != "" && holder != n.config.Self {
+			holders = append(holders, holder)
+		}
+	}
+	slices.Sort(holders)
+	return slices.Compact(holders)
+}
+
 // Silent reports whether the team's holder does not answer, and the time since one last did.
 func (n *Node) Silent(now time.Time, team string) (time.Duration, bool) {
 	if m := n.accounts[team]; m != nil {
--- a/internal/front/allowance.go
+++ b/internal/front/allowance.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net/http"
 	"sync"
 	"time"
@@ -28,9 +29,11 @@
 
 	mu        sync.Mutex // guards the fields below
 	node      *allowance.Node
-	table     *routes.Table   // the desired state of which the node has the teams
-	viewed    time.Time       // when the view of the fleet was derived
-	known     map[string]bool // IPs of other nodes that are alive
+	table     *routes.Table        // the desired state of which the node has the teams
+	viewed    time.Time            // when the view of the fleet was derived
+	known     map[string]bool      // IPs of other nodes that are alive
+	heard     map[string]time.Time // when the latest datagram about allowances came from one of them
+	contacted time.Time            // when holders were last told that this node is alive
 	waiting   map[uint64]chan allowance.Decision
 	nextKey   uint64 // key of the latest request in waiting
 	summaries map[string]*allowanceSummary
@@ -49,6 +52,7 @@
 		node: allowance.NewNode(now, allowance.Config{
 			Self: s.IP, FirstKey: firstKey, Span: s.Bounds.RevocationTimeout + heardAfterRevocation, OthersExpected: hasOtherSeeds(s),
 		}),
+		heard:     map[string]time.Time{},
 		waiting:   map[uint64]chan allowance.Decision{},
 		summaries: map[string]*allowanceSummary{},
 	}
@@ -185,13 +189,14 @@
 			a.viewed = now
 			view, known := n.fleetView(now)
 			a.known = known
+			maps.DeleteFunc(a.heard, func(ip string, _ time.Time) bool { return !known[ip] })
 			out = a.node.SetView(now, view)
 			a.apply(out)
 			a.logSummaries(now)
 		}
 		ticked := a.node.Tick(now)
 		a.apply(ticked)
-		out.Send = append(out.Send, ticked.Send...)
+		out.Send = append(append(out.Send, ticked.Send...), n.contactHolders(now)...)
 	}
 	a.mu.Unlock()
 	n.sendAllowances(out.Send)
--- a/internal/front/allowance_messages.go
+++ b/internal/front/allowance_messages.go
@@ -13,7 +13,7 @@
 )
 
 // allowanceMessage is the encoded form of an allowance.Message, in a datagram of its own. Builds
-// before it drop such a datagram.
+// before it drop such a datagram. One that has only the IP says that its sender is alive.
 type allowanceMessage struct {
 	IP       string         `json:"a"` // IP of the sender
 	Query    *queryState    `json:"q,omitempty"`
@@ -128,6 +128,22 @@
 	}
 }
 
+// contactHolders tells the nodes that hold teams that this one is alive. They divide an allowance
+// by the nodes that they reach, and the messages about the fleet, which come each 2 s from other
+// zones at 90 nodes and later from VMs with slow links, do not tell them in time.
+func (n *Node) contactHolders(now time.Time) []allowance.Outgoing {
+	a := n.allowances
+	if now.Sub(a.contacted) < contactInterval {
+		return nil
+	}
+	a.contacted = now
+	var out []allowance.Outgoing
+	for _, holder := range a.node.Holders() {
+		out = append(out, allowance.Outgoing{To: holder})
+	}
+	return out
+}
+
 // receiveAllowance handles a datagram about allowances. It returns false if the datagram is another
 // one. The datagram must come from the node that it names. Queries and handovers are taken from
 // nodes that are alive only; grants and redirects must answer a query in progress.
@@ -146,7 +162,14 @@
 	}
 	m := d.Allowance.decode()
 	a.mu.Lock()
+	if a.known[d.Allowance.IP] {
+		a.heard[d.Allowance.IP] = bootclock.Now()
+	}
 	var out allowance.Output
+	if m.Query == nil && m.Grant == nil && m.Redirect == nil && m.Handover == nil {
+		a.mu.Unlock()
+		return true
+	}
 	if m.Grant != nil || m.Redirect != nil || a.known[d.Allowance.IP] {
 		out = a.node.Receive(bootclock.Now(), d.Allowance.IP, m)
 		a.apply(out)
--- a/internal/front/allowance_test.go
+++ b/internal/front/allowance_test.go
@@ -173,13 +173,20 @@
 	receive("127.0.9.12", 0, func(m *message) { m.Stopping = true })
 	receive("127.0.9.13", 0, func(m *message) { m.SentMS = 100 })
 	receive("127.0.9.14", 1100*time.Millisecond, func(*message) {})
+	// A node whose messages are late, but which has said since that it is alive.
+	receive("127.0.9.15", 1100*time.Millisecond, func(m *message) { m.Ready = false })
+	n.allowances.mu.Lock()
+	n.allowances.known = map[string]bool{"127.0.9.15": true}
+	n.allowances.mu.Unlock()
+	assert.Assert(t, n.receiveAllowance(net.ParseIP("127.0.9.15"), []byte(`{"allowance":{"a":"127.0.9.15"}}`)))
+	assert.Assert(t, n.receiveAllowance(net.ParseIP("127.0.9.16"), []byte(`{"allowance":{"a":"127.0.9.16"}}`)))
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	view, known := n.fleetView(now)
 	assert.DeepEqual(t, view.Candidates, []string{"127.0.9.10", "127.0.9.6"})
-	assert.DeepEqual(t, slices.Sorted(maps.Keys(view.Reached)), []string{"127.0.9.10", "127.0.9.11", "127.0.9.12", "127.0.9.13"})
+	assert.DeepEqual(t, slices.Sorted(maps.Keys(view.Reached)), []string{"127.0.9.10", "127.0.9.11", "127.0.9.12", "127.0.9.13", "127.0.9.15"})
 	assert.Assert(t, view.Reached["127.0.9.13"].Young && !view.Reached["127.0.9.10"].Young)
-	assert.Equal(t, len(known), 5)
+	assert.Equal(t, len(known), 6)
 	assert.DeepEqual(t, holderCandidates([]holderCandidate{{"a", false, true}, {"b", false, false}, {"c", false, false}, {"d", false, false}}), []string{"b", "c", "d"})
 }
 
--- a/internal/front/allowance_view.go
+++ b/internal/front/allowance_view.go
@@ -11,6 +11,7 @@
 
 // Limits of the view of the fleet that allowances are divided by.
 const (
+	contactInterval   = 400 * time.Millisecond // interval at which nodes that hold teams are told that a node is alive
 	viewInterval      = 100 * time.Millisecond // interval at which the view is derived again; well below allowance.MaxGap
 	minReachedTimeout = time.Second            // least time without a message after which a node does not count as reached
 	reachedIntervals  = 1.25                   // time without a message after which a node does not count as reached, in send intervals
@@ -27,7 +28,7 @@
 }
 
 // fleetView derives the view of the fleet, and the IPs of the other nodes that are alive. The caller
-// holds n.mu.
+// holds n.mu and the mutex of the allowances.
 func (n *Node) fleetView(now time.Time) (allowance.View, map[string]bool) {
 	p := n.peers
 	known := map[string]bool{}
@@ -41,12 +42,16 @@
 			continue
 		}
 		known[ip] = true
-		silent := now.Sub(other.received)
+		heard := other.received
+		if at := n.allowances.heard[ip]; at.After(heard) {
+			heard = at
+		}
+		silent := now.Sub(heard)
 		if silent >= reachedTimeout(other.interval()) {
 			continue
 		}
-		young := time.Duration(other.SentMS)*time.Millisecond+silent < youngFor
-		v.Reached[ip] = allowance.Contact{Heard: other.received, Young: young}
+		young := time.Duration(other.SentMS)*time.Millisecond+now.Sub(other.received) < youngFor
+		v.Reached[ip] = allowance.Contact{Heard: heard, Young: young}
 		if other.Ready && !other.Stopping {
 			candidates = append(candidates, holderCandidate{ip, young, other.VMClass == 0})
 		}
