Review: three requests that crash servers are sent on too often

Cause: contents under which the same servers end are refused one after the other, each after ends of its own, and let go again in between. Conclusion: a fault; nothing is mended.

--- a/review/trial/engine.go
+++ b/review/trial/engine.go
@@ -27,13 +27,16 @@
 
 // engine is a model server.
 type engine struct {
-	id, address string
-	trial       *trial
-	born        int64
-	stream      func(r *http.Request, number int) time.Duration // returns the pause before an event
+	id, address, zone string
+	trial             *trial
+	born              int64
+	stream            func(r *http.Request, number int) time.Duration // returns the pause before an event
+	begins            func(r *http.Request)                           // called when a run begins; may be nil
 
 	mu      sync.Mutex
 	held    []string
+	onDisk  []string
+	ended   bool // the server has crashed: it writes no entry any more
 	busy    bool
 	orders  int
 	beats   int
@@ -46,7 +49,7 @@
 	if err != nil {
 		return nil, err
 	}
-	e := &engine{id: id, address: l.Addr().String(), trial: t, born: time.Now().UnixMilli(), stream: pause, held: held}
+	e := &engine{id: id, address: l.Addr().String(), zone: "sk-central-a", trial: t, born: time.Now().UnixMilli(), stream: pause, held: held, onDisk: held}
 	go func() { _ = http.Serve(l, e) }()
 	return e, e.register()
 }
@@ -63,9 +66,13 @@
 // register writes the server's entry.
 func (e *engine) register() error {
 	e.mu.Lock()
+	if e.ended {
+		e.mu.Unlock()
+		return nil
+	}
 	e.beats++
-	entry := map[string]any{"service": "repair-llm", "address": e.address, "zone": "sk-central-a", "version": "v1", "slots": engineSlots, "state": "ready",
-		"cold_remaining_ms": 0, "sequence": e.beats, "born": e.born, "stage": "prefill_decode", "models": e.models(), "at_hand": map[string]any{"in_memory": []string{}, "on_disk": e.held}}
+	entry := map[string]any{"service": "repair-llm", "address": e.address, "zone": e.zone, "version": "v1", "slots": engineSlots, "state": "ready",
+		"cold_remaining_ms": 0, "sequence": e.beats, "born": e.born, "stage": "prefill_decode", "models": e.models(), "at_hand": map[string]any{"in_memory": []string{}, "on_disk": e.onDisk}}
 	e.mu.Unlock()
 	_, err := e.trial.put(platform.KindServers, e.id, entry)
 	return err
@@ -82,7 +89,7 @@
 		e.mu.Lock()
 		defer e.mu.Unlock()
 		_ = json.NewEncoder(w).Encode(map[string]any{"stage": "prefill_decode", "models": e.models(), "busy": e.busy, "sequence": e.orders, "waiting_requests": 0,
-			"running_requests": e.running, "kv_cache_used": 0, "kv_cache_total": 212161, "handles": 0, "born": e.born, "at_hand": map[string]any{"in_memory": []string{}, "on_disk": e.held}})
+			"running_requests": e.running, "kv_cache_used": 0, "kv_cache_total": 212161, "handles": 0, "born": e.born, "at_hand": map[string]any{"in_memory": []string{}, "on_disk": e.onDisk}})
 	case "/-/order":
 		e.serveOrder(w, r)
 	default:
@@ -116,7 +123,10 @@
 	e.busy = true
 	e.trial.record("server %s: %s %s ordered", e.id, o.Operation, o.Model)
 	took := unloadTime
-	if load {
+	switch {
+	case load && slices.Contains(e.onDisk, o.Model):
+		took = diskTime
+	case load:
 		took = loadTime
 	}
 	time.AfterFunc(took, func() {
@@ -124,6 +134,7 @@
 		e.busy = false
 		if load {
 			e.held = append(slices.Clone(e.held), o.Model)
+			e.onDisk = append(slices.Clone(e.onDisk), o.Model)
 		} else {
 			e.held = slices.DeleteFunc(slices.Clone(e.held), func(m string) bool { return m == o.Model })
 		}
@@ -135,6 +146,20 @@
 	w.WriteHeader(http.StatusAccepted)
 }
 
+// end records that the server has crashed.
+func (e *engine) end() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.ended = true
+}
+
+// disk returns the models whose weights the server's disk has.
+func (e *engine) disk() []string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.Clone(e.onDisk)
+}
+
 // streamEvents is the number of events of each stream.
 const streamEvents = 12
 
@@ -151,6 +176,9 @@
 	}
 	last, _ := strconv.Atoi(r.Header.Get(platform.HeaderLastEventID)) // zero if there is none
 	e.trial.record("server %s: runs %s after event %d", e.id, id, last)
+	if e.begins != nil {
+		e.begins(r)
+	}
 	w.Header().Set(platform.HeaderStamp, "stamp-"+e.id)
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.Header().Set("Redwingnotch-Weight-Versions", "1")
