front: a request that has paid for its tokens and whose key is judged again is answered

What callers saw: requests that waited for a server while their key was taken away got no response; the node closed the connection 1 to 4 s after their last byte. They are to get 401 or 503.

Cause: exchange.returnAllowance gave tokens back to x.team, the team of the latest check of the key. The check before each attempt (authorizeAttempt) sets it anew: to nil if the state is known to be behind or is unconfirmed, and on public routes if the key was removed. The handler panicked, and net/http closed the connection with the response still in its buffer.

Change: the charge names the team that it was taken from.

--- a/internal/front/allowance.go
+++ b/internal/front/allowance.go
@@ -63,6 +63,13 @@
 	return allowance.Terms{Rate: t.Rate, Burst: t.Burst, Window: a.bounds.QuotaWindow, Overage: a.bounds.QuotaOverage, Slack: a.bounds.QuotaSlack}
 }
 
+// teamCharge is what a request has taken out of the allowance of a team. It names the team, because
+// each check of the request's key sets the request's team anew.
+type teamCharge struct {
+	team string
+	allowance.Charge
+}
+
 // takeAllowance takes the request's tokens out of its team's allowance. If there are not enough, it
 // responds and returns false.
 func (x *exchange) takeAllowance() bool {
@@ -81,7 +88,7 @@
 		x.refuseOverAllowance(d.RetryAfter)
 		return false
 	}
-	x.charge = d.Charge
+	x.charge = teamCharge{x.team.Name, d.Charge}
 	return true
 }
 
@@ -101,8 +108,8 @@
 	a := x.node.allowances
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.node.GiveBack(bootclock.Now(), x.team.Name, x.charge)
-	a.metrics.AllowanceTokens(x.team.Name, "returned", "", x.charge.Tokens)
+	a.node.GiveBack(bootclock.Now(), x.charge.team, x.charge.Charge)
+	a.metrics.AllowanceTokens(x.charge.team, "returned", "", x.charge.Tokens)
 }
 
 // takeTokens takes the tokens out of the team's allowance and waits for the holder if need be. It
--- a/internal/front/serve.go
+++ b/internal/front/serve.go
@@ -12,7 +12,6 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/go-kit/log/level"
 
-	"github.com/redwingnotch/redwingnotch/allowance"
 	"github.com/redwingnotch/redwingnotch/credentials"
 	"github.com/redwingnotch/redwingnotch/internal/bootclock"
 	"github.com/redwingnotch/redwingnotch/internal/bytebudget"
@@ -52,10 +51,10 @@
 	content      uint64              // see contentHash; zero until it is needed
 	traitKeys    []poison.Key        // see traits; nil until they are needed
 	arrived      time.Time
-	deadline     time.Time        // end of the caller's or the route's time limit, whichever is earlier
-	prefixKey    string           // hash of the parts of the prompt that other requests may share; may be empty
-	sharedTokens int              // number of tokens in those parts
-	charge       allowance.Charge // tokens that it has taken out of its team's allowance
+	deadline     time.Time  // end of the caller's or the route's time limit, whichever is earlier
+	prefixKey    string     // hash of the parts of the prompt that other requests may share; may be empty
+	sharedTokens int        // number of tokens in those parts
+	charge       teamCharge // tokens that it has taken out of a team's allowance
 
 	sends           int                  // attempts, including those that the server refused
 	runs            int                  // attempts that the server may have run
