telemetry: a log line after Close ends no process

Cause: BoundedWriter.Write sent on a closed channel after Close. A stop leaves goroutines behind (checkEnded, checkIdleDrop) that log what they find; the process ends with a panic if its output blocks meanwhile.

Change: lines after Close are dropped. TestBoundedWriterDropsLinesAfterClose: "send on closed channel" before, passes after, also with the race detector.

--- a/internal/telemetry/bounded.go
+++ b/internal/telemetry/bounded.go
@@ -25,6 +25,9 @@
 	limiter *rate.Limiter
 	dropped atomic.Uint64
 	done    sync.WaitGroup
+
+	mu     sync.RWMutex // held for writing by Close only
+	closed bool
 }
 
 // NewBoundedWriter returns a writer to out and starts its goroutine, which Close
@@ -36,9 +39,11 @@
 }
 
 // Write implements io.Writer for one line. It never blocks and never fails, even
-// if it drops the line.
+// if it drops the line, as it does after Close.
 func (w *BoundedWriter) Write(line []byte) (int, error) {
-	if !w.limiter.Allow() {
+	w.mu.RLock()
+	defer w.mu.RUnlock()
+	if w.closed || !w.limiter.Allow() {
 		w.dropped.Add(1)
 		return len(line), nil
 	}
@@ -64,9 +69,12 @@
 	}
 }
 
-// Close writes the queued lines and stops the goroutine. Write must not be called
-// afterwards.
+// Close writes the queued lines and stops the goroutine. Call it once. Goroutines that a stop
+// leaves behind may still call Write.
 func (w *BoundedWriter) Close() {
+	w.mu.Lock()
+	w.closed = true
 	close(w.lines)
+	w.mu.Unlock()
 	w.done.Wait()
 }
--- a/internal/telemetry/bounded_test.go
+++ b/internal/telemetry/bounded_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"strings"
+	"sync"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -51,3 +52,25 @@
 	w.Close()
 	assert.Assert(t, strings.Count(out.String(), "line\n") < lines/10)
 }
+
+// TestBoundedWriterDropsLinesAfterClose guards against a goroutine that a stop leaves behind and whose
+// log line ends the process with a panic.
+func TestBoundedWriterDropsLinesAfterClose(t *testing.T) {
+	var out bytes.Buffer
+	w := telemetry.NewBoundedWriter(&out)
+	var writers sync.WaitGroup
+	for range 4 {
+		writers.Go(func() {
+			for range 1000 {
+				_, _ = w.Write([]byte("line\n"))
+			}
+		})
+	}
+	w.Close()
+	writers.Wait()
+	written := out.Len()
+	n, err := w.Write([]byte("late\n"))
+	assert.NilError(t, err)
+	assert.Equal(t, n, len("late\n"))
+	assert.Equal(t, out.Len(), written)
+}
