front: a request whose handling panics is answered

The request's own log line had it as refused with 503.

Change: endPanicked, deferred around the handling, logs request_panic with the stack. A whole response without a body that was written is sent; a request without a response gets 500, which promises nothing, without headers of the response that failed; a response that has begun is broken off. Outcome and reason in the log and the metrics say panic.

TestPanickedRequestIsAnswered fails without the recovery, with the panics in the log of net/http, and passes with it, also with the race detector.

--- a/internal/front/serve.go
+++ b/internal/front/serve.go
@@ -67,6 +67,7 @@
 	software        *string              // version of the software of the server that began the stream; nil until one has
 	sentWithoutID   bool                 // an event without an ID was passed on since, which a resumed stream would repeat
 	responseStarted bool                 // a part of the response was passed on
+	emptyWritten    bool                 // a whole response without a body was written
 	framedByClose   bool                 // the response ends with the caller's connection
 	status          int                  // status of the final response; zero if the connection was closed instead
 	outcome         string               // how the request ended, for the log and the metrics
@@ -91,6 +92,7 @@
 	defer x.log()
 	x.held = n.bodies.Hold()
 	defer x.held.Release()
+	defer x.endPanicked()
 	defer x.returnAllowance()
 	if x.limitWrite() && x.admit() {
 		x.run()
@@ -395,6 +397,7 @@
 	x.w.Header().Set("Content-Length", "0")
 	if x.limitWrite() {
 		x.w.WriteHeader(status)
+		x.emptyWritten = true
 	}
 }
 
