front: the team whose key a request carries when it is sent pays for it

The same cause as a request that paid and is judged again, on a related path: if a new desired state gives the key to another team while the request waits, it ran for that team, whose allowance it was not taken from, and tokens of one that did not run went to that team's allowance. Likewise a request without a team at its arrival (a public route, or a state that required no keys) ran for a team without paying.

Change: before an attempt the tokens go back to the team that paid, and the team of the key pays; the key is then checked once more. A request that a server may have run stays paid. A rejected request keeps its team in the log.

--- a/internal/front/allowance.go
+++ b/internal/front/allowance.go
@@ -63,8 +63,8 @@
 	return allowance.Terms{Rate: t.Rate, Burst: t.Burst, Window: a.bounds.QuotaWindow, Overage: a.bounds.QuotaOverage, Slack: a.bounds.QuotaSlack}
 }
 
-// teamCharge is what a request has taken out of the allowance of a team. It names the team, because
-// each check of the request's key sets the request's team anew.
+// teamCharge is what a request has taken out of the allowance of a team, no tokens if the team has none.
+// It names the team, because each check of the request's key sets the request's team anew.
 type teamCharge struct {
 	team string
 	allowance.Charge
@@ -74,6 +74,7 @@
 // responds and returns false.
 func (x *exchange) takeAllowance() bool {
 	if x.team == nil || x.team.Rate <= 0 {
+		x.charge = teamCharge{team: x.teamName()}
 		return true
 	}
 	ctx, cancel := context.WithTimeout(x.r.Context(), x.deadline.Sub(bootclock.Now()))
@@ -110,6 +111,7 @@
 	defer a.mu.Unlock()
 	a.node.GiveBack(bootclock.Now(), x.charge.team, x.charge.Charge)
 	a.metrics.AllowanceTokens(x.charge.team, "returned", "", x.charge.Tokens)
+	x.charge = teamCharge{}
 }
 
 // takeTokens takes the tokens out of the team's allowance and waits for the holder if need be. It
--- a/internal/front/credentials.go
+++ b/internal/front/credentials.go
@@ -166,8 +166,8 @@
 }
 
 // authorizeAttempt repeats the check immediately before an attempt, with the desired state then in
-// force: the request may have waited for long. If it may not be sent, it ends the request and returns
-// false.
+// force: the request may have waited for long. If the key is now another team's, that team pays for the
+// request. If it may not be sent, it ends the request and returns false.
 func (x *exchange) authorizeAttempt() bool {
 	table := x.node.desired.Load()
 	if !x.keyed && !table.RequireKeys {
@@ -183,15 +183,20 @@
 	}
 	before := x.team
 	d := x.checkKey()
-	if public || d.Result == credentials.Accepted {
-		return true
+	if !public && d.Result != credentials.Accepted {
+		reason := string(d.Result)
+		if before != nil && d.Result == credentials.Unknown {
+			reason = reasonKeyRemoved
+		}
+		x.team = before // for the log
+		x.rejectKey(d, reason)
+		return false
 	}
-	reason := string(d.Result)
-	if before != nil && d.Result == credentials.Unknown {
-		x.team, reason = before, reasonKeyRemoved // for the log
+	if x.runs > 0 || x.teamName() == x.charge.team {
+		return true
 	}
-	x.rejectKey(d, reason)
-	return false
+	x.returnAllowance()
+	return x.takeAllowance() && x.authorizeAttempt() // once more, as the holder of the allowance may have been waited for
 }
 
 // rejectKey ends a request that may not be sent because of its key.
