httpsend: an unframed response is whole only if the request was written whole

Cause: conn.Read turned io.EOF into a reset only if a write had failed with ECONNRESET.

Change: the body of an unframed response to a request with a body ends in order only once the request was written whole (httptrace.WroteRequest); if a write of its connection failed, for whatever reason, it is cut. At io.EOF the connection's writes end, so that this is known at once.

--- a/internal/httpsend/httpsend.go
+++ b/internal/httpsend/httpsend.go
@@ -169,6 +169,9 @@
 		return nil, fmt.Errorf("%w: %w", ErrMaybeSent, errSwitchedProtocols)
 	}
 	if err == nil {
+		if c := call.lastConn(); c != nil && FramingOf(resp) == FramingClose && req.Body != nil && req.Body != http.NoBody {
+			resp.Body = &unframedBody{resp.Body, req.Context(), call, c}
+		}
 		return resp, nil
 	}
 	cause := err
--- a/internal/httpsend/track.go
+++ b/internal/httpsend/track.go
@@ -3,13 +3,11 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
 	"sync"
-	"syscall"
 	"time"
 )
 
@@ -19,24 +17,18 @@
 // errWritesBlocked is returned by writes to a connection after blockWrites.
 var errWritesBlocked = errors.New("connection is closed for writing")
 
-// conn counts the writes of a connection that sent or may send bytes, and tells an
-// orderly end of what it reads from a reset.
+// conn counts the writes of a connection that sent or may send bytes, and tells when one has failed.
 type conn struct {
 	net.Conn
 	mu            sync.Mutex
 	writeCount    uint64
 	writesBlocked bool
-	reset         bool      // a write found the connection reset
-	writing       int       // writes in progress
-	written       sync.Cond // signals the end of a write
+	failed        bool          // a write has failed
+	writeFailed   chan struct{} // closed then
 }
 
 // newConn returns a conn without writes.
-func newConn(inner net.Conn) *conn {
-	c := &conn{Conn: inner}
-	c.written.L = &c.mu
-	return c
-}
+func newConn(inner net.Conn) *conn { return &conn{Conn: inner, writeFailed: make(chan struct{})} }
 
 // Write implements net.Conn. It counts the write before making it and reverts
 // the count if no byte was written, so that an unchanged count proves that nothing was sent.
@@ -47,40 +39,29 @@
 		return 0, errWritesBlocked
 	}
 	c.writeCount++
-	c.writing++
 	c.mu.Unlock()
 	n, err := c.Conn.Write(p)
+	if err == nil {
+		return n, nil
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.writing--
-	if n == 0 && err != nil {
+	if n == 0 {
 		c.writeCount--
 	}
-	c.reset = c.reset || errors.Is(err, syscall.ECONNRESET)
-	c.written.Broadcast()
+	if !c.failed {
+		c.failed = true
+		close(c.writeFailed)
+	}
 	return n, err
 }
 
-// errResetSeenByWrite means that a connection was reset, of which only a write was told.
-var errResetSeenByWrite = fmt.Errorf("connection ended during a write: %w", syscall.ECONNRESET)
-
-// Read implements net.Conn. The kernel reports a reset only once. If a write got it, a
-// read returns io.EOF, which would be the proper end of a response with FramingClose.
+// Read implements net.Conn. At the end of what it reads, a write in progress fails: the peer has sent
+// all that it will, so the rest of the request is of no use, and unframedBody must not wait for it.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	if !errors.Is(err, io.EOF) {
-		return n, err
-	}
-	// A write in progress may have got it, too. The peer has sent all that it will, so
-	// the rest of the request is of no use.
-	_ = c.Conn.SetWriteDeadline(time.Unix(1, 0)) // fails only on a closed connection, on which writes end
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for c.writing > 0 {
-		c.written.Wait()
-	}
-	if c.reset {
-		return n, errResetSeenByWrite
+	if errors.Is(err, io.EOF) {
+		_ = c.Conn.SetWriteDeadline(time.Unix(1, 0)) // fails only on a closed connection, on which writes end
 	}
 	return n, err
 }
@@ -118,6 +99,8 @@
 	untracked bool          // some connection was not opened through trackDial
 	reused    bool          // an earlier request had used some connection
 	idleFor   time.Duration // idle time of the latest connection before this request
+	whole     bool          // the request has been written whole
+	written   chan struct{} // closed then
 }
 
 // connUse is a connection on which the request was tried.
@@ -169,8 +152,8 @@
 
 // track returns a context whose HTTP request the returned call tracks.
 func track(ctx context.Context) (context.Context, *call) {
-	c := &call{}
-	trace := &httptrace.ClientTrace{GotConn: c.gotConn}
+	c := &call{written: make(chan struct{})}
+	trace := &httptrace.ClientTrace{GotConn: c.gotConn, WroteRequest: c.wroteRequest}
 	return httptrace.WithClientTrace(context.WithValue(ctx, callKey{}, c), trace), c
 }
 
@@ -196,6 +179,27 @@
 	c.connUses = append(c.connUses, connUse{conn: tracked, writesBefore: tracked.writes()})
 }
 
+// wroteRequest records that the request has been written. A failure is known by the connection: this may
+// be called late for one that was tried before.
+func (c *call) wroteRequest(info httptrace.WroteRequestInfo) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if info.Err == nil && !c.whole {
+		c.whole = true
+		close(c.written)
+	}
+}
+
+// lastConn returns the connection on which the request was tried last, nil if it is not tracked.
+func (c *call) lastConn() *conn {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.connUses) == 0 || c.untracked {
+		return nil
+	}
+	return c.connUses[len(c.connUses)-1].conn
+}
+
 // idleTime returns for how long the latest connection had been idle before.
 func (c *call) idleTime() time.Duration {
 	c.mu.Lock()
