httpsend: a status code that HTTP does not have is no response

A server sent an answer whose status was 000. net/http accepts any three characters that make a number: 000, 001, -00 and +20 as well as 600 and 999.

What callers saw: for codes below 100 a closed connection (WriteHeader panics on them, and since the handler recovers from panics the response is broken off), also where the request may be repeated; 600 and 999 as the server's answer. A Redwingnotch-Not-Run beside such a code was believed, and the request sent again or refused with 503.

Change: Do returns ErrMaybeSent for a code outside 100 to 599 and closes the connection. The request is repeated where its route allows that; otherwise its caller gets 502. The clients of the store and of the project's own interface get the same error.

--- a/internal/httpsend/httpsend.go
+++ b/internal/httpsend/httpsend.go
@@ -156,6 +156,13 @@
 // with the request's context.
 var errSwitchedProtocols = errors.New("server switched protocols")
 
+// errInvalidStatus means that a server sent a status code that HTTP does not have, so that what follows
+// is no response (RFC 9110, section 15). The standard client accepts any three-digit number.
+var errInvalidStatus = errors.New("invalid status code")
+
+// isStatus reports whether HTTP has the class of the status code.
+func isStatus(code int) bool { return code >= 100 && code <= 599 }
+
 // doOnce sends the request as Do does, but returns errStaleConn if the reused
 // connections that it got were already closed.
 func doOnce(client *http.Client, req *http.Request) (*http.Response, error) {
@@ -164,15 +171,8 @@
 	}
 	ctx, call := track(req.Context())
 	resp, err := client.Do(req.WithContext(ctx))
-	if err == nil && resp.StatusCode == http.StatusSwitchingProtocols {
-		resp.Body.Close()
-		return nil, fmt.Errorf("%w: %w", ErrMaybeSent, errSwitchedProtocols)
-	}
 	if err == nil {
-		if c := call.lastConn(); c != nil && FramingOf(resp) == FramingClose && req.Body != nil && req.Body != http.NoBody {
-			resp.Body = &unframedBody{resp.Body, req.Context(), call, c}
-		}
-		return resp, nil
+		return checkResponse(req, resp, call)
 	}
 	cause := err
 	if c := context.Cause(req.Context()); c != nil {
@@ -195,6 +195,23 @@
 	return nil, fmt.Errorf("%w: %w", ErrNotSent, cause)
 }
 
+// checkResponse returns the response that call got to the request, or an error if it is none.
+func checkResponse(req *http.Request, resp *http.Response, call *call) (*http.Response, error) {
+	switch {
+	case resp.StatusCode == http.StatusSwitchingProtocols:
+		resp.Body.Close()
+		return nil, fmt.Errorf("%w: %w", ErrMaybeSent, errSwitchedProtocols)
+	case !isStatus(resp.StatusCode):
+		_ = CloseConn(resp) // the error that is returned tells more
+		return nil, fmt.Errorf("%w: %w: %d", ErrMaybeSent, errInvalidStatus, resp.StatusCode)
+	}
+	hasBody := req.Body != nil && req.Body != http.NoBody
+	if conn := call.lastConn(); conn != nil && hasBody && FramingOf(resp) == FramingClose {
+		resp.Body = &unframedBody{resp.Body, req.Context(), call, conn}
+	}
+	return resp, nil
+}
+
 // ErrTooLarge is returned by ReadBody for bodies larger than the limit.
 var ErrTooLarge = errors.New("body is larger than allowed")
 
