leadership: one leader and no token twice in a store that comes back from an older copy

Cause: the token of a leader was that of the record plus one, and a record that had gone let a candidate acquire at once. In a store that goes back both are wrong: a token is given twice, and two nodes lead.

Change: the era of the store is part of each token (above 2^32, below 2^53). No node acquires the leadership on a record whose token is of an earlier era, or on none, before the leadership of every node of before the return has expired and its orders are older than the lease. The leader itself writes its record again and leads on. A write that was decided in an earlier era is one of unknown outcome. A store without eras (0) is as before.

Evidence: TestModelNoTwoNodesOrderOneServerAfterReturn, with returns of 1 to 8 s, some within a second, alone or with the leader killed, all killed, a node paused or cut off from the store.

--- a/leadership/leadership.go
+++ b/leadership/leadership.go
@@ -11,6 +11,13 @@
 // that token again, whatever response arrives later. Its resignation may therefore be
 // trusted by a successor, which then acquires the leadership at once.
 //
+// The store may come back from an older copy and so lose writes that it has confirmed, the
+// record's among them; it then begins a new era. The number of the era is part of each token,
+// so that no token is given twice. A record whose token is of an earlier era says nothing
+// about the writes that are lost: no node acquires the leadership on it before the leadership
+// of every node of before the return has expired, except the leader itself, which writes
+// the record again.
+//
 // Core does no I/O and is not safe for concurrent use. All times must come from
 // one clock of this machine that also advances while the machine is suspended.
 package leadership
@@ -98,16 +105,62 @@
 	unresolvedVersion uint64    // version that the last write with an unknown outcome expected; it may still be applied while the object has this version
 	orders            orderTimes
 
+	eraKnown  bool
+	era       uint64    // highest era of the store that is known
+	eraLeader time.Time // until then a node of before the era may lead, or order servers; zero if none can
+
 	noLeaderSince time.Time
+	startedAt     time.Time
+	restarted     bool // an earlier run of this node, or other nodes, may have led before the start
 	readOnStart   bool // this node has restarted and has not read the record since
 }
 
 // New returns the core of a node that is reached at the address self. If restarted
 // is set, the node may be the leader already, from before a restart.
 func New(now time.Time, self string, restarted bool, s Settings) *Core {
-	return &Core{settings: s, self: self, noLeaderSince: now, readOnStart: restarted, orders: newOrderTimes()}
+	return &Core{settings: s, self: self, noLeaderSince: now, startedAt: now, restarted: restarted, readOnStart: restarted, orders: newOrderTimes()}
+}
+
+// eraShift is the position of the era in a token. Tokens stay below 2^53, which JSON numbers hold
+// exactly, for eras below 2^21.
+const eraShift = 32
+
+// firstEraWithin is the time after the first start of all nodes within which no node can have led and
+// lost its record: an era that is seen by then began before.
+const firstEraWithin = 200 * time.Millisecond
+
+// eraOf returns the era in which a token was given.
+func eraOf(token uint64) uint64 { return token >> eraShift }
+
+// SawEra records the era of a response of the store; zero if the store has none. Call it before
+// ReadDone and WriteDone, and pass these no result of an earlier era.
+func (c *Core) SawEra(now time.Time, era uint64) {
+	if c.eraKnown && era <= c.era {
+		return
+	}
+	if c.eraKnown || c.restarted || now.Sub(c.startedAt) > firstEraWithin {
+		// A leader of before has a write confirmed that was sent before the era began.
+		c.eraLeader = now.Add(c.settings.successorWait())
+	}
+	rose := c.eraKnown
+	c.eraKnown, c.era = true, era
+	if rose {
+		// The record may be an older one, at a version that was given before.
+		c.recordKnown, c.outcomeUnknown = false, true
+	}
 }
 
+// Era returns the highest era that is known; zero if the store has none.
+func (c *Core) Era() uint64 { return c.era }
+
+// ofEarlierEra reports whether the record as known says nothing about the leaders of before the
+// present era: it does not exist, or its token was given in an earlier one.
+func (c *Core) ofEarlierEra() bool { return eraOf(c.record.Token) < c.era }
+
+// successorWait returns the time after which a leader whose last confirmed write was sent before has
+// given up, and its orders are older than OrderLease.
+func (s Settings) successorWait() time.Duration { return s.Validity + s.OrderLease + s.MaxOrderDelay }
+
 // Authority returns the fencing token of this node's leadership and whether the
 // node may order servers now. Before ordering a server, MayOrder must be checked
 // too.
@@ -148,7 +201,7 @@
 	if c.readOnStart && p.Eligible && now.Sub(c.callSent) >= c.settings.CallPause {
 		return c.call(now, Action{Kind: Read})
 	}
-	if c.recordKnown && c.record.Holder == c.self && c.version != 0 && p.Eligible && !c.stopping && now.Sub(c.callSent) >= c.settings.CallPause {
+	if c.recordKnown && c.record.Holder == c.self && c.version != 0 && p.Eligible && !c.stopping && !c.ofEarlierEra() && now.Sub(c.callSent) >= c.settings.CallPause {
 		return c.acquire(now)
 	}
 	if p.LeaderAlive || !p.Eligible || c.stopping {
@@ -177,15 +230,23 @@
 // the leader reported that it gave up the leadership, this is at once; then only
 // orders to servers that it ordered recently are delayed.
 func (c *Core) acquireFrom() time.Time {
+	if c.ofEarlierEra() {
+		// A late write may have put the record back while another node led.
+		from := c.eraLeader
+		if unchanged := c.unchangedSince.Add(c.settings.successorWait()); c.version != 0 && unchanged.After(from) {
+			from = unchanged
+		}
+		return from
+	}
 	if c.version == 0 || c.record.Holder == c.self || c.hasResigned() {
 		return time.Time{}
 	}
-	return c.unchangedSince.Add(c.settings.Validity + c.settings.OrderLease + c.settings.MaxOrderDelay)
+	return c.unchangedSince.Add(c.settings.successorWait())
 }
 
 // nextRecord returns the record that makes this node the leader.
 func (c *Core) nextRecord() Record {
-	r := Record{Holder: c.self, Token: c.record.Token + 1, Renewal: c.record.Renewal + 1, AcquiredRenewal: c.record.AcquiredRenewal}
+	r := Record{Holder: c.self, Token: max(c.record.Token, c.era<<eraShift) + 1, Renewal: c.record.Renewal + 1, AcquiredRenewal: c.record.AcquiredRenewal}
 	switch {
 	case c.record.Holder != c.self:
 		r.AcquiredRenewal = r.Renewal
@@ -221,6 +282,9 @@
 	if c.outcomeUnknown {
 		return c.call(now, Action{Kind: Read})
 	}
+	if c.ofEarlierEra() {
+		return c.acquire(now)
+	}
 	next := c.record
 	next.Renewal++
 	return c.call(now, Action{Kind: Write, Record: next, Version: c.version})
@@ -245,8 +309,9 @@
 	if r.Holder == c.self && r.AcquiredRenewal > c.takeover {
 		c.delayAfterEarlierRun(now, r)
 	}
-	stillLeader := r.Holder == c.self && r.Token == c.token
 	c.recordKnown, c.record, c.version, c.outcomeUnknown, c.readOnStart = true, r, version, false, false
+	// No other node leads within this node's leadership on a record of an earlier era.
+	stillLeader := r.Holder == c.self && r.Token == c.token || c.ofEarlierEra()
 	if c.leading && !stillLeader {
 		c.giveUp(now)
 	}
@@ -281,6 +346,11 @@
 func (c *Core) WriteDone(now time.Time, r Record, version uint64, result WriteResult) {
 	c.callPending = false
 	c.giveUpExpired(now)
+	if result == Written && eraOf(r.Token) < c.era {
+		// It was decided in an earlier era. It may have been lost, and its token is not the
+		// highest.
+		result = Unknown
+	}
 	switch result {
 	case Written:
 		c.recordKnown, c.outcomeUnknown = true, false
--- a/leadership/model_faults_test.go
+++ b/leadership/model_faults_test.go
@@ -1,6 +1,9 @@
 package leadership_test
 
-import "time"
+import (
+	"math/rand/v2"
+	"time"
+)
 
 const (
 	modelGracePeriod  = 6 * time.Second // most time from a stop signal to the exit
@@ -33,6 +36,38 @@
 	{"slow", (*modelRun).slowStore},
 }
 
+// scheduleReturns lets the store come back from older copies, some of them within a second, alone or with a
+// fault at the same moment. It draws from a source of its own, so that a seed has the same faults with
+// returns and without.
+func (r *modelRun) scheduleReturns(seed uint64) {
+	own := rand.New(rand.NewPCG(seed, 1))
+	r.store.era = 1 + own.Uint64N(3)
+	var next func()
+	next = func() {
+		out := time.Duration(own.Int64N(int64(2 * time.Second)))
+		r.during("store is down before its return", out, &r.store.down)
+		switch own.IntN(5) {
+		case 0:
+			r.victim().kill()
+		case 1:
+			for _, n := range r.nodes {
+				n.kill()
+			}
+		case 2:
+			r.victim().freeze(out + r.freezeTime())
+		case 3:
+			r.keepFromStore(r.victim(), out+r.faultTime())
+		}
+		r.after(out, func() { r.store.goBack(modelCopyFrom + time.Duration(own.Int64N(int64(modelCopyTo-modelCopyFrom)))) })
+		pause := time.Duration(own.Int64N(int64(20 * time.Second)))
+		if own.IntN(4) == 0 {
+			pause = time.Duration(own.Int64N(int64(time.Second)))
+		}
+		r.after(out+pause, next)
+	}
+	r.after(time.Second+time.Duration(own.Int64N(int64(15*time.Second))), next)
+}
+
 // scheduleFaults chooses the kinds of faults of the run and their rates.
 func (r *modelRun) scheduleFaults() {
 	for _, f := range modelFaults {
--- a/leadership/model_node_test.go
+++ b/leadership/model_node_test.go
@@ -1,6 +1,7 @@
 package leadership_test
 
 import (
+	"errors"
 	"time"
 
 	"github.com/redwingnotch/redwingnotch/leadership"
@@ -50,6 +51,8 @@
 	lastSent           time.Time
 	lastPeriodicSent   time.Time
 	sendToAll          bool // a change still has to be sent
+	era                uint64
+	eraKnown           bool
 }
 
 // start starts a process on the node, unless one runs.
@@ -137,7 +140,11 @@
 func (p *modelProcess) contactStore() {
 	r := p.node.run
 	if r.store.serves(p.node.index) && r.store.refusing == 0 {
-		p.after(r.store.oneWay(), func() { p.lastStoreContact = r.now })
+		era := r.store.era
+		p.after(r.store.oneWay(), func() {
+			p.lastStoreContact = r.now
+			p.sawEra(era)
+		})
 	}
 	p.after(r.between(200*time.Millisecond, 3*time.Second), p.contactStore)
 }
@@ -194,11 +201,14 @@
 // read reads the record.
 func (p *modelProcess) read() {
 	r, done := p.node.run, false
-	r.store.read(p, func(v modelVersion, err error) {
+	r.store.read(p, func(v modelAnswer, err error) {
 		if done {
 			return
 		}
 		done = true
+		if err == nil && !p.sawEra(v.era) {
+			err = errEarlierEra
+		}
 		r.logf("%s: read done: holder %q, token %d, renewal %d, version %d, error %v", p.node.name, v.record.Holder, v.record.Token, v.record.Renewal, v.version, err)
 		p.cell.core.ReadDone(r.now, v.record, v.version, err)
 		if err == nil {
@@ -211,23 +221,63 @@
 func (p *modelProcess) write(a leadership.Action) {
 	r, sent, done := p.node.run, p.node.run.now, false
 	r.logf("%s: sends write: token %d, renewal %d, version %d", p.node.name, a.Record.Token, a.Record.Renewal, a.Version)
-	r.store.write(p, a, func(version uint64, result leadership.WriteResult) {
+	baseEra := a.Version >> modelEraShift
+	if a.Version != 0 && baseEra < p.era {
+		p.cell.core.WriteDone(r.now, a.Record, 0, leadership.Failed)
+		return
+	}
+	r.store.write(p, a, func(answer modelAnswer) {
 		if done {
 			return
 		}
 		done = true
+		result, earlier := answer.result, false
+		if result != leadership.Unknown {
+			result, earlier = p.resultInEra(a, answer)
+		}
 		r.logf("%s: write done: token %d, renewal %d, %s", p.node.name, a.Record.Token, a.Record.Renewal, modelResultNames[result])
 		switch {
 		case result == leadership.Written || result == leadership.Conflict:
 			p.lastStoreContact, p.writesFailingSince = r.now, time.Time{}
-		case p.writesFailingSince.IsZero():
+		case p.writesFailingSince.IsZero() && !earlier:
 			p.writesFailingSince = sent
 		}
-		p.cell.core.WriteDone(r.now, a.Record, version, result)
+		p.cell.core.WriteDone(r.now, a.Record, answer.version, result)
 	})
 	r.faultOnWrite(p.node)
 }
 
+var errEarlierEra = errors.New("answer of an earlier era")
+
+// sawEra records the era of an answer, and reports whether it is the present one.
+func (p *modelProcess) sawEra(era uint64) bool {
+	if p.eraKnown && era < p.era {
+		return false
+	}
+	if !p.eraKnown || era > p.era {
+		p.node.run.logf("%s: sees era %d", p.node.name, era)
+	}
+	p.era, p.eraKnown = era, true
+	p.cell.core.SawEra(p.node.run.now, era)
+	return true
+}
+
+// resultInEra returns the outcome of a write by an answer, as package platform and the node take it, and
+// whether the condition or the answer is of an earlier era.
+func (p *modelProcess) resultInEra(a leadership.Action, answer modelAnswer) (leadership.WriteResult, bool) {
+	base := answer.era
+	if a.Version != 0 {
+		base = a.Version >> modelEraShift
+	}
+	if p.sawEra(answer.era) && base == answer.era {
+		return answer.result, false
+	}
+	if answer.result == leadership.Written {
+		return leadership.Unknown, true
+	}
+	return leadership.Failed, true
+}
+
 // modelResultNames names the outcomes of writes in the history.
 var modelResultNames = map[leadership.WriteResult]string{
 	leadership.Written: "written", leadership.Conflict: "conflict", leadership.Failed: "failed", leadership.Unknown: "unknown",
--- a/leadership/model_store_test.go
+++ b/leadership/model_store_test.go
@@ -21,7 +21,23 @@
 type modelVersion struct {
 	at      time.Time
 	record  leadership.Record
-	version uint64
+	version uint64 // revision below modelEraShift, the era above
+}
+
+// modelEraShift is the position of the era in a version, as in package platform.
+const modelEraShift = 44
+
+// Ages of the copies from which the store comes back.
+const (
+	modelCopyFrom = time.Second
+	modelCopyTo   = 8 * time.Second
+)
+
+// modelAnswer is the answer of the store to a call.
+type modelAnswer struct {
+	modelVersion
+	era    uint64
+	result leadership.WriteResult // of a write
 }
 
 // modelStore is the platform's store with the leadership record of one cell.
@@ -35,8 +51,30 @@
 	late     float64       // probability that a write is delayed by more than the timeout
 	stale    float64       // probability that a read is stale
 	versions []modelVersion
+	era      uint64 // zero without eras
+}
+
+// goBack lets the store come back from a copy of some age, in a new era. Revisions are given again.
+func (s *modelStore) goBack(age time.Duration) {
+	kept := s.asOf(s.run.now.Add(-age))
+	for len(s.versions) > 0 && s.current().at.After(kept.at) {
+		s.versions = s.versions[:len(s.versions)-1]
+	}
+	s.era++
+	if len(s.versions) > 0 {
+		s.versions[len(s.versions)-1].version = s.versionOf(kept.version)
+	}
+	s.run.logf("store: era %d, back to token %d, renewal %d, revision %d", s.era, kept.record.Token, kept.record.Renewal, revisionOf(kept.version))
 }
 
+// versionOf returns the version of a revision in the present era.
+func (s *modelStore) versionOf(version uint64) uint64 {
+	return s.era<<modelEraShift | revisionOf(version)
+}
+
+// revisionOf returns the store's revision in a version.
+func revisionOf(version uint64) uint64 { return version & (1<<modelEraShift - 1) }
+
 // current returns the newest state of the record.
 func (s *modelStore) current() modelVersion {
 	if len(s.versions) == 0 {
@@ -63,54 +101,57 @@
 	return s.run.between(s.delay/2, 3*s.delay)
 }
 
-// apply applies a write to the record.
-func (s *modelStore) apply(node *modelNode, a leadership.Action) (uint64, leadership.WriteResult) {
-	if a.Version != s.current().version {
+// apply applies a write to the record. The store compares revisions: it does not know in which era they
+// were read.
+func (s *modelStore) apply(node *modelNode, a leadership.Action) modelAnswer {
+	if revisionOf(a.Version) != revisionOf(s.current().version) {
 		s.run.logf("store: write of %s conflicts: token %d, renewal %d", node.name, a.Record.Token, a.Record.Renewal)
-		return 0, leadership.Conflict
+		return modelAnswer{era: s.era, result: leadership.Conflict}
 	}
-	s.versions = append(s.versions, modelVersion{s.run.now, a.Record, a.Version + 1})
+	v := modelVersion{s.run.now, a.Record, s.versionOf(a.Version + 1)}
+	s.versions = append(s.versions, v)
 	s.run.logf("store: write of %s applied: token %d, renewal %d", node.name, a.Record.Token, a.Record.Renewal)
-	return a.Version + 1, leadership.Written
+	return modelAnswer{v, s.era, leadership.Written}
 }
 
 // write sends a write of the process. done is called at the process with its
 // outcome, at the latest after modelCallTimeout.
-func (s *modelStore) write(p *modelProcess, a leadership.Action, done func(uint64, leadership.WriteResult)) {
+func (s *modelStore) write(p *modelProcess, a leadership.Action, done func(modelAnswer)) {
 	r := s.run
+	unknown := modelAnswer{result: leadership.Unknown}
 	switch {
 	case s.refusing > 0:
-		p.after(s.oneWay(), func() { done(0, leadership.Failed) })
+		p.after(s.oneWay(), func() { done(modelAnswer{era: s.era, result: leadership.Failed}) })
 		return
 	case !s.serves(p.node.index):
 		// A request on its way when the connection broke may still be delivered.
 		if r.chance(s.late) {
 			r.after(r.between(modelLateFrom, modelLateTo), func() { s.apply(p.node, a) })
 		}
-		p.after(modelCallTimeout, func() { done(0, leadership.Unknown) })
+		p.after(modelCallTimeout, func() { done(unknown) })
 		return
 	case r.chance(s.late):
 		r.after(r.between(modelLateFrom, modelLateTo), func() { s.apply(p.node, a) })
-		p.after(modelCallTimeout, func() { done(0, leadership.Unknown) })
+		p.after(modelCallTimeout, func() { done(unknown) })
 		return
 	}
-	p.after(modelCallTimeout, func() { done(0, leadership.Unknown) })
+	p.after(modelCallTimeout, func() { done(unknown) })
 	r.after(s.oneWay(), func() {
-		version, result := s.apply(p.node, a)
+		answer := s.apply(p.node, a)
 		if s.serves(p.node.index) && !r.chance(s.losing) {
-			p.after(s.oneWay(), func() { done(version, result) })
+			p.after(s.oneWay(), func() { done(answer) })
 		}
 	})
 }
 
 // read sends a read of the process. done is called like that of write.
-func (s *modelStore) read(p *modelProcess, done func(modelVersion, error)) {
+func (s *modelStore) read(p *modelProcess, done func(modelAnswer, error)) {
 	r := s.run
 	if s.refusing > 0 {
-		p.after(s.oneWay(), func() { done(modelVersion{}, errModelStore) })
+		p.after(s.oneWay(), func() { done(modelAnswer{}, errModelStore) })
 		return
 	}
-	p.after(modelCallTimeout, func() { done(modelVersion{}, errModelStore) })
+	p.after(modelCallTimeout, func() { done(modelAnswer{}, errModelStore) })
 	if !s.serves(p.node.index) {
 		return
 	}
@@ -119,8 +160,12 @@
 		if r.chance(s.stale) {
 			v = s.asOf(r.now.Add(-r.upTo(modelStaleTo)))
 		}
+		answer := modelAnswer{modelVersion: v, era: s.era}
+		if v.version != 0 {
+			answer.version = s.versionOf(v.version)
+		}
 		if s.serves(p.node.index) && !r.chance(s.losing) {
-			p.after(s.oneWay(), func() { done(v, nil) })
+			p.after(s.oneWay(), func() { done(answer, nil) })
 		}
 	})
 }
--- a/leadership/model_test.go
+++ b/leadership/model_test.go
@@ -195,6 +195,21 @@
 // TestModelNoTwoNodesOrderOneServer guards against two nodes that order one server
 // in turn, within OrderLease, or with tokens that decrease or that both used.
 func TestModelNoTwoNodesOrderOneServer(t *testing.T) {
+	playModel(t, newModelRun)
+}
+
+// TestModelNoTwoNodesOrderOneServerAfterReturn guards against the same in a store that comes back from
+// older copies: revisions are given again, and confirmed writes are gone.
+func TestModelNoTwoNodesOrderOneServerAfterReturn(t *testing.T) {
+	playModel(t, func(seed uint64) *modelRun {
+		r := newModelRun(seed)
+		r.scheduleReturns(seed)
+		return r
+	})
+}
+
+// playModel plays the seeds and fails if one violates a rule.
+func playModel(t *testing.T, newRun func(seed uint64) *modelRun) {
 	first, count := uint64(1), *modelSeeds
 	if *modelSeed != 0 {
 		first, count = *modelSeed, 1
@@ -202,7 +217,7 @@
 	var failed []string
 	orders := 0
 	for seed := first; seed < first+count; seed++ {
-		r := newModelRun(seed)
+		r := newRun(seed)
 		r.play()
 		orders += r.orders
 		if r.violation == "" {
