--- a/standin/objectapi/http.go
+++ b/standin/objectapi/http.go
@@ -14,7 +14,7 @@
 )
 
 // ServeHTTP implements http.Handler. docs/PROTOCOLS.md describes the protocol.
-func (a *API) ServeHTTP(w http.ResponseWriter, r *http.Request) { a.mux.ServeHTTP(w, r) }
+func (a *API) ServeHTTP(w http.ResponseWriter, r *http.Request) { a.mux.ServeHTTP(a.withEra(w, r)) }
 
 func (a *API) routes() *http.ServeMux {
 	mux := http.NewServeMux()
--- a/standin/objectapi/objectapi.go
+++ b/standin/objectapi/objectapi.go
@@ -48,6 +48,8 @@
 	changed          chan struct{}    // closed and replaced on each change
 	counts           Counts
 	vms              vmList
+	era              uint64
+	namesEras        bool // answers over HTTP name the era
 }
 
 // New returns an empty API that does not serve HTTP yet.
@@ -101,6 +103,7 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.stamp(ctx)
 	obj, ok := a.objects[objectKey{kind, name}]
 	if !ok {
 		return platform.Object{}, platform.ErrNotFound
@@ -116,6 +119,7 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.stamp(ctx)
 	var found []platform.Object
 	for key, obj := range a.objects {
 		if key.kind == kind && strings.HasPrefix(key.name, prefix) {
@@ -136,7 +140,7 @@
 	if len(value) > platform.MaxValueBytes {
 		return 0, platform.ErrTooLarge
 	}
-	version, err := a.write(platform.Object{Kind: kind, Name: name, Writer: writer, Value: slices.Clone(value)}, expect, false)
+	version, err := a.write(ctx, platform.Object{Kind: kind, Name: name, Writer: writer, Value: slices.Clone(value)}, expect, false)
 	return version, writeResult(decision, err)
 }
 
@@ -146,7 +150,7 @@
 	if err != nil {
 		return err
 	}
-	_, err = a.write(platform.Object{Kind: kind, Name: name}, expect, true)
+	_, err = a.write(ctx, platform.Object{Kind: kind, Name: name}, expect, true)
 	return writeResult(decision, err)
 }
 
@@ -160,9 +164,10 @@
 
 // write stores or removes an object if its version equals expect (zero: it must
 // not exist), and returns the new version.
-func (a *API) write(obj platform.Object, expect uint64, remove bool) (uint64, error) {
+func (a *API) write(ctx context.Context, obj platform.Object, expect uint64, remove bool) (uint64, error) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.stamp(ctx)
 	key := objectKey{obj.Kind, obj.Name}
 	if current := a.objects[key].Version; current != expect {
 		return 0, fmt.Errorf("%w: current version is %d, expected %d", platform.ErrConflict, current, expect)
@@ -198,7 +203,7 @@
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
-		events, version, changed, err := a.eventsSince(kind, after)
+		events, version, changed, err := a.eventsSince(ctx, kind, after)
 		if err != nil || len(events) > 0 {
 			return events, version, err
 		}
@@ -214,10 +219,11 @@
 
 // eventsSince returns the retained changes of the kind after the version, the
 // current version, and a channel that is closed on the next change of any kind.
-func (a *API) eventsSince(kind platform.Kind, after uint64) ([]platform.Event, uint64, <-chan struct{}, error) {
+func (a *API) eventsSince(ctx context.Context, kind platform.Kind, after uint64) ([]platform.Event, uint64, <-chan struct{}, error) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if after < a.compactedVersion {
+	a.stamp(ctx)
+	if after < a.compactedVersion || a.namesEras && after > a.version {
 		return nil, after, nil, platform.ErrCompacted
 	}
 	var found []platform.Event
