front: a store that comes back from an older copy

- Leaderships learn the era with each tick and each answer.
- A server that is known to leave, or has left, gets no work because the copy lists it as ready: an entry of a later era with the same start is ignored.
A server that the copy lacks is kept for as long as after an outage.
- An older desired state than the one in force, read in a later era, confirms nothing.
A node that has only the older one while others report a newer one takes no requests (desired_state_behind) for at most 10 s, and its read confirms no keys.
- The keepers of refusals write them again.

--- a/configsync/configsync.go
+++ b/configsync/configsync.go
@@ -45,6 +45,7 @@
 	reading    bool      // a read is in flight
 	watching   bool      // a watch is in flight
 	requested  bool      // a read was requested that has not been sent
+	behind     bool      // a read that was sent after known was learned of has returned no version as high
 	watchWait  time.Duration
 }
 
@@ -102,9 +103,25 @@
 		c.nextRead = now.Add(retryDelay)
 	}
 	c.revision = max(c.revision, revision)
+	c.behind = c.BehindAsOf(sent)
 	c.confirmOwn(sent)
 }
 
+// BehindAsOf reports whether the store holds an older version than other nodes have in force, by a read
+// that was sent at the given time and has been put in force: the store came back from an older copy.
+func (c *Core) BehindAsOf(sent time.Time) bool {
+	return c.known > c.inForce && c.knownSince.Before(sent)
+}
+
+// maxBehind is the time for which StoreBehind relies on what other nodes report.
+const maxBehind = 10 * time.Second
+
+// StoreBehind reports the same by the latest read. The version in force here may allow what the newest
+// one does not.
+func (c *Core) StoreBehind(now time.Time) bool {
+	return c.behind && c.known > c.inForce && now.Sub(c.knownSince) < maxBehind
+}
+
 // WatchDone handles the end of a watch that was sent at the given time. changed says
 // that it returned changes, which have been put in force; without one the store
 // responded at the end of the wait.
--- a/internal/front/cells.go
+++ b/internal/front/cells.go
@@ -104,6 +104,9 @@
 	if now.Sub(n.peers.startedAt) < peerDiscoveryDelay {
 		return
 	}
+	if era, known := n.eras.Current(); known {
+		c.leadership.SawEra(now, era)
+	}
 	if !c.writesFailingSince.IsZero() && n.peers.storeContactAfter(now, c.writesFailingSince) {
 		c.leadership.StepDown(now)
 	}
@@ -176,8 +179,15 @@
 		level.Warn(n.log).Log("event", "tenure_unread", "cell", c.zone, "err", err)
 	}
 	now := bootclock.Now()
+	era, known := n.eras.Current()
+	if err == nil && object.Version != 0 && platform.EraOf(object.Version) < era {
+		err = platform.ErrEarlierEra
+	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	if known {
+		c.leadership.SawEra(now, era)
+	}
 	c.leadership.ReadDone(now, record, object.Version, err)
 	if err != nil {
 		return
@@ -195,14 +205,18 @@
 	version, err := n.putLeadership(ctx, c, a)
 	result := writeResult(err)
 	now := bootclock.Now()
+	era, known := n.eras.Current()
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	if known {
+		c.leadership.SawEra(now, era)
+	}
 	n.logWrite(now, sent, c, a.Record, version, err)
 	switch {
 	case result == leadership.Written || result == leadership.Conflict:
 		n.storeResponded(now, sent, 0)
 		c.writesFailingSince = time.Time{}
-	case c.writesFailingSince.IsZero():
+	case c.writesFailingSince.IsZero() && !errors.Is(err, platform.ErrEarlierEra):
 		c.writesFailingSince = sent
 	}
 	c.leadership.WriteDone(now, a.Record, version, result)
@@ -224,6 +238,8 @@
 	switch {
 	case err == nil:
 		return leadership.Written
+	case errors.Is(err, platform.ErrConflict) && errors.Is(err, platform.ErrEarlierEra):
+		return leadership.Failed // it says nothing about the record in the present era
 	case errors.Is(err, platform.ErrConflict):
 		return leadership.Conflict
 	case errors.Is(err, platform.ErrUnknown):
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -46,9 +46,12 @@
 	metrics       *telemetry.Metrics
 	store         *platform.Client
 	freshStore    *platform.Client // opens a connection for each call; kept ones may be dead
+	eras          *storeEras
 	serverClients *serverClients
 
 	desired        atomic.Pointer[routes.Table] // desired state in force; nil until one was read
+	desiredRead    atomic.Uint64                // store version of the object that holds it, as last read
+	storeBehind    atomic.Bool                  // see configsync.Core.StoreBehind
 	stopping       atomic.Bool                  // a graceful stop has begun
 	refuse         atomic.Bool                  // new requests are refused, because the process will exit soon
 	refusalsKnown  atomic.Bool                  // what was refused before this node's start has been read, or could not be for too long
@@ -106,21 +109,14 @@
 	ended, endRequests := context.WithCancelCause(context.Background())
 	countCall := func(c platform.CallKind) { metrics.StoreCall(string(c.Kind), c.Call) }
 	n := &Node{
-		ended:       ended,
-		endRequests: endRequests,
-		bodies:      bytebudget.New(bodyMemory(s)),
-		attempts:    latency.NewRecent(),
-		durations:   latency.NewRecent(),
-		settings:    s,
-		log:         logger,
-		metrics:     metrics,
-		store: platform.NewClient(platform.Options{
-			BaseURL:     "http://" + s.StoreAddress,
-			CallTimeout: storeTimeout,
-			WatchMargin: storeTimeout,
-			OnCall:      countCall,
-		}),
-		freshStore:      platform.NewClient(platform.Options{BaseURL: "http://" + s.StoreAddress, CallTimeout: storeTimeout, SingleUse: true, OnCall: countCall}),
+		ended:           ended,
+		endRequests:     endRequests,
+		bodies:          bytebudget.New(bodyMemory(s)),
+		attempts:        latency.NewRecent(),
+		durations:       latency.NewRecent(),
+		settings:        s,
+		log:             logger,
+		metrics:         metrics,
 		table:           replicas.NewTable(),
 		capacity:        newLearnedCapacity(),
 		queue:           waiting.NewQueue(),
@@ -136,6 +132,11 @@
 		serversFollowed: resumption.NewHistory(lapseHeartbeats * s.HeartbeatInterval),
 		sync:            configsync.New(now, configsync.Settings{ApplyTimeout: s.Bounds.ConfigApplyTimeout, Spread: spreadOf(s)}),
 	}
+	n.eras = newStoreEras(logger, metrics, n.eraRose)
+	store := platform.Options{BaseURL: "http://" + s.StoreAddress, CallTimeout: storeTimeout, WatchMargin: storeTimeout, OnCall: countCall, Eras: n.eras.Eras}
+	n.store = platform.NewClient(store)
+	store.SingleUse = true
+	n.freshStore = platform.NewClient(store)
 	n.serverClients = newServerClients(n.dialed)
 	n.table.SpreadBy(s.Node)
 	n.table.ShareLimits(s.IP)
--- a/internal/front/refusals.go
+++ b/internal/front/refusals.go
@@ -39,6 +39,7 @@
 	retryAt   time.Time
 	changes   uint64    // poison.Table.Changes when last looked at
 	changedAt time.Time // when it changed
+	lost      bool      // the store may have lost the object since it was read or written
 }
 
 // reconcileRefusals starts the call that is due to read or write the refusals in the store.
@@ -55,7 +56,7 @@
 		return
 	}
 	if s.read {
-		if s.saved == s.changes {
+		if s.saved == s.changes && !s.lost {
 			return
 		}
 		position := n.peers.successorPosition(now, "")
@@ -63,7 +64,7 @@
 			return
 		}
 	}
-	s.busy = true
+	s.busy, s.lost = true, false
 	go n.syncRefusals(ctx)
 }
 
@@ -75,7 +76,7 @@
 	defer n.mu.Unlock()
 	n.refusals.busy = false
 	if err != nil && ctx.Err() == nil {
-		n.refusals.retryAt = bootclock.Now().Add(refusalsRetryDelay)
+		n.refusals.retryAt, n.refusals.lost = bootclock.Now().Add(refusalsRetryDelay), true
 		level.Warn(n.log).Log("event", "refusals_unsaved", "read", n.refusals.read, "err", err)
 	}
 }
--- a/internal/front/resolve.go
+++ b/internal/front/resolve.go
@@ -41,6 +41,8 @@
 		return "stopping"
 	case n.desired.Load() == nil:
 		return "no desired state yet"
+	case n.storeBehind.Load():
+		return "desired state behind"
 	case !n.refusalsKnown.Load():
 		return "refusals not read yet"
 	case n.keys.notReady(bootclock.Now()):
--- a/internal/front/serve.go
+++ b/internal/front/serve.go
@@ -108,6 +108,10 @@
 		x.refuse("no_desired_state", unconfiguredRetryAfter)
 		return false
 	}
+	if x.node.storeBehind.Load() {
+		x.refuse("desired_state_behind", unconfiguredRetryAfter)
+		return false
+	}
 	if !x.node.refusalsKnown.Load() {
 		x.refuse("refusals_unread", unconfiguredRetryAfter)
 		return false
--- a/internal/front/sync.go
+++ b/internal/front/sync.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"github.com/go-kit/log"
@@ -20,6 +21,7 @@
 // caller holds n.mu.
 func (n *Node) reconcileDesired(ctx context.Context, now time.Time) {
 	n.logDesiredStatus(now)
+	n.updateStoreBehind(now)
 	actions := n.sync.Tick(now, n.confirms(now))
 	if actions.Read {
 		go n.readDesired(ctx)
@@ -30,6 +32,17 @@
 	}
 }
 
+// updateStoreBehind records whether other nodes have a newer desired state than the store, which this node
+// has not. The caller holds n.mu.
+func (n *Node) updateStoreBehind(now time.Time) {
+	era, _ := n.eras.Current()
+	behind := era > 0 && n.sync.StoreBehind(now)
+	if n.storeBehind.Swap(behind) != behind {
+		status := n.sync.Status(now)
+		level.Warn(n.log).Log("event", "desired_state_behind", "behind", behind, "version", status.Version, "newest", status.Newest)
+	}
+}
+
 // confirms reports whether this node confirms the desired state for the nodes that it
 // reaches. The caller holds n.mu.
 func (n *Node) confirms(now time.Time) bool { return n.peers.successorPosition(now, "") == 0 }
@@ -41,7 +54,13 @@
 	for _, o := range objects {
 		err = errors.Join(err, n.setDesired(o))
 	}
-	n.keys.readDone(sent, objects, err)
+	n.mu.Lock()
+	era, _ := n.eras.Current()
+	behind := era > 0 && n.sync.BehindAsOf(sent)
+	n.mu.Unlock()
+	if !behind {
+		n.keys.readDone(sent, objects, err)
+	}
 	n.answerWaiting(err == nil)
 	now := bootclock.Now()
 	n.mu.Lock()
@@ -55,6 +74,7 @@
 	n.logStore(now, err)
 	stale := n.sync.Status(now).Stale
 	n.sync.ReadDone(now, sent, revision, err, n.confirms(now))
+	n.updateStoreBehind(now)
 	if err == nil && (stale || n.peers.slowdown() > 1) {
 		n.publish(now, sendAllNow) // others may be about to read as well
 	}
@@ -106,10 +126,20 @@
 	if t == nil || t.Version == 0 {
 		return err
 	}
+	if old := n.desired.Load(); old != nil && t.Version < old.Version && platform.EraOf(o.Version) > platform.EraOf(n.desiredRead.Load()) {
+		return fmt.Errorf("%w: version %d, %d in force", errOlderState, t.Version, old.Version)
+	}
 	n.putInForce(t, index)
+	if n.desired.Load().Version == t.Version {
+		n.desiredRead.Store(o.Version)
+	}
 	return nil
 }
 
+// errOlderState means that the store came back from a copy with an older desired state. It confirms nothing
+// until the operator's is written again.
+var errOlderState = errors.New("the store holds an older desired state than the one in force")
+
 // putInForce puts the table in force unless the one in force is as new or newer.
 func (n *Node) putInForce(t *routes.Table, index *credentials.Index) {
 	n.mu.Lock()
--- a/internal/front/watch.go
+++ b/internal/front/watch.go
@@ -159,7 +159,10 @@
 func (n *Node) watchServers(ctx context.Context) error {
 	w := &watcher{node: n, kind: platform.KindServers, timeouts: n.serversWatchTimeouts, pause: n.serversPause,
 		lists: func() bool { return !n.watchesFrequently() }, onConfirmed: n.serversConfirmed, overdue: n.serversOverdue, outage: newStoreOutage(n.settings.Bounds)}
-	afterOutage := func() bool { return w.outage.mayHaveExpired(bootclock.Now()) }
+	afterOutage := func() bool {
+		now := bootclock.Now()
+		return w.outage.mayHaveExpired(now) || n.eras.entriesMayReturn(now, n.settings.Bounds)
+	}
 	w.onList = func(objects []platform.Object, revision uint64) { n.setServers(objects, revision, afterOutage()) }
 	w.onEvent = func(e platform.Event) { n.changeServer(e, afterOutage()) }
 	return w.run(ctx)
@@ -300,7 +303,7 @@
 		return
 	}
 	entry, err := platform.DecodeEntry(e.Object.Name, e.Object.Value)
-	entry.Revision = e.Object.Version
+	entry.Revision, entry.Era = e.Object.Version, platform.EraOf(e.Object.Version)
 	if err != nil {
 		level.Warn(n.log).Log("event", "server_entry_unusable", "server", e.Object.Name, "revision", e.Object.Version, "err", err)
 		n.removeServer(e.Object.Name, e.Object.Version, false)
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -38,6 +38,7 @@
 	waits        waitMetrics
 	limitChanges metric.Int64Counter
 	allowance    allowanceMetrics
+	eras         eraMetrics
 	labelOptions sync.Map // labels -> metric.MeasurementOption
 }
 
@@ -107,7 +108,7 @@
 // addInstruments registers all instruments and returns the first error.
 func (m *Metrics) addInstruments() error {
 	meter := m.provider.Meter("redwingnotch")
-	var errs [16]error
+	var errs [17]error
 	m.requests, errs[0] = meter.Int64Counter("redwingnotch_requests", metric.WithDescription("Requests by kind, rank, outcome and code."))
 	m.duration, errs[1] = meter.Float64Histogram("redwingnotch_request_duration", metric.WithUnit("s"),
 		metric.WithDescription("Time from arrival to the end of the answer."), metric.WithExplicitBucketBoundaries(latencyBounds...))
@@ -133,6 +134,7 @@
 	m.limitChanges, errs[14] = meter.Int64Counter("redwingnotch_server_limit_changes",
 		metric.WithDescription("Changes of backend servers' concurrency limits, by cause and by whose evidence it was."))
 	errs[15] = m.allowance.add(meter)
+	errs[16] = m.eras.add(meter)
 	for _, err := range errs {
 		if err != nil {
 			return err
--- a/replicas/table.go
+++ b/replicas/table.go
@@ -69,6 +69,9 @@
 type tombstone struct {
 	revision uint64 // entries of this or a lower revision are outdated
 	at       time.Time
+	era      uint64 // of the entry
+	start    int64  // that was removed; zero if not known
+	left     bool   // the server has left; false if its entry only expired
 }
 
 // Table holds all backend servers. It is not safe for concurrent use.
@@ -105,7 +108,7 @@
 		return false
 	}
 	row := t.rows[e.ID]
-	if row != nil && e.Revision < row.Revision {
+	if row != nil && e.Revision < row.Revision || t.hasLeft(e) {
 		return false
 	}
 	delete(t.removed, e.ID)
@@ -134,6 +137,19 @@
 	return true
 }
 
+// hasLeft reports whether the entry is one that the store has again because it came back from an older copy:
+// it was read in a later era than that in which this start of the server began to leave.
+func (t *Table) hasLeft(e Entry) bool {
+	if e.Draining || e.Start == 0 {
+		return false
+	}
+	if row := t.rows[e.ID]; row != nil {
+		return row.listedDraining && row.Start == e.Start && row.Era < e.Era
+	}
+	old := t.removed[e.ID]
+	return old.left && old.start == e.Start && old.era < e.Era
+}
+
 // newServer returns a row for a start of a server that has none.
 func (t *Table) newServer(e Entry) *Server {
 	row := &Server{Entry: e, listedDraining: e.Draining, absentUntil: map[string]time.Time{}, notice: t.notices[startOf(e)], hash: xxhash.Sum64String(e.ID)}
@@ -161,13 +177,17 @@
 
 // Remove removes a server whose entry no longer exists in the store as of the
 // revision.
-func (t *Table) Remove(now time.Time, id string, revision uint64) {
+func (t *Table) Remove(now time.Time, id string, revision uint64) { t.remove(now, id, revision, true) }
+
+// remove removes a server that has left, or whose entry has only expired.
+func (t *Table) remove(now time.Time, id string, revision uint64, left bool) {
+	stone := tombstone{revision: revision, at: now, left: left}
 	if row := t.rows[id]; row != nil {
-		revision = max(revision, row.Revision)
+		stone.revision, stone.era, stone.start = max(revision, row.Revision), row.Era, row.Start
 	}
 	t.unlist(now, t.rows[id])
 	delete(t.rows, id)
-	t.removed[id] = tombstone{revision: revision, at: now}
+	t.removed[id] = stone
 	for other, old := range t.removed {
 		if now.Sub(old.at) > tombstoneRetention {
 			delete(t.removed, other)
@@ -233,7 +253,7 @@
 	var removed []Entry
 	for id, row := range t.rows {
 		if !row.expiredUntil.IsZero() && !now.Before(row.expiredUntil) {
-			t.Remove(now, id, row.Revision)
+			t.remove(now, id, row.Revision, false)
 			removed = append(removed, row.Entry)
 		}
 	}
--- a/replicas/types.go
+++ b/replicas/types.go
@@ -18,6 +18,7 @@
 type Entry struct {
 	ID       string
 	Revision uint64 // store revision of the entry's last change; a higher one is newer
+	Era      uint64 `json:",omitempty"` // era of the store in which it was read; zero for a store without eras
 	Start    int64  // server start in Unix milliseconds; zero if not reported
 	Service  string
 	Software string    // version of the server's software; empty if it names none
