front: a plain response without length is whole only if its server outlived it

Cause: livesOn, which finds that out, was asked for streams only.

Change: it is asked for every response that ends with its connection. If the server has ended, a request that may be repeated is sent to another one, any other gets 502.

--- a/internal/front/attempt.go
+++ b/internal/front/attempt.go
@@ -100,6 +100,9 @@
 		return x.forwardUnheld(server, resp, body, sent)
 	}
 	x.recordEnd(err, false)
+	if err == nil && x.received.framing == httpsend.FramingClose && !x.livesOn(server) {
+		err = errServerEnded
+	}
 	if err != nil {
 		return x.bodyFailed(server, err)
 	}
--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -164,9 +164,9 @@
 // closed where that does not show that the stream is complete.
 var errUnframedEnd = errors.New("stream without framing may be incomplete")
 
-// errServerEnded means that nothing shows that the process which sent a stream without length and
+// errServerEnded means that nothing shows that the process which sent a response without length and
 // chunks outlived it.
-var errServerEnded = errors.New("server of a stream without framing may have ended in it")
+var errServerEnded = errors.New("server of a response without framing may have ended in it")
 
 // streamEnd says how a server's stream ended.
 type streamEnd struct {
--- a/internal/front/unframed_end_test.go
+++ b/internal/front/unframed_end_test.go
@@ -1,9 +1,11 @@
 package front_test
 
 import (
+	"fmt"
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 
@@ -82,6 +84,35 @@
 	assert.Assert(t, got.truncated)
 }
 
+// TestUnframedResponseOfEndedServerIsNotComplete guards against a part of a plain response that looks
+// complete: the process of a server that sends neither a length nor chunks ends within the response, and
+// the kernel closes the connection in order.
+func TestUnframedResponseOfEndedServerIsNotComplete(t *testing.T) {
+	for _, path := range []string{"/unsafe/x", "/safe/x"} {
+		t.Run(path, func(t *testing.T) {
+			t.Parallel()
+			c := newCluster(t)
+			var ends *backendServer
+			ends = c.backendServer("s1", "plain", func(rw http.ResponseWriter, r *http.Request) {
+				endings["it refuses connections"](c, ends)
+				send(rawhttp.Response{Framing: httpsend.FramingClose, Parts: []string{"half of "}, Cut: rawhttp.All, End: rawhttp.Close})(rw, r)
+			})
+			n := c.node("127.0.0.1", 0)
+			if path == "/safe/x" {
+				c.backendServer("s2", "plain", text("half of the body"))
+				c.eventually(func() bool { return strings.Contains(c.text(), "event=server server=s2 ") })
+				for i := range 4 {
+					assert.Equal(t, c.call(n, http.MethodGet, path, fmt.Sprint("r", i)).body, "half of the body")
+				}
+				return
+			}
+			got := c.call(n, http.MethodPost, path, "r1")
+			assert.Equal(t, got.status, http.StatusBadGateway)
+			assert.Equal(t, ends.count(), 1)
+		})
+	}
+}
+
 // TestUnframedStreamOfEndedServerIsResumed guards against a caller that loses the rest of such a
 // stream, or a stream that was whole, though another server can tell. The server has reported its
 // start: of a stream whose server ends before that, no node knows which servers may go on with it.
