front: a resumable stream stays with a silent server until another one can go on with it

Cause: a resumable stream was given up after 4 x target_gap_ms of silence whether another server could go on with it or not, on the last attempt, too.

Change: it goes on elsewhere once a server can take it, or its own has left or started again; a node that stops does not give up a server.

--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -16,19 +16,10 @@
 	"github.com/redwingnotch/redwingnotch/replicas"
 )
 
-// Limits of streams.
-const (
-	gapFactor     = 4                       // multiple of the route's MaxGap after which a resumable stream is resumed at another server
-	minGapTimeout = 1500 * time.Millisecond // lower limit of the pause after which a stream is resumed
-)
-
-// errGapTimeout is the cancellation cause of streams that paused for too long.
-var errGapTimeout = errors.New("stream of the backend server paused for too long")
-
 // stream passes on a stream event by event. If the stream breaks and the route
 // allows it, the stream is resumed at another server.
 func (x *exchange) stream(ctx context.Context, cancel context.CancelCauseFunc, server replicas.Entry, resp *http.Response, sent time.Time) (result attemptResult) {
-	gap := x.limitGaps(cancel)
+	gap := x.limitGaps(server, cancel)
 	defer gap.stop()
 	server, err := x.confirmSoftware(ctx, server)
 	if err != nil {
@@ -75,7 +66,7 @@
 			return attemptDone
 		}
 		timing.passedOn()
-		gap.start()
+		gap.start(x.repeatable())
 	}
 }
 
@@ -125,33 +116,6 @@
 // isNumber reports whether an ID is a decimal number, of any size.
 func isNumber(id string) bool { return id != "" && strings.Trim(id, "0123456789") == "" }
 
-// gapLimit cancels an attempt whose server pauses for too long. Nil limits nothing.
-type gapLimit struct {
-	timer   *time.Timer
-	timeout time.Duration
-}
-
-// limitGaps starts a limit of the pauses of a stream that can be resumed at another server.
-func (x *exchange) limitGaps(cancel context.CancelCauseFunc) *gapLimit {
-	if !x.route.Resumable {
-		return nil
-	}
-	timeout := max(minGapTimeout, gapFactor*x.route.MaxGap)
-	return &gapLimit{timer: time.AfterFunc(timeout, func() { cancel(errGapTimeout) }), timeout: timeout}
-}
-
-func (g *gapLimit) start() {
-	if g != nil {
-		g.timer.Reset(g.timeout)
-	}
-}
-
-func (g *gapLimit) stop() {
-	if g != nil {
-		g.timer.Stop()
-	}
-}
-
 // errInsideEvent means that a stream ended inside an event. It was broken off, even
 // if its framing was completed.
 var errInsideEvent = errors.New("stream ended inside an event")
