--- a/internal/front/attempt.go
+++ b/internal/front/attempt.go
@@ -86,15 +86,18 @@
 		slow.Stop()
 		return x.stream(ctx, cancel, server, resp, sent)
 	}
-	// A response that is no stream is passed on once it is whole, so its body has
-	// no more time than its head.
-	held := n.bodies.Hold()
+	return x.plainResponse(server, resp, sent, func() { timeout.Stop(); slow.Stop() })
+}
+
+// plainResponse reads a response that is not a stream and passes it on. It is passed on once it is whole, so
+// its body has no more time than its head; received is called when that time no longer counts.
+func (x *exchange) plainResponse(server replicas.Entry, resp *http.Response, sent time.Time, received func()) attemptResult {
+	held := x.node.bodies.Hold()
 	defer held.Release()
 	body, err := held.ReadAll(resp.Body, maxBodyBytes)
 	unheld := errors.Is(err, bytebudget.ErrFull) && x.received.framing == httpsend.FramingLength && resp.ContentLength <= maxBodyBytes
 	if err == nil || unheld {
-		timeout.Stop()
-		slow.Stop()
+		received()
 	}
 	if unheld {
 		return x.forwardUnheld(server, resp, body, sent)
--- a/internal/front/harness_test.go
+++ b/internal/front/harness_test.go
@@ -314,6 +314,11 @@
 	for i := 0; i < len(header); i += 2 {
 		req.Header.Set(header[i], header[i+1])
 	}
+	return do(req)
+}
+
+// do sends the request on a connection of its own and returns the response.
+func do(req *http.Request) response {
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 	resp, err := client.Do(req)
 	if err != nil {
--- a/internal/front/upload_test.go
+++ b/internal/front/upload_test.go
@@ -55,14 +55,7 @@
 	assert.NilError(c.t, err)
 	req.Host = callerHost
 	req.Header.Set(platform.HeaderRequestID, id)
-	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
-	resp, err := client.Do(req)
-	if err != nil {
-		return response{err: err}
-	}
-	defer resp.Body.Close()
-	data, err := io.ReadAll(resp.Body)
-	return response{status: resp.StatusCode, body: string(data), truncated: err != nil}
+	return do(req)
 }
 
 // earlyAnswer is a response without length that a server sends before it has read the request, and how its
--- a/replicas/table.go
+++ b/replicas/table.go
@@ -17,7 +17,6 @@
 	peerLoadSweep      = 50 * time.Millisecond   // interval at which outdated counts are looked for
 	plannedLoadsMaxAge = 2 * time.Second         // older lists of planned loads are ignored, see SetLeaderStateAge
 	reportedLoadMaxAge = 300 * time.Millisecond  // an older load reported with a response is ignored
-	tombstoneRetention = time.Minute             // time for which removed entries are remembered, to reject older entries that arrive late
 )
 
 // Server is the table's row of one backend server.
@@ -65,15 +64,6 @@
 	ready map[string]time.Time // expected end of the load, by model
 }
 
-// tombstone marks an entry that was removed.
-type tombstone struct {
-	revision uint64 // entries of this or a lower revision are outdated
-	at       time.Time
-	era      uint64 // of the entry
-	start    int64  // that was removed; zero if not known
-	left     bool   // the server has left; false if its entry only expired
-}
-
 // Table holds all backend servers. It is not safe for concurrent use.
 type Table struct {
 	rows        map[string]*Server        // by server ID
@@ -137,19 +127,6 @@
 	return true
 }
 
-// hasLeft reports whether the entry is one that the store has again because it came back from an older copy:
-// it was read in a later era than that in which this start of the server began to leave.
-func (t *Table) hasLeft(e Entry) bool {
-	if e.Draining || e.Start == 0 {
-		return false
-	}
-	if row := t.rows[e.ID]; row != nil {
-		return row.listedDraining && row.Start == e.Start && row.Era < e.Era
-	}
-	old := t.removed[e.ID]
-	return old.left && old.start == e.Start && old.era < e.Era
-}
-
 // newServer returns a row for a start of a server that has none.
 func (t *Table) newServer(e Entry) *Server {
 	row := &Server{Entry: e, listedDraining: e.Draining, absentUntil: map[string]time.Time{}, notice: t.notices[startOf(e)], hash: xxhash.Sum64String(e.ID)}
@@ -175,26 +152,6 @@
 	return s.connections == nil || s.connections.Load() > int64(s.inFlight)
 }
 
-// Remove removes a server whose entry no longer exists in the store as of the
-// revision.
-func (t *Table) Remove(now time.Time, id string, revision uint64) { t.remove(now, id, revision, true) }
-
-// remove removes a server that has left, or whose entry has only expired.
-func (t *Table) remove(now time.Time, id string, revision uint64, left bool) {
-	stone := tombstone{revision: revision, at: now, left: left}
-	if row := t.rows[id]; row != nil {
-		stone.revision, stone.era, stone.start = max(revision, row.Revision), row.Era, row.Start
-	}
-	t.unlist(now, t.rows[id])
-	delete(t.rows, id)
-	t.removed[id] = stone
-	for other, old := range t.removed {
-		if now.Sub(old.at) > tombstoneRetention {
-			delete(t.removed, other)
-		}
-	}
-}
-
 // MarkDraining marks a server as draining because another node reported that it is
 // draining, or that its entry was removed, as of the revision. It reports whether
 // the server was changed; an outdated report is ignored.
