front: a server that listens a moment longer than its process runs has ended

Cause: livesOn took an accepted connection for a sign of life. The kernel closes the sockets of a process that has ended one after another, and the one that listens accepts connections until it is closed itself.

Change: the connection must stay open for 20 ms. One that is reset is tried again, as a server with too many connections resets new ones; a process that has ended refuses by then.

--- a/internal/front/starts.go
+++ b/internal/front/starts.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"os"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -111,6 +112,11 @@
 	return err == nil
 }
 
+// acceptedFor is the time for which a connection must stay open to show that its server runs. The kernel closes
+// the sockets of a process that has ended one after another, so that the one that listens may still
+// accept connections after that of the response was closed; it resets them when it is closed.
+const acceptedFor = 20 * time.Millisecond
+
 // checkAccepts returns an error if the server accepts no connection.
 func (x *exchange) checkAccepts(server replicas.Entry) error {
 	ctx, cancel := context.WithTimeout(x.r.Context(), startCheckTries*startCheckTimeout)
@@ -119,5 +125,17 @@
 	if err != nil {
 		return err
 	}
-	return conn.Close()
+	defer conn.Close()
+	if err := conn.SetReadDeadline(time.Now().Add(acceptedFor)); err != nil {
+		return err
+	}
+	if _, err := conn.Read(make([]byte, 1)); err == nil || errors.Is(err, os.ErrDeadlineExceeded) {
+		return nil
+	}
+	// It has ended, or has too many connections. If it runs, it accepts another one.
+	again, err := httpsend.DialTCP(ctx, "tcp", server.Address)
+	if err != nil {
+		return err
+	}
+	return again.Close()
 }
--- a/internal/front/unframed_end_test.go
+++ b/internal/front/unframed_end_test.go
@@ -1,6 +1,7 @@
 package front_test
 
 import (
+	"bufio"
 	"fmt"
 	"net"
 	"net/http"
@@ -8,6 +9,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -113,6 +115,34 @@
 	}
 }
 
+// TestUnframedResponseOfEndingServerIsNotComplete guards against the same while the kernel closes the sockets
+// of the ended process: the one that listens still accepts connections for a moment, and resets them then.
+func TestUnframedResponseOfEndingServerIsNotComplete(t *testing.T) {
+	for range 5 {
+		c := newCluster(t)
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		assert.NilError(t, err)
+		defer l.Close()
+		c.registerRaw("s1", l)
+		n := c.node("127.0.0.1", 0)
+		c.eventually(func() bool { return strings.Contains(c.text(), "event=server ") })
+		go func() {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			answer := earlyAnswer{contentType: "text/plain"}
+			if r, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+				answer.write(conn, r.Header.Get(platform.HeaderRequestID))
+			}
+			_ = conn.Close()
+			time.Sleep(2 * time.Millisecond)
+			_ = l.Close()
+		}()
+		assert.Equal(t, c.call(n, http.MethodGet, "/unsafe/x", "r1").status, http.StatusBadGateway)
+	}
+}
+
 // TestUnframedStreamOfEndedServerIsResumed guards against a caller that loses the rest of such a
 // stream, or a stream that was whole, though another server can tell. The server has reported its
 // start: of a stream whose server ends before that, no node knows which servers may go on with it.
--- a/internal/front/upload_test.go
+++ b/internal/front/upload_test.go
@@ -44,6 +44,11 @@
 			}()
 		}
 	}()
+	c.registerRaw(id, l)
+}
+
+// registerRaw registers a ready server of the plain service that listens there.
+func (c *cluster) registerRaw(id string, l net.Listener) {
 	c.put(platform.KindServers, id, map[string]any{
 		"service": "plain", "address": l.Addr().String(), "zone": "z1", "slots": c.slots, "state": "ready", "born": 1700000000000, "version": "v1",
 	})
@@ -70,7 +75,7 @@
 // send sends the response and lets the connection be reset when it is closed.
 func (a *earlyAnswer) send(conn *net.TCPConn, id string) {
 	_, _ = io.CopyN(io.Discard, conn, int64(a.read)) // what fails here shows in what the caller gets
-	_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: stamp\r\nContent-Type: %s\r\n\r\n%s", platform.HeaderRequestID, id, platform.HeaderStamp, a.contentType, eventText(1, 3))
+	a.write(conn, id)
 	time.Sleep(a.pause)
 	if a.halfClose {
 		_ = conn.CloseWrite()
@@ -79,6 +84,11 @@
 	_ = conn.SetLinger(0)
 }
 
+// write writes the response.
+func (a *earlyAnswer) write(conn net.Conn, id string) {
+	_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: stamp\r\nContent-Type: %s\r\n\r\n%s", platform.HeaderRequestID, id, platform.HeaderStamp, a.contentType, eventText(1, 3))
+}
+
 // TestResponseResetAmidUploadIsNotComplete guards against a part of a response that a caller gets as a
 // complete one: the server answers an upload before it has read it, without a length, and ends its
 // connection while the upload is being written.
